--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,337 @@
+//! The interface of the decision module: what a gateway is told and what it may do.
+//!
+//! Nothing here decides. Ids carry no meaning beyond equality and order.
+
+use std::ops::{Add, Sub};
+
+/// A point in time or a span, in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Micros(pub u64);
+
+impl Micros {
+    /// The span in seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+    /// The span scaled by `k` (never below zero).
+    pub fn times(self, k: f64) -> Micros {
+        Micros((self.0 as f64 * k).max(0.0) as u64)
+    }
+}
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, o: Micros) -> Micros {
+        Micros(self.0.saturating_add(o.0))
+    }
+}
+impl Sub for Micros {
+    type Output = Micros;
+    /// Stops at zero.
+    fn sub(self, o: Micros) -> Micros {
+        Micros(self.0.saturating_sub(o.0))
+    }
+}
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    };
+}
+id!(/// One try of a client.
+    RequestId, u64);
+id!(/// A customer, whose quota all gateways share.
+    CustomerId, u64);
+id!(/// A server of the back end.
+    ServerId, u32);
+id!(/// A place in `Settings::classes`.
+    ClassId, usize);
+id!(/// A place in `Settings::plans`.
+    PlanId, usize);
+id!(/// A zone, numbered as the gateway was told.
+    ZoneId, u32);
+id!(/// A group of servers that share which keys they have seen.
+    CellId, u64);
+id!(/// A number kept by the counter service.
+    CountName, u64);
+id!(/// A timer, chosen by the module.
+    TimerId, u64);
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat.
+    Safe,
+    /// Carries a key; the servers of one group drop a repeat within the window.
+    Keyed,
+    /// Must not run twice.
+    Unsafe,
+}
+
+/// Which servers drop the repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every server.
+    All,
+    /// The servers of one zone.
+    Zone,
+    /// The servers of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Micros,
+    /// How long a client waits, all tries together.
+    pub deadline: Micros,
+    /// What a request is worth.
+    pub worth: f64,
+    /// The part of the worth that an answer after the aim earns.
+    pub late_worth: f64,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// Who drops repeats, where keyed.
+    pub group: Group,
+    /// How long they drop them, where keyed.
+    pub window: Micros,
+    /// The answer comes as a stream.
+    pub stream: bool,
+}
+
+/// A plan. Its quota holds for each customer over all gateways together.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Units a second; 0: no quota on the rate.
+    pub rate: f64,
+    /// The most units the quota's store holds.
+    pub burst: f64,
+    /// Attempts out at once; 0: no such cap.
+    pub open: f64,
+    /// Multiplies the worth.
+    pub price: f64,
+    /// Part of the worth earned beyond the quota.
+    pub over_worth: f64,
+    /// Part of the worth lost by sending on beyond the quota.
+    pub over_cost: f64,
+    /// Units a second of the hard ceiling; 0: none.
+    pub ceiling_rate: f64,
+    /// The most units the ceiling's store holds.
+    pub ceiling_burst: f64,
+    /// How far that store may fall below nothing.
+    pub ceiling_slack: f64,
+}
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Number of gateways.
+    pub gateways: u32,
+    /// This gateway's number among them.
+    pub me: u32,
+    /// This gateway's zone.
+    pub zone: ZoneId,
+    /// The classes of requests.
+    pub classes: Vec<Class>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+    /// The most attempts for one request.
+    pub max_attempts: usize,
+    /// Two attempts of one request may be out together.
+    pub second_copies: bool,
+    /// Attempts may be called off.
+    pub may_cancel: bool,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// Clients receive a retry-after.
+    pub retry_after: bool,
+    /// The longest retry-after that a client follows.
+    pub max_retry_after: Micros,
+    /// The counter service may be called.
+    pub counter: bool,
+    /// A count call ends unanswered after this.
+    pub count_timeout: Micros,
+    /// The largest request in units.
+    pub most_units: f64,
+    /// List changes must be asked for.
+    pub must_subscribe: bool,
+    /// How long past its deadline a final answer still counts.
+    pub answer_slack: Micros,
+    /// A server starts at no less than this part of its capacity.
+    pub cold_from: f64,
+    /// A server is warm after this.
+    pub cold: Micros,
+    /// A cold server falls over when sent this many times its present capacity,
+    pub fall_multiple: f64,
+    /// for this long.
+    pub tip_after: Micros,
+    /// The shortest gap between two calls of the module.
+    pub tick: Micros,
+}
+
+/// Whether a server takes new work, as the list tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes work.
+    InService,
+    /// It finishes what it has.
+    Draining,
+    /// It was taken away.
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Debug)]
+pub struct ServerEntry {
+    /// The server.
+    pub server: ServerId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its state.
+    pub listed: Listed,
+    /// Its size against the others.
+    pub weight: f64,
+    /// When it last started; `None`: long ago.
+    pub started: Option<Micros>,
+}
+
+/// What a list event holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// Only entries that changed.
+    Changes,
+    /// The complete list.
+    Whole,
+    /// A call for the list or the subscription failed; the earlier list stays.
+    Lost,
+}
+
+/// How an attempt, a probe or a count call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// Answered with an error; may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; may have run.
+    Timeout,
+    /// No connection was made.
+    ConnectFailed,
+    /// The connection broke; may have run.
+    Reset,
+    /// Called off; may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+impl Outcome {
+    /// The outcome proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// What a server said of its load, where it did.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests being handled.
+    pub inflight: Option<f64>,
+    /// Requests waiting.
+    pub queue: Option<f64>,
+    /// Part of its cores in use.
+    pub busy: Option<f64>,
+}
+
+/// What a gateway is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the server list.
+    Servers(ListScope, Vec<ServerEntry>),
+    /// A request came in.
+    Request {
+        /// Its id.
+        id: RequestId,
+        /// Its class.
+        class: ClassId,
+        /// Its customer's plan.
+        plan: PlanId,
+        /// Its customer.
+        customer: CustomerId,
+        /// Through how many gateways this customer's requests come.
+        spread: u32,
+        /// The client gives up then.
+        deadline: Micros,
+        /// Its units.
+        units: f64,
+    },
+    /// A timer came due.
+    Timer(TimerId),
+    /// A streamed answer has started; the request is the client's now.
+    StreamStarted(RequestId, ServerId),
+    /// The client is gone.
+    ClientGone(RequestId),
+    /// A probe ended.
+    Probed(ServerId, Outcome, Report),
+    /// A count call ended, with the total where it was answered.
+    Counted(CountName, Outcome, f64),
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts.
+        attempt: usize,
+        /// The server.
+        server: ServerId,
+        /// How.
+        outcome: Outcome,
+        /// How long it was out.
+        took: Micros,
+        /// The request has had its final answer.
+        ended: bool,
+        /// The true units, where they are settled afterwards.
+        settled: Option<f64>,
+        /// The server's load report.
+        report: Report,
+    },
+}
+
+/// What a gateway does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an attempt, to be given up at that time.
+    Send(RequestId, ServerId, Micros),
+    /// Final answer: refused, with advice when to come back.
+    Refuse(RequestId, Option<Micros>),
+    /// Final answer: failed.
+    Fail(RequestId),
+    /// Call off an attempt.
+    Cancel(RequestId, usize),
+    /// Ask a server for its load.
+    Probe(ServerId),
+    /// Add to a count that lives that long, and hear the total.
+    Count(CountName, f64, Micros),
+    /// Wake the module after this time.
+    SetTimer(TimerId, Micros),
+    /// Ask for changes of the server list.
+    Subscribe,
+    /// Ask for the whole server list.
+    FetchList,
+}
+
+/// Settings that make no sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub String);
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for SettingsError {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+#![doc = include_str!("../README.md")]
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod rules;
+pub mod wire;
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,1154 @@
+//! Every decision of a gateway. What it is told and what it may do stands in `src/api.rs`.
+//!
+//! Order: constants, admission (window count, breaker, local bucket), the life of a request, choice of
+//! a server, health and cold starts, and last the guards of the five rules.
+
+use crate::api::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Failures in a row that open the breaker, and its cooldown (the source's defaults).
+const FAILURES_TO_OPEN: f64 = 3.0;
+const COOLDOWN: Micros = Micros(5_000_000);
+/// Part of the counter's own time-out after which a call counts as failed here. Late answers reconcile.
+const CALL_PATIENCE: f64 = 0.75;
+/// Part of the ceiling's window that may be used up beyond the quota; the rest covers sends at its edges.
+const CEILING_FILL: f64 = 0.85;
+/// Length of one epoch of the count of attempts out: a leak (a killed gateway) is forgotten after it.
+const EPOCH: Micros = Micros(5_000_000);
+/// Weight of the newest sample in smoothed figures.
+const SMOOTH: f64 = 0.1;
+/// Time over which the flow of work sent is averaged.
+const FLOW_SPAN: f64 = 2.0;
+/// Bounds on attempts out at one server, learnt between the two; the first is what it starts from.
+const LIMIT_START: f64 = 6.0;
+const LIMIT_MOST: f64 = 64.0;
+/// An answer later than this part of the aim says that the server holds too much.
+const LATE_PART: f64 = 0.7;
+/// Outlier ejection: failures in a row, smoothed share of failures, first and longest time out.
+const EJECT_STREAK: u32 = 3;
+const EJECT_SHARE: f64 = 0.3;
+const EJECT_FIRST: Micros = Micros(1_000_000);
+const EJECT_DOUBLINGS: u32 = 3;
+/// Good answers, one at a time, before an ejected server takes its full share again.
+const TRIAL_ANSWERS: u32 = 3;
+/// A server that turned a request away is left alone for this long.
+const REST: Micros = Micros(100_000);
+/// Further attempts earned by each request, and the most saved up.
+const RETRY_SHARE: f64 = 0.2;
+const RETRY_SAVED: f64 = 20.0;
+/// Longest wait for a free server, as part of the aim; after it the request is refused.
+const HOLD_PART: f64 = 0.3;
+/// How often held requests are looked at.
+const HOLD_STEP: Micros = Micros(10_000);
+/// How long customers and finished things are remembered.
+const FORGET: Micros = Micros(120_000_000);
+
+/// A breaker over one way to the counter.
+#[derive(Debug, Default)]
+struct Breaker {
+    streak: f64,
+    opened: Option<Micros>,
+    probing: bool,
+}
+
+impl Breaker {
+    /// Whether a call may be made now. After the cooldown the first to ask is the half-open probe.
+    fn allows(&mut self, now: Micros) -> bool {
+        match self.opened {
+            None => true,
+            Some(at) if !self.probing && now >= at + COOLDOWN => {
+                self.probing = true;
+                true
+            }
+            Some(_) => false,
+        }
+    }
+    fn failure(&mut self, now: Micros, probe: bool) {
+        self.streak += 1.0;
+        if (self.opened.is_none() && self.streak >= FAILURES_TO_OPEN) || (probe && self.probing) {
+            (self.opened, self.probing) = (Some(now), false);
+        }
+    }
+    /// Guards against a slow counter that answers now and then: while closed, a success halves the
+    /// streak instead of clearing it, so that mostly failing calls still open the breaker.
+    fn success(&mut self, probe: bool) {
+        if probe && self.probing {
+            *self = Breaker::default();
+        } else if self.opened.is_none() {
+            self.streak /= 2.0;
+        }
+    }
+}
+
+/// A store of units that fills at a rate. It may go below nothing where the caller lets it.
+#[derive(Debug, Clone)]
+struct TokenBucket {
+    level: f64,
+    depth: f64,
+    rate: f64,
+    at: Micros,
+}
+
+impl TokenBucket {
+    fn fill(&mut self, now: Micros) {
+        self.level = (self.level + self.rate * (now - self.at).secs()).min(self.depth);
+        self.at = now.max(self.at);
+    }
+    fn take(&mut self, now: Micros, units: f64) -> bool {
+        self.fill(now);
+        let enough = self.level >= units;
+        if enough {
+            self.level -= units;
+        }
+        enough
+    }
+}
+
+/// What a count is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    Window,
+    Open,
+}
+
+/// One call to the counter whose answer is still to come.
+#[derive(Debug)]
+struct Call {
+    serial: u64,
+    purpose: Purpose,
+    customer: CustomerId,
+    span: u64,
+    request: Option<RequestId>,
+    amount: f64,
+    /// The part of the amount that is not this request's own.
+    extra: f64,
+    probe: bool,
+    /// Our short time-out has passed; the request was decided without the answer.
+    expired: bool,
+}
+
+/// This gateway's side of a customer's shared count in one window (or epoch).
+#[derive(Debug, Default)]
+struct Tally {
+    span: u64,
+    /// Own adds known to have been counted.
+    posted: f64,
+    /// Own spend not yet on the counter.
+    owed: f64,
+    /// Own earlier spend that calls under way carry.
+    posting: f64,
+    /// The last total heard.
+    seen: f64,
+}
+
+#[derive(Debug)]
+struct Customer {
+    plan: usize,
+    spread: f64,
+    window: Tally,
+    epoch: Tally,
+    bucket: Option<TokenBucket>,
+    breaker: Breaker,
+    out: f64,
+    used: Micros,
+}
+
+#[derive(Debug, Clone)]
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    out: bool,
+    may_have_run: bool,
+}
+
+#[derive(Debug)]
+struct Request {
+    class: usize,
+    plan: usize,
+    customer: CustomerId,
+    units: f64,
+    arrived: Micros,
+    deadline: Micros,
+    attempts: Vec<Attempt>,
+    /// Window whose count holds this request's units, until the first send.
+    counted: Option<u64>,
+    /// It holds a place in the customer's attempts out.
+    holds_place: bool,
+    admitted: bool,
+    held_since: Option<Micros>,
+    streaming: bool,
+    done: bool,
+}
+
+#[derive(Debug)]
+struct Server {
+    zone: ZoneId,
+    cell: CellId,
+    weight: f64,
+    listed: bool,
+    out: f64,
+    latency: f64,
+    limit: f64,
+    streak: u32,
+    fail_share: f64,
+    ejected_until: Micros,
+    ejections: u32,
+    trial: u32,
+    rest_until: Micros,
+    unreached_since: Option<Micros>,
+    cold_since: Option<Micros>,
+    cold_room: TokenBucket,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Timer {
+    Deadline(RequestId),
+    Call(CountName, u64),
+    Held,
+    Resubscribe,
+    Sweep,
+}
+
+/// One gateway. It shares nothing with others but what the counter tells.
+pub struct Gateway {
+    set: Settings,
+    rng: fastrand::Rng,
+    now: Micros,
+    breaker: Breaker,
+    last_failed: Option<CustomerId>,
+    calls: BTreeMap<CountName, VecDeque<Call>>,
+    customers: BTreeMap<CustomerId, Customer>,
+    requests: BTreeMap<RequestId, Request>,
+    servers: BTreeMap<ServerId, Server>,
+    timers: BTreeMap<TimerId, Timer>,
+    held: Vec<RequestId>,
+    hold_timer: bool,
+    retries: TokenBucket,
+    flow: TokenBucket,
+    latency: f64,
+    serial: u64,
+}
+
+type Out = Vec<Action>;
+
+impl Gateway {
+    /// A gateway as it starts, knowing nothing but its settings.
+    pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
+        check(&set)?;
+        let bucket = |level, depth| TokenBucket { level, depth, rate: 0.0, at: Micros(0) };
+        Ok(Gateway {
+            set,
+            rng: fastrand::Rng::with_seed(seed),
+            now: Micros(0),
+            breaker: Breaker::default(),
+            last_failed: None,
+            calls: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            held: Vec::new(),
+            hold_timer: false,
+            retries: bucket(RETRY_SAVED, RETRY_SAVED),
+            flow: bucket(0.0, f64::MAX),
+            latency: 0.0,
+            serial: 0,
+        })
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Servers(scope, entries) => self.on_servers(scope, entries, out),
+            Event::Request { id, class, plan, customer, spread, deadline, units } => {
+                if class.0 >= self.set.classes.len() || plan.0 >= self.set.plans.len() {
+                    out.push(Action::Refuse(id, None));
+                    return;
+                }
+                self.on_request(
+                    id,
+                    class.0,
+                    plan.0,
+                    customer,
+                    f64::from(spread.max(1)),
+                    deadline,
+                    units,
+                    out,
+                );
+            }
+            Event::Timer(timer) => self.on_timer(timer, out),
+            Event::StreamStarted(id, _) => {
+                if let Some(r) = self.requests.get_mut(&id) {
+                    r.streaming = true;
+                }
+            }
+            Event::ClientGone(id) => self.finish(id, None, out),
+            Event::Probed(..) => {}
+            Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total, out),
+            Event::AttemptEnded { id, attempt, server, outcome, took, ended, settled, report: _ } => {
+                self.on_attempt(id, attempt, server, outcome, took, ended, settled, out);
+            }
+        }
+    }
+
+    fn timer(&mut self, timer: Timer, after: Micros, out: &mut Out) {
+        self.serial += 1;
+        let id = TimerId(self.serial);
+        self.timers.insert(id, timer);
+        out.push(Action::SetTimer(id, after));
+    }
+
+    fn on_timer(&mut self, id: TimerId, out: &mut Out) {
+        match self.timers.remove(&id) {
+            Some(Timer::Deadline(id)) => self.on_deadline(id, out),
+            Some(Timer::Call(name, serial)) => self.on_call_expired(name, serial, out),
+            Some(Timer::Held) => {
+                self.hold_timer = false;
+                self.serve_held(out);
+            }
+            Some(Timer::Resubscribe) => out.push(Action::Subscribe),
+            Some(Timer::Sweep) => {
+                let oldest = self.now - FORGET;
+                self.customers.retain(|_, c| c.used >= oldest || c.out > 0.0);
+                self.timer(Timer::Sweep, FORGET, out);
+            }
+            None => {}
+        }
+    }
+
+    // ---- admission ----
+
+    /// Window length and what it admits: one burst in the burst's time; under a ceiling halves of both.
+    fn window_of(&self, plan: usize) -> (Micros, f64) {
+        let p = &self.set.plans[plan];
+        let part = if p.ceiling_rate > 0.0 { 0.5 } else { 1.0 };
+        (Micros(((p.burst / p.rate) * part * 1e6).max(1.0) as u64), p.burst * part)
+    }
+
+    /// What may be sent on in a window all told: more than the quota's part only where it earns more
+    /// than it costs, and then only up to the ceiling, which fills the same windows.
+    fn window_most(&self, plan: usize) -> f64 {
+        let (length, quota) = self.window_of(plan);
+        let p = &self.set.plans[plan];
+        if p.over_worth <= p.over_cost {
+            quota
+        } else if p.ceiling_rate > 0.0 {
+            let room = (p.ceiling_rate * length.secs()).min(p.ceiling_burst / 2.0);
+            quota.max(room * CEILING_FILL)
+        } else {
+            f64::MAX
+        }
+    }
+
+    /// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not
+    /// all windows end at once.
+    fn span(&self, customer: CustomerId, length: Micros) -> (u64, Micros) {
+        let shifted = self.now.0 + mix(customer.0) % length.0;
+        (shifted / length.0, Micros(length.0 - shifted % length.0))
+    }
+
+    fn roll(&mut self, id: CustomerId) {
+        let Some(c) = self.customers.get(&id) else { return };
+        let (plan, used) = (c.plan, self.set.plans[c.plan].rate > 0.0);
+        let window = if used { self.span(id, self.window_of(plan).0).0 } else { 0 };
+        let epoch = self.span(id, EPOCH).0;
+        if let Some(c) = self.customers.get_mut(&id) {
+            if c.window.span != window {
+                c.window = Tally { span: window, ..Tally::default() };
+            }
+            if c.epoch.span != epoch {
+                c.epoch = Tally { span: epoch, owed: c.out, ..Tally::default() };
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_request(
+        &mut self,
+        id: RequestId,
+        class: usize,
+        plan: usize,
+        customer: CustomerId,
+        spread: f64,
+        deadline: Micros,
+        units: f64,
+        out: &mut Out,
+    ) {
+        let now = self.now;
+        self.retries.level = (self.retries.level + RETRY_SHARE).min(RETRY_SAVED);
+        let request = Request {
+            class,
+            plan,
+            customer,
+            units,
+            deadline,
+            arrived: now,
+            attempts: Vec::new(),
+            counted: None,
+            holds_place: false,
+            admitted: false,
+            held_since: None,
+            streaming: false,
+            done: false,
+        };
+        self.requests.insert(id, request);
+        // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
+        let left = deadline - now - self.set.tick - self.set.tick;
+        self.timer(Timer::Deadline(id), left, out);
+        let c = self.customers.entry(customer).or_insert_with(|| Customer {
+            plan,
+            spread,
+            window: Tally::default(),
+            epoch: Tally::default(),
+            bucket: None,
+            breaker: Breaker::default(),
+            out: 0.0,
+            used: now,
+        });
+        (c.plan, c.spread, c.used) = (plan, spread, now);
+        self.roll(customer);
+        if self.set.plans[plan].rate > 0.0 {
+            self.ask_window(id, out);
+        } else {
+            self.ask_place(id, out);
+        }
+    }
+
+    fn may_call(&mut self, customer: CustomerId) -> bool {
+        let now = self.now;
+        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        self.set.counter
+            && c.breaker.opened.is_none_or(|at| now >= at + COOLDOWN)
+            && self.breaker.allows(now)
+            && c.breaker.allows(now)
+    }
+
+    /// The ordinary path: one add on the customer's window before anything is sent on.
+    fn ask_window(&mut self, id: RequestId, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (customer, units, plan) = (r.customer, r.units, r.plan);
+        let most = self.window_most(plan);
+        let c = &self.customers[&customer];
+        if self.breaker.opened.is_none() && c.window.seen + c.window.owed >= most {
+            return self.refuse(id, out); // Known full: a call could only tell the same.
+        }
+        if self.may_call(customer) {
+            self.call(Purpose::Window, customer, Some(id), units, out);
+        } else {
+            self.decide_window(id, None, out);
+        }
+    }
+
+    fn ask_place(&mut self, id: RequestId, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let customer = r.customer;
+        if self.set.plans[r.plan].open <= 0.0 {
+            self.admit(id, out);
+        } else if self.may_call(customer) {
+            self.call(Purpose::Open, customer, Some(id), 1.0, out);
+        } else {
+            self.decide_place(id, None, out);
+        }
+    }
+
+    fn call(
+        &mut self,
+        purpose: Purpose,
+        id: CustomerId,
+        request: Option<RequestId>,
+        units: f64,
+        out: &mut Out,
+    ) {
+        self.roll(id);
+        let Some(c) = self.customers.get_mut(&id) else { return };
+        let plan = c.plan;
+        let tally = if purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
+        let (span, extra) = (tally.span, std::mem::take(&mut tally.owed));
+        if units + extra == 0.0 && request.is_none() {
+            return;
+        }
+        tally.posting += extra;
+        let length = if purpose == Purpose::Window { self.window_of(plan).0 } else { EPOCH };
+        let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
+        let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
+        self.serial += 1;
+        let serial = self.serial;
+        let amount = units + extra;
+        self.calls.entry(name).or_default().push_back(Call {
+            serial,
+            purpose,
+            customer: id,
+            span,
+            request,
+            amount,
+            extra,
+            probe,
+            expired: false,
+        });
+        out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
+        self.timer(Timer::Call(name, serial), self.set.count_timeout.times(CALL_PATIENCE), out);
+    }
+
+    /// Our own short time-out: the call counts as failed and the local bucket decides.
+    fn on_call_expired(&mut self, name: CountName, serial: u64, out: &mut Out) {
+        let Some(call) = self.calls.get_mut(&name).and_then(|q| q.iter_mut().find(|c| c.serial == serial))
+        else {
+            return;
+        };
+        call.expired = true;
+        let (customer, probe, request, purpose) = (call.customer, call.probe, call.request, call.purpose);
+        self.call_failed(customer, probe);
+        self.decide(request, purpose, None, out);
+    }
+
+    /// Guards against one hot name that fills its part of the counter: failures of the same customer in
+    /// a row count once for the common breaker, while that customer's own breaker opens.
+    fn call_failed(&mut self, customer: CustomerId, probe: bool) {
+        let now = self.now;
+        if self.last_failed != Some(customer) || probe {
+            self.breaker.failure(now, probe);
+        }
+        self.last_failed = Some(customer);
+        if let Some(c) = self.customers.get_mut(&customer) {
+            c.breaker.failure(now, probe);
+        }
+    }
+
+    fn on_counted(&mut self, name: CountName, outcome: Outcome, total: f64, out: &mut Out) {
+        let Some(queue) = self.calls.get_mut(&name) else { return };
+        let Some(call) = queue.pop_front() else { return };
+        if queue.is_empty() {
+            self.calls.remove(&name);
+        }
+        self.roll(call.customer);
+        let Some(c) = self.customers.get_mut(&call.customer) else { return };
+        let tally = if call.purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
+        let current = tally.span == call.span;
+        if current {
+            tally.posting -= call.extra;
+        }
+        let mut heard = None;
+        if outcome == Outcome::Ok {
+            if current {
+                tally.posted += call.amount;
+                // Guards against an emptied counter: a total below our own adds proves lost memory.
+                // Our spend goes back on, and until it has, it is reckoned with here.
+                let lost = tally.posted - total;
+                if lost > 0.5 && call.purpose == Purpose::Window {
+                    (tally.owed, tally.posted) = (tally.owed + lost, total);
+                }
+                tally.seen = total;
+            }
+            heard = Some(total + if current { tally.owed + tally.posting } else { 0.0 });
+            if !call.expired {
+                c.breaker.success(call.probe);
+                c.bucket = None;
+                self.last_failed = None;
+                self.breaker.success(call.probe);
+            }
+        } else if outcome != Outcome::Timeout && current {
+            tally.owed += call.extra;
+        }
+        if call.expired {
+            self.reconcile(&call, outcome, out);
+            return call.request.into_iter().for_each(|id| self.let_go(id, out));
+        }
+        if heard.is_none() {
+            self.call_failed(call.customer, call.probe);
+        } else if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)) {
+            if call.purpose == Purpose::Window {
+                r.counted = Some(call.span);
+            }
+        }
+        self.decide(call.request, call.purpose, heard, out);
+        if let Some(id) = call.request {
+            self.let_go(id, out);
+        }
+        if self.customers.get(&call.customer).is_some_and(|c| c.window.owed > 0.5)
+            && call.purpose == Purpose::Window
+            && heard.is_some()
+        {
+            self.call(Purpose::Window, call.customer, None, 0.0, out);
+        }
+    }
+
+    /// A late answer: keep the add if the request went on, else take it back; what went on uncounted
+    /// is owed.
+    fn reconcile(&mut self, call: &Call, outcome: Outcome, out: &mut Out) {
+        if call.purpose == Purpose::Open {
+            return self.sync_places(call.customer, out);
+        }
+        let own = call.amount - call.extra;
+        let went_on = call.request.is_some_and(|id| {
+            self.requests.get(&id).is_some_and(|r| r.admitted && !r.done || !r.attempts.is_empty())
+        });
+        let Some(c) = self.customers.get_mut(&call.customer) else { return };
+        if c.window.span == call.span && outcome.never_ran() && went_on {
+            c.window.owed += own;
+        } else if outcome == Outcome::Ok && !went_on && call.request.is_some() {
+            self.take_back(call.customer, call.span, own, out);
+        }
+    }
+
+    fn take_back(&mut self, customer: CustomerId, span: u64, units: f64, out: &mut Out) {
+        self.roll(customer);
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        if c.window.span != span {
+            return;
+        }
+        c.window.seen -= units;
+        if self.breaker.opened.is_none() {
+            self.call(Purpose::Window, customer, None, -units, out);
+        } else {
+            c.window.owed -= units;
+        }
+    }
+
+    fn decide(&mut self, request: Option<RequestId>, purpose: Purpose, heard: Option<f64>, out: &mut Out) {
+        let Some(id) = request else { return };
+        match purpose {
+            Purpose::Window => self.decide_window(id, heard, out),
+            Purpose::Open => self.decide_place(id, heard, out),
+        }
+    }
+
+    fn decide_window(&mut self, id: RequestId, heard: Option<f64>, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (customer, units, plan) = (r.customer, r.units, r.plan);
+        if r.done {
+            if let Some(span) = r.counted {
+                self.take_back(customer, span, units, out);
+            }
+            return;
+        }
+        let quota = self.window_of(plan).1;
+        let ok = match heard {
+            Some(total) if total <= quota => true,
+            Some(total) => total <= self.window_most(plan) && self.idle(),
+            None => self.local_take(customer, plan, units),
+        };
+        if ok {
+            self.ask_place(id, out);
+        } else {
+            self.refuse(id, out);
+        }
+    }
+
+    /// The local bucket decides where the counter does not: the customer's rate over its gateways. It
+    /// starts empty, or with this gateway's part of what the window was last heard to have left.
+    fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
+        let (now, quota) = (self.now, self.window_of(plan).1);
+        let (most_units, rate) = (self.set.most_units, self.set.plans[plan].rate);
+        let opened = self.breaker.opened;
+        let Some(c) = self.customers.get_mut(&customer) else { return false };
+        let window = &c.window;
+        let bucket = c.bucket.get_or_insert_with(|| TokenBucket {
+            level: if window.seen > 0.0 { (quota - window.seen).max(0.0) / c.spread } else { 0.0 },
+            depth: (quota / c.spread).max(most_units),
+            rate: rate / c.spread,
+            at: opened.unwrap_or(now).min(now),
+        });
+        let ok = bucket.take(now, units);
+        if ok {
+            c.window.owed += units;
+        }
+        ok
+    }
+
+    fn decide_place(&mut self, id: RequestId, heard: Option<f64>, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (customer, plan, done) = (r.customer, &self.set.plans[r.plan], r.done);
+        let Some(c) = self.customers.get(&customer) else { return };
+        let ok = match heard {
+            Some(total) => total <= plan.open,
+            None => c.out < (plan.open / c.spread).floor().max(1.0),
+        };
+        if ok && !done {
+            self.admit(id, out);
+        } else {
+            self.refuse(id, out);
+        }
+        self.sync_places(customer, out);
+    }
+
+    /// Puts the shared count of attempts out right where it says more than is out: a place let go.
+    fn sync_places(&mut self, customer: CustomerId, out: &mut Out) {
+        self.roll(customer);
+        let Some(c) = self.customers.get_mut(&customer) else { return };
+        let surplus = c.epoch.posted + c.epoch.posting + c.epoch.owed - c.out;
+        if surplus > 0.5 && self.breaker.opened.is_none() {
+            c.epoch.owed -= surplus;
+            self.call(Purpose::Open, customer, None, 0.0, out);
+        }
+    }
+
+    // ---- the life of a request ----
+
+    fn admit(&mut self, id: RequestId, out: &mut Out) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.admitted = true;
+        if self.set.plans[r.plan].open > 0.0 {
+            r.holds_place = true;
+            if let Some(c) = self.customers.get_mut(&r.customer) {
+                c.out += 1.0;
+            }
+        }
+        self.dispatch(id, out);
+    }
+
+    /// Sends the next attempt, or holds the request until a server is free.
+    fn dispatch(&mut self, id: RequestId, out: &mut Out) {
+        if let Some(server) = self.pick(id) {
+            return self.send(id, server, out);
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if r.held_since.is_none() {
+            r.held_since = Some(self.now);
+            self.held.push(id);
+        }
+        if !self.hold_timer {
+            self.hold_timer = true;
+            self.timer(Timer::Held, HOLD_STEP, out);
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, out: &mut Out) {
+        let now = self.now;
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let class = &self.set.classes[r.class];
+        let aim_at = r.arrived + class.aim;
+        // An attempt is given up while another one could still meet the aim, if another is allowed.
+        let again = class.effect != Effect::Unsafe
+            && r.attempts.len() + 1 < self.set.max_attempts
+            && !class.stream
+            && (class.effect == Effect::Safe || class.group == Group::All);
+        let spare = Micros((self.latency * 2.0) as u64).max(class.aim.times(0.3)).min(class.aim.times(0.5));
+        let early = aim_at - spare;
+        let until =
+            if again && early > now + class.aim.times(0.3) { early.min(r.deadline) } else { r.deadline };
+        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
+        r.held_since = None;
+        r.counted = None;
+        let units = r.units;
+        self.flow.level = self.flow_rate() * FLOW_SPAN + units;
+        self.flow.at = now;
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.out += 1.0;
+            s.cold_room.level -= units;
+        }
+        out.push(Action::Send(id, server, until));
+    }
+
+    fn serve_held(&mut self, out: &mut Out) {
+        let now = self.now;
+        let mut waiting = std::mem::take(&mut self.held);
+        waiting.retain(|id| self.requests.get(id).is_some_and(|r| !r.done && r.held_since.is_some()));
+        // In overload the least worth for its work waits longest and is refused first.
+        let worth = |id: &RequestId| {
+            let r = &self.requests[id];
+            (self.set.classes[r.class].worth * self.set.plans[r.plan].price * 1e6) as u64
+        };
+        waiting.sort_by_key(|id| (std::cmp::Reverse(worth(id)), *id));
+        for id in waiting {
+            let r = &self.requests[&id];
+            let longest = self.set.classes[r.class].aim.times(HOLD_PART);
+            let overdue = r.held_since.is_some_and(|at| now >= at + longest);
+            if let Some(server) = self.pick(id) {
+                self.send(id, server, out);
+            } else if overdue {
+                self.refuse(id, out);
+            } else {
+                self.held.push(id);
+            }
+        }
+        if !self.held.is_empty() && !self.hold_timer {
+            self.hold_timer = true;
+            self.timer(Timer::Held, HOLD_STEP, out);
+        }
+    }
+
+    /// Refuses with a retry-after where that is allowed, or fails.
+    fn refuse(&mut self, id: RequestId, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let wait = (self.set.retry_after && self.set.plans[r.plan].rate > 0.0)
+            .then(|| self.span(r.customer, self.window_of(r.plan).0).1.min(self.set.max_retry_after));
+        let answer = if self.may_refuse(r) { Action::Refuse(id, wait) } else { Action::Fail(id) };
+        self.finish(id, Some(answer), out);
+    }
+
+    /// The request has its final answer; what is still out is called off.
+    fn finish(&mut self, id: RequestId, answer: Option<Action>, out: &mut Out) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if !r.done {
+            r.done = true;
+            out.extend(answer);
+            for (i, _) in
+                r.attempts.iter().enumerate().filter(|(_, a)| a.out && self.set.may_cancel && !r.streaming)
+            {
+                out.push(Action::Cancel(id, i));
+            }
+        }
+        let (customer, units, counted) = (r.customer, r.units, r.counted.take());
+        if let Some(span) = counted {
+            self.take_back(customer, span, units, out);
+        }
+        self.let_go(id, out);
+    }
+
+    /// Forgets a finished request once nothing of it is out, and frees its place.
+    fn let_go(&mut self, id: RequestId, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if !r.done || r.attempts.iter().any(|a| a.out) {
+            return;
+        }
+        let (customer, held) = (r.customer, r.holds_place);
+        // A call still out needs to know whether the request went on.
+        let asked = self.calls.values().any(|q| q.iter().any(|c| c.request == Some(id)));
+        if held {
+            if let Some(c) = self.customers.get_mut(&customer) {
+                c.out -= 1.0;
+            }
+            self.sync_places(customer, out);
+        }
+        if !asked {
+            self.requests.remove(&id);
+        } else if let Some(r) = self.requests.get_mut(&id) {
+            r.holds_place = false;
+        }
+    }
+
+    fn on_deadline(&mut self, id: RequestId, out: &mut Out) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if !r.done && !r.streaming {
+            self.refuse(id, out);
+        } else if r.done {
+            self.let_go(id, out);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn on_attempt(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+        took: Micros,
+        ended: bool,
+        settled: Option<f64>,
+        out: &mut Out,
+    ) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(a) = r.attempts.get_mut(attempt).filter(|a| a.out && a.server == server) else { return };
+        a.out = false;
+        a.may_have_run = !outcome.never_ran();
+        let (aim, customer, units) = (self.set.classes[r.class].aim, r.customer, r.units);
+        let was_done = r.done;
+        r.done |= ended || outcome == Outcome::Ok;
+        let answered = r.done;
+        let in_time = self.now < r.arrived + aim;
+        self.judge(server, outcome, took, aim);
+        if let (Some(true_units), Outcome::Ok, false) = (settled, outcome, was_done) {
+            if let Some(c) = self.customers.get_mut(&customer) {
+                c.window.owed += true_units - units;
+            }
+        }
+        if answered {
+            self.let_go(id, out);
+        } else if in_time && self.may_repeat(id) && self.retries.take(self.now, 1.0) {
+            self.dispatch(id, out);
+        } else if self.requests.get(&id).is_some_and(|r| !r.attempts.iter().any(|a| a.out)) {
+            self.refuse(id, out);
+        }
+        if !self.held.is_empty() {
+            self.serve_held(out);
+        }
+    }
+
+    // ---- choice of a server ----
+
+    /// The allowed server with the least expected wait; own zone on near ties.
+    fn pick(&mut self, id: RequestId) -> Option<ServerId> {
+        self.warm_up();
+        let r = self.requests.get(&id)?;
+        let mut best: Option<(f64, ServerId)> = None;
+        for spare in [false, true] {
+            for (&sid, s) in &self.servers {
+                if !self.may_send(r, sid, s)
+                    || (!spare && !self.healthy(s))
+                    || s.out >= s.limit.floor().max(1.0)
+                {
+                    continue;
+                }
+                if spare && s.out >= 1.0 {
+                    continue; // Nothing healthy is left: one at a time to whatever is listed.
+                }
+                let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
+                let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
+                let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
+                score *= 1.0 + 0.1 * self.rng.f64() + if s.zone == self.set.zone { 0.0 } else { 0.05 };
+                if best.is_none_or(|(b, _)| score < b) {
+                    best = Some((score, sid));
+                }
+            }
+            if best.is_some() {
+                break;
+            }
+            if self.servers.values().any(|s| s.listed && self.healthy(s)) {
+                break; // There are healthy ones, only full: wait for them.
+            }
+        }
+        best.map(|(_, sid)| sid)
+    }
+
+    fn healthy(&self, s: &Server) -> bool {
+        self.now >= s.ejected_until && self.now >= s.rest_until && (s.trial == 0 || s.out < 1.0)
+    }
+
+    /// A server of ours stands idle and nothing waits: room for what is beyond a quota.
+    fn idle(&self) -> bool {
+        self.held.is_empty()
+            && self
+                .servers
+                .values()
+                .any(|s| s.listed && s.out < 1.0 && s.cold_since.is_none() && s.trial == 0 && self.healthy(s))
+    }
+
+    // ---- health and cold starts ----
+
+    fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
+        let (now, cold) = (self.now, self.set.cold);
+        let jitter = 0.75 + 0.5 * self.rng.f64();
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.out = (s.out - 1.0).max(0.0);
+        if outcome == Outcome::Ok {
+            let sample = took.0 as f64;
+            for smooth in [&mut s.latency, &mut self.latency] {
+                *smooth = if *smooth == 0.0 { sample } else { *smooth + SMOOTH * (sample - *smooth) };
+            }
+            s.streak = 0;
+            s.fail_share *= 1.0 - SMOOTH;
+            s.trial = s.trial.saturating_sub(1);
+            if s.trial == 0 {
+                s.ejections = 0;
+            }
+            if took > aim.times(LATE_PART) {
+                s.limit = (s.limit * 0.9).max(1.0);
+            } else if s.out + 1.0 >= s.limit.floor() {
+                s.limit = (s.limit + 0.5).min(LIMIT_MOST);
+            }
+            // Guards against a restart that the list has not told yet: connects failed for a while and
+            // now it answers, so it is taken to be cold.
+            if let Some(since) = s.unreached_since.take() {
+                if now - since > EJECT_FIRST && s.cold_since.is_none() {
+                    s.cold_since = Some(now);
+                    s.cold_room.level = 0.0;
+                }
+            }
+            if s.cold_since.is_some_and(|at| now >= at + cold) {
+                s.cold_since = None;
+            }
+            return;
+        }
+        if matches!(outcome, Outcome::Cancelled | Outcome::Moot) {
+            return;
+        }
+        if outcome == Outcome::Full {
+            s.limit = (s.limit * 0.8).max(1.0);
+            s.rest_until = now + REST;
+            return;
+        }
+        s.streak += 1;
+        s.fail_share += SMOOTH * (1.0 - s.fail_share);
+        if outcome == Outcome::ConnectFailed {
+            s.unreached_since.get_or_insert(now);
+        }
+        let out_of_line =
+            outcome == Outcome::ConnectFailed || s.streak >= EJECT_STREAK || s.fail_share > EJECT_SHARE;
+        if now >= s.ejected_until && (out_of_line || s.trial > 0) {
+            s.ejected_until = now + EJECT_FIRST.times(f64::from(1 << s.ejections) * jitter);
+            s.ejections = (s.ejections + 1).min(EJECT_DOUBLINGS);
+            s.trial = TRIAL_ANSWERS;
+        }
+    }
+
+    /// Units a second that this gateway sends on, over the last moments.
+    fn flow_rate(&self) -> f64 {
+        self.flow.level / FLOW_SPAN * (-(self.now - self.flow.at).secs() / FLOW_SPAN).exp()
+    }
+
+    /// Guards against pushing over a cold server: it is given the work that a warm one of its size gets
+    /// from this gateway, times the part of its capacity that it must have by now. Warm servers bear
+    /// that load, and each gateway scales its own, so the sum stays in proportion.
+    fn warm_up(&mut self) {
+        let (now, set) = (self.now, &self.set);
+        if self.servers.values().all(|s| s.cold_since.is_none()) {
+            return;
+        }
+        let usable = |s: &&Server| s.listed && now >= s.ejected_until;
+        let warm: f64 =
+            self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
+        let all: f64 = self.servers.values().filter(|s| s.listed).map(|s| s.weight).sum();
+        let per_weight = self.flow_rate() / if warm * 3.0 >= all { warm } else { all.max(1e-9) };
+        for s in self.servers.values_mut() {
+            let Some(since) = s.cold_since else { continue };
+            if now >= since + set.cold {
+                s.cold_since = None;
+                continue;
+            }
+            let part = set.cold_from + (1.0 - set.cold_from) * ((now - since).secs() / set.cold.secs());
+            s.cold_room.rate = per_weight * s.weight * part * (set.fall_multiple / 2.0).min(1.0);
+            s.cold_room.fill(now);
+        }
+    }
+
+    fn on_servers(&mut self, scope: ListScope, entries: Vec<ServerEntry>, out: &mut Out) {
+        if scope == ListScope::Lost {
+            if self.set.must_subscribe {
+                let wait = Micros(500_000 + self.rng.u64(0..500_000));
+                self.timer(Timer::Resubscribe, wait, out);
+            }
+            return;
+        }
+        if self.serial == 0 {
+            self.timer(Timer::Sweep, FORGET, out);
+            if self.set.must_subscribe {
+                out.push(Action::Subscribe);
+            }
+        }
+        if scope == ListScope::Whole {
+            self.servers.values_mut().for_each(|s| s.listed = false);
+        }
+        let (now, cold, units) = (self.now, self.set.cold, self.set.most_units);
+        for e in entries {
+            let s = self.servers.entry(e.server).or_insert_with(|| Server {
+                zone: e.zone,
+                cell: e.cell,
+                weight: 1.0,
+                listed: true,
+                out: 0.0,
+                latency: 0.0,
+                limit: LIMIT_START,
+                streak: 0,
+                fail_share: 0.0,
+                ejected_until: Micros(0),
+                ejections: 0,
+                trial: 0,
+                rest_until: Micros(0),
+                unreached_since: None,
+                cold_since: None,
+                cold_room: TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now },
+            });
+            (s.zone, s.cell, s.weight) = (e.zone, e.cell, if e.weight > 0.0 { e.weight } else { 1.0 });
+            s.listed = e.listed == Listed::InService;
+            if let Some(started) = e.started.filter(|&at| now < at + cold) {
+                if s.cold_since.is_none_or(|at| at < started) {
+                    s.cold_room = TokenBucket { level: -units, depth: 1.0, rate: 0.0, at: now };
+                    (s.ejected_until, s.ejections, s.trial, s.streak, s.fail_share) =
+                        (Micros(0), 0, 0, 0, 0.0);
+                    (s.unreached_since, s.limit) = (None, LIMIT_START);
+                }
+                s.cold_since = Some(started);
+            }
+        }
+        self.serve_held(out);
+    }
+
+    // ---- guards of the rules: every send and every refusal passes here ----
+
+    fn may_repeat(&self, id: RequestId) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        !r.done && self.servers.iter().any(|(&sid, s)| self.may_send(r, sid, s))
+    }
+
+    /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
+    fn may_send(&self, r: &Request, _id: ServerId, s: &Server) -> bool {
+        let class = &self.set.classes[r.class];
+        if r.done
+            || r.streaming
+            || !s.listed
+            || self.now >= r.deadline
+            || r.attempts.len() >= self.set.max_attempts
+        {
+            return false;
+        }
+        if s.cold_since.is_some() && s.cold_room.level <= 0.0 {
+            return false;
+        }
+        if r.attempts.iter().any(|a| a.out) && !self.set.second_copies {
+            return false;
+        }
+        let mut ran = r.attempts.iter().filter(|a| a.out || a.may_have_run);
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => ran.next().is_none(),
+            // The window counts from the first send that may have run, less a tick on the way.
+            Effect::Keyed => ran.all(|a| {
+                self.now + self.set.tick + self.set.tick < a.sent + class.window
+                    && self.servers.get(&a.server).is_some_and(|first| match class.group {
+                        Group::All => true,
+                        Group::Zone => first.zone == s.zone,
+                        Group::Cell => first.cell == s.cell,
+                    })
+            }),
+        }
+    }
+
+    /// Whether trying again is harmless for the client.
+    fn may_refuse(&self, r: &Request) -> bool {
+        let class = &self.set.classes[r.class];
+        let ran = r.attempts.iter().any(|a| a.out || a.may_have_run);
+        !r.streaming
+            && match class.effect {
+                Effect::Safe => true,
+                Effect::Keyed => !ran || class.group == Group::All,
+                Effect::Unsafe => !ran,
+            }
+    }
+}
+
+/// Spreads the bits of a number (the finaliser of SplitMix64).
+fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Settings that make no sense are refused at the start.
+fn check(set: &Settings) -> Result<(), SettingsError> {
+    let fail = |what: &str| Err(SettingsError(what.to_string()));
+    if set.gateways == 0 || set.me >= set.gateways {
+        return fail("gateways: expected at least one, and this one's number below it");
+    }
+    if set.max_attempts == 0 {
+        return fail("max_attempts: expected at least 1");
+    }
+    let sound = |v: f64| v.is_finite() && v >= 0.0;
+    if !sound(set.cold_from) || !sound(set.fall_multiple) || !sound(set.most_units) {
+        return fail("cold_from, fall_multiple, most_units: expected numbers of 0 or more");
+    }
+    for c in &set.classes {
+        if !sound(c.worth) || !sound(c.late_worth) || c.deadline.0 == 0 {
+            return fail("class: expected a worth of 0 or more and a deadline above 0");
+        }
+    }
+    for p in &set.plans {
+        let figures = [
+            p.rate,
+            p.burst,
+            p.open,
+            p.price,
+            p.over_worth,
+            p.over_cost,
+            p.ceiling_rate,
+            p.ceiling_burst,
+            p.ceiling_slack,
+        ];
+        if !figures.iter().all(|&v| sound(v)) || (p.rate > 0.0 && p.burst <= 0.0) {
+            return fail("plan: expected numbers of 0 or more, and a burst above 0 where there is a rate");
+        }
+    }
+    Ok(())
+}
