--- a/src/api.rs
+++ b/src/api.rs
@@ -35,7 +35,7 @@
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     };
 }
@@ -125,7 +125,7 @@
 }
 
 /// What a gateway is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Settings {
     /// Number of gateways.
     pub gateways: u32,
@@ -249,32 +249,57 @@
     pub busy: Option<f64>,
 }
 
+/// A request that came in.
+#[derive(Clone, Debug, Default)]
+pub struct Arrival {
+    /// Its id.
+    pub id: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its customer's plan.
+    pub plan: PlanId,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// Through how many gateways this customer's requests come.
+    pub spread: u32,
+    /// The client gives up then.
+    pub deadline: Micros,
+    /// Its units.
+    pub units: f64,
+}
+
+/// An attempt that ended.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    /// The request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: usize,
+    /// The server.
+    pub server: ServerId,
+    /// How.
+    pub outcome: Outcome,
+    /// How long it was out.
+    pub took: Micros,
+    /// The request has had its final answer.
+    pub ended: bool,
+    /// The true units, where they are settled afterwards.
+    pub settled: Option<f64>,
+    /// The server's load report.
+    pub report: Report,
+}
+
 /// What a gateway is told.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// News of the server list.
     Servers(ListScope, Vec<ServerEntry>),
     /// A request came in.
-    Request {
-        /// Its id.
-        id: RequestId,
-        /// Its class.
-        class: ClassId,
-        /// Its customer's plan.
-        plan: PlanId,
-        /// Its customer.
-        customer: CustomerId,
-        /// Through how many gateways this customer's requests come.
-        spread: u32,
-        /// The client gives up then.
-        deadline: Micros,
-        /// Its units.
-        units: f64,
-    },
+    Request(Arrival),
     /// A timer came due.
     Timer(TimerId),
     /// A streamed answer has started; the request is the client's now.
-    StreamStarted(RequestId, ServerId),
+    StreamStarted(RequestId),
     /// The client is gone.
     ClientGone(RequestId),
     /// A probe ended.
@@ -282,24 +307,7 @@
     /// A count call ended, with the total where it was answered.
     Counted(CountName, Outcome, f64),
     /// An attempt ended.
-    AttemptEnded {
-        /// The request.
-        id: RequestId,
-        /// Which of its attempts.
-        attempt: usize,
-        /// The server.
-        server: ServerId,
-        /// How.
-        outcome: Outcome,
-        /// How long it was out.
-        took: Micros,
-        /// The request has had its final answer.
-        ended: bool,
-        /// The true units, where they are settled afterwards.
-        settled: Option<f64>,
-        /// The server's load report.
-        report: Report,
-    },
+    AttemptEnded(AttemptEnd),
 }
 
 /// What a gateway does.
@@ -335,3 +343,34 @@
     }
 }
 impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Whether these settings make sense.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let fail = |what: &str| Err(SettingsError(what.to_string()));
+        let sound = |v: f64| v.is_finite() && v >= 0.0;
+        if self.gateways == 0 || self.me >= self.gateways {
+            return fail("gateways: expected at least one, and this one's number below it");
+        }
+        if self.max_attempts == 0 {
+            return fail("max_attempts: expected at least 1");
+        }
+        if ![self.cold_from, self.fall_multiple, self.most_units].into_iter().all(sound) {
+            return fail("cold_from, fall_multiple, most_units: expected numbers of 0 or more");
+        }
+        if !self.classes.iter().all(|c| sound(c.worth) && sound(c.late_worth) && c.deadline.0 > 0) {
+            return fail("class: expected a worth of 0 or more and a deadline above 0");
+        }
+        for p in &self.plans {
+            let quota = [p.rate, p.burst, p.open, p.ceiling_rate, p.ceiling_burst, p.ceiling_slack];
+            let worth = [p.price, p.over_worth, p.over_cost];
+            if !quota.into_iter().chain(worth).all(sound) {
+                return fail("plan: expected numbers of 0 or more");
+            }
+            if p.rate > 0.0 && p.burst <= 0.0 || p.ceiling_rate > 0.0 && p.ceiling_burst <= 0.0 {
+                return fail("plan: expected a burst above 0 where there is a rate");
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -246,7 +246,7 @@
                 if units < 0.0 {
                     return f.fail("price_units", "a number of 0 or more");
                 }
-                Event::Request {
+                Event::Request(Arrival {
                     id: RequestId(f.whole("ref")?),
                     class: ClassId(class),
                     plan: PlanId(plan),
@@ -254,16 +254,16 @@
                     spread: f.real_or("doors", 1.0)?.clamp(1.0, 1e6) as u32,
                     deadline: f.read("drop_dead", "a clock time")?.map_or(now + longest, Micros),
                     units,
-                }
+                })
             }
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
-            "FIRST_BYTE" => Event::StreamStarted(RequestId(f.whole("ref")?), self.server(f.text("backend")?)),
+            "FIRST_BYTE" => Event::StreamStarted(RequestId(f.whole("ref")?)),
             "TIMED_OUT_CLIENT" => Event::ClientGone(RequestId(f.whole("ref")?)),
             "PONG" => Event::Probed(self.server(f.text("backend")?), f.outcome()?, f.report()?),
             "COUNT_RESULT" => {
                 Event::Counted(CountName(f.whole("book")?), f.outcome()?, f.real_or("result_value", 0.0)?)
             }
-            "OUTCOME" => Event::AttemptEnded {
+            "OUTCOME" => Event::AttemptEnded(AttemptEnd {
                 id: RequestId(f.whole("ref")?),
                 attempt: f.whole_or("trial", 0)? as usize,
                 server: self.server(f.text("backend")?),
@@ -272,7 +272,7 @@
                 ended: f.flag_or("ended", false)?,
                 settled: Some(f.real_or("settled", 0.0)?).filter(|s| *s > 0.0),
                 report: f.report()?,
-            },
+            }),
             _ => return Ok(None),
         }))
     }
