--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 
 pub mod api;
 pub mod rules;
+mod state;
 pub mod wire;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 //! a server, health and cold starts, and last the guards of the five rules.
 
 use crate::api::*;
+use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Failures in a row that open the breaker, and its cooldown (the source's defaults).
@@ -20,12 +21,14 @@
 /// Time over which the flow of work sent is averaged.
 const FLOW_SPAN: f64 = 2.0;
 /// Bounds on attempts out at one server, learnt between the two; the first is what it starts from.
-const LIMIT_START: f64 = 6.0;
+const LIMIT_START: f64 = 2.0;
 const LIMIT_MOST: f64 = 64.0;
 /// An answer later than this part of the aim says that the server holds too much.
 const LATE_PART: f64 = 0.7;
 /// Below this share of failed or late attempts over all servers, trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
+/// One earlier than this, while the bound was in use, says that it could hold more.
+const GROW_PART: f64 = 0.4;
 /// Outlier ejection: failures in a row, smoothed share of failures, first and longest time out.
 const EJECT_STREAK: u32 = 3;
 const EJECT_SHARE: f64 = 0.3;
@@ -49,7 +52,7 @@
 
 /// A breaker over one way to the counter.
 #[derive(Debug, Default)]
-struct Breaker {
+pub(crate) struct Breaker {
     streak: f64,
     opened: Option<Micros>,
     probing: bool,
@@ -86,7 +89,7 @@
 
 /// A store of units that fills at a rate. It may go below nothing where the caller lets it.
 #[derive(Debug, Clone, Default)]
-struct TokenBucket {
+pub(crate) struct TokenBucket {
     level: f64,
     depth: f64,
     rate: f64,
@@ -108,113 +111,6 @@
     }
 }
 
-/// What a count is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Purpose {
-    Window,
-    /// The window before, only read.
-    Past,
-    Open,
-}
-
-/// One call to the counter whose answer is still to come.
-#[derive(Debug)]
-struct Call {
-    serial: u64,
-    purpose: Purpose,
-    customer: CustomerId,
-    span: u64,
-    request: Option<RequestId>,
-    amount: f64,
-    /// The part of the amount that is not this request's own.
-    extra: f64,
-    probe: bool,
-    /// Our short time-out has passed; the request was decided without the answer.
-    expired: bool,
-}
-
-/// This gateway's side of a customer's shared count in one window (or epoch).
-#[derive(Debug, Default)]
-struct Tally {
-    span: u64,
-    /// Own adds known to have been counted.
-    posted: f64,
-    /// Own spend not yet on the counter.
-    owed: f64,
-    /// Own earlier spend that calls under way carry.
-    posting: f64,
-    /// The last total heard.
-    seen: f64,
-    /// What the quota's store held as the last window began, and this one.
-    before: f64,
-    start: f64,
-}
-
-#[derive(Debug, Default)]
-struct Customer {
-    plan: usize,
-    spread: f64,
-    window: Tally,
-    epoch: Tally,
-    bucket: Option<TokenBucket>,
-    breaker: Breaker,
-    /// Own attempts out (of a plan that caps them).
-    out: f64,
-    used: Micros,
-}
-
-#[derive(Debug, Clone)]
-struct Attempt {
-    server: ServerId,
-    sent: Micros,
-    out: bool,
-    may_have_run: bool,
-}
-
-#[derive(Debug, Default)]
-struct Request {
-    a: Arrival,
-    arrived: Micros,
-    attempts: Vec<Attempt>,
-    /// Window whose count holds this request's units, until the first send.
-    counted: Option<u64>,
-    /// It holds a place in the customer's attempts out.
-    holds_place: bool,
-    admitted: bool,
-    held_since: Option<Micros>,
-    streaming: bool,
-    done: bool,
-}
-
-#[derive(Debug, Default)]
-struct Server {
-    zone: ZoneId,
-    cell: CellId,
-    weight: f64,
-    listed: bool,
-    out: f64,
-    latency: f64,
-    limit: f64,
-    streak: u32,
-    fail_share: f64,
-    ejected_until: Micros,
-    ejections: u32,
-    trial: u32,
-    rest_until: Micros,
-    unreached_since: Option<Micros>,
-    cold_since: Option<Micros>,
-    cold_room: TokenBucket,
-}
-
-#[derive(Debug, Clone, Copy)]
-enum Timer {
-    Deadline(RequestId),
-    Call(CountName, u64),
-    Held,
-    Resubscribe,
-    Sweep,
-}
-
 /// One gateway. It shares nothing with others but what the counter tells.
 #[derive(Default)]
 pub struct Gateway {
@@ -352,6 +248,9 @@
         // Before the deadline by two ticks: a timer may come one late, and the answer takes one.
         self.timer(Timer::Deadline(id), a.deadline - now - self.set.tick - self.set.tick);
         let c = self.customers.entry(customer).or_default();
+        if c.used == Micros(0) {
+            c.beyond.at = now; // Starts empty: an earlier life of this gateway may have spent it.
+        }
         (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
         self.requests.insert(id, Request { a, arrived: now, ..Request::default() });
         self.roll(customer);
@@ -600,8 +499,10 @@
         }
         let ok = match heard {
             Some(total) if self.room(customer, total) >= 0.0 => true,
-            Some(total) => total <= self.window_most(plan) && self.idle(),
-            None => self.local_take(customer, plan, units),
+            Some(total) => {
+                total <= self.window_most(plan) && self.idle() && self.beyond_take(customer, plan, units)
+            }
+            None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
         if ok {
             self.ask_place(id);
@@ -610,6 +511,17 @@
         }
     }
 
+    /// Guards the hard ceiling where the counter does not speak for what is sent on: unheard, or beyond
+    /// the quota. Each gateway may send so only its part of what the ceiling holds above the quota; the
+    /// counted rest stays within the quota, so the sum keeps the ceiling whatever the counter forgets.
+    fn beyond_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
+        let (now, p) = (self.now, &self.set.plans[plan]);
+        let Some(c) = self.customers.get_mut(&customer).filter(|_| p.ceiling_rate > 0.0) else { return true };
+        (c.beyond.rate, c.beyond.depth) =
+            ((p.ceiling_rate - p.rate).max(0.0) / c.spread, (p.ceiling_burst - p.burst).max(0.0) / c.spread);
+        c.beyond.take(now, units)
+    }
+
     /// The local bucket decides where the counter does not: the customer's rate over its gateways. It
     /// starts empty, or with this gateway's part of what the window was last heard to have left.
     fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
@@ -903,7 +815,7 @@
             }
             if took > aim.times(LATE_PART) {
                 s.limit = (s.limit * 0.9).max(1.0);
-            } else if s.out + 1.0 >= s.limit.floor() {
+            } else if s.out + 1.0 >= s.limit.floor() && took < aim.times(GROW_PART) {
                 s.limit = (s.limit + 0.5).min(LIMIT_MOST);
             }
             // Guards against a restart that the list has not told yet: connects failed for a while and
@@ -1067,11 +979,3 @@
             }
     }
 }
-
-/// Spreads the bits of a number (the finaliser of SplitMix64).
-fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,121 @@
+//! What a gateway keeps in mind. Nothing here decides.
+
+use crate::api::*;
+use crate::rules::{Breaker, TokenBucket};
+
+/// What a count is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Window,
+    /// The window before, only read.
+    Past,
+    Open,
+}
+
+/// One call to the counter whose answer is still to come.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) serial: u64,
+    pub(crate) purpose: Purpose,
+    pub(crate) customer: CustomerId,
+    pub(crate) span: u64,
+    pub(crate) request: Option<RequestId>,
+    pub(crate) amount: f64,
+    /// The part of the amount that is not this request's own.
+    pub(crate) extra: f64,
+    pub(crate) probe: bool,
+    /// Our short time-out has passed; the request was decided without the answer.
+    pub(crate) expired: bool,
+}
+
+/// This gateway's side of a customer's shared count in one window (or epoch).
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    pub(crate) span: u64,
+    /// Own adds known to have been counted.
+    pub(crate) posted: f64,
+    /// Own spend not yet on the counter.
+    pub(crate) owed: f64,
+    /// Own earlier spend that calls under way carry.
+    pub(crate) posting: f64,
+    /// The last total heard.
+    pub(crate) seen: f64,
+    /// What the quota's store held as the last window began, and this one.
+    pub(crate) before: f64,
+    pub(crate) start: f64,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Customer {
+    pub(crate) plan: usize,
+    pub(crate) spread: f64,
+    pub(crate) window: Tally,
+    pub(crate) epoch: Tally,
+    pub(crate) bucket: Option<TokenBucket>,
+    /// What may go on unheard or beyond the quota under a ceiling.
+    pub(crate) beyond: TokenBucket,
+    pub(crate) breaker: Breaker,
+    /// Own attempts out (of a plan that caps them).
+    pub(crate) out: f64,
+    pub(crate) used: Micros,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    pub(crate) server: ServerId,
+    pub(crate) sent: Micros,
+    pub(crate) out: bool,
+    pub(crate) may_have_run: bool,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Request {
+    pub(crate) a: Arrival,
+    pub(crate) arrived: Micros,
+    pub(crate) attempts: Vec<Attempt>,
+    /// Window whose count holds this request's units, until the first send.
+    pub(crate) counted: Option<u64>,
+    /// It holds a place in the customer's attempts out.
+    pub(crate) holds_place: bool,
+    pub(crate) admitted: bool,
+    pub(crate) held_since: Option<Micros>,
+    pub(crate) streaming: bool,
+    pub(crate) done: bool,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Server {
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) weight: f64,
+    pub(crate) listed: bool,
+    pub(crate) out: f64,
+    pub(crate) latency: f64,
+    pub(crate) limit: f64,
+    pub(crate) streak: u32,
+    pub(crate) fail_share: f64,
+    pub(crate) ejected_until: Micros,
+    pub(crate) ejections: u32,
+    pub(crate) trial: u32,
+    pub(crate) rest_until: Micros,
+    pub(crate) unreached_since: Option<Micros>,
+    pub(crate) cold_since: Option<Micros>,
+    pub(crate) cold_room: TokenBucket,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Timer {
+    Deadline(RequestId),
+    Call(CountName, u64),
+    Held,
+    Resubscribe,
+    Sweep,
+}
+
+/// Spreads the bits of a number (the finaliser of SplitMix64).
+pub(crate) fn mix(x: u64) -> u64 {
+    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
