--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,6 +12,10 @@
 const COOLDOWN: Micros = Micros(5_000_000);
 /// Part of the counter's own time-out after which a call counts as failed here. Late answers reconcile.
 const CALL_PATIENCE: f64 = 0.75;
+/// Share of requests that ask: cut by each failed call, raised by each answer, and never below.
+const ASK_CUT: f64 = 0.8;
+const ASK_GROW: f64 = 0.02;
+const ASK_LEAST: f64 = 0.1;
 /// Part of the ceiling's window that may be used up beyond the quota; the rest covers sends at its edges.
 const CEILING_FILL: f64 = 0.85;
 /// Length of one epoch of the count of attempts out: a leak (a killed gateway) is forgotten after it.
@@ -119,6 +123,8 @@
     now: Micros,
     out: Vec<Action>,
     breaker: Breaker,
+    /// Share of requests that ask the counter.
+    ask: f64,
     last_failed: Option<CustomerId>,
     calls: BTreeMap<CountName, VecDeque<Call>>,
     customers: BTreeMap<CustomerId, Customer>,
@@ -141,7 +147,7 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let rng = fastrand::Rng::with_seed(seed);
-        Ok(Gateway { set, rng, retries: RETRY_SAVED, ..Gateway::default() })
+        Ok(Gateway { set, rng, retries: RETRY_SAVED, ask: 1.0, ..Gateway::default() })
     }
 
     /// Takes one event and appends what is to be done.
@@ -230,7 +236,7 @@
             let start = (before + quota - c.window.seen).clamp(0.0, burst);
             let start = if c.window.span + 1 == span { start } else { burst };
             c.window = Tally { span, before, start, ..Tally::default() };
-            if rated && self.breaker.opened.is_none() && self.set.counter {
+            if rated && self.breaker.opened.is_none() && self.set.counter && self.ask >= 1.0 {
                 self.call(Purpose::Past, id, None, 0.0);
             }
         }
@@ -299,7 +305,9 @@
         if full && self.breaker.opened.is_none() && total > 0.0 {
             return self.refuse(id); // Known full: a call could only tell the same.
         }
-        if self.may_call(customer) {
+        // Guards against a counter that our own calls drown: while calls fail, only a part of the requests
+        // asks; the local bucket decides the others, and their spend goes out with the next call.
+        if (self.breaker.opened.is_some() || self.rng.f64() < self.ask) && self.may_call(customer) {
             self.call(Purpose::Window, customer, Some(id), units);
         } else {
             self.decide_window(id, None);
@@ -368,6 +376,7 @@
     /// a row count once for the common breaker, while that customer's own breaker opens.
     fn call_failed(&mut self, customer: CustomerId, probe: bool) {
         let now = self.now;
+        self.ask = (self.ask * ASK_CUT).max(ASK_LEAST);
         if self.last_failed != Some(customer) || probe {
             self.breaker.failure(now, probe);
         }
@@ -417,6 +426,7 @@
             if !call.expired {
                 c.breaker.success(call.probe);
                 c.bucket = None;
+                self.ask = (self.ask + ASK_GROW).min(1.0);
                 self.last_failed = None;
                 self.breaker.success(call.probe);
             }
@@ -523,18 +533,20 @@
     }
 
     /// The local bucket decides where the counter does not: the customer's rate over its gateways. It
-    /// starts empty, or with this gateway's part of what the window was last heard to have left.
+    /// starts with this gateway's part of what the customer's store was last known to hold; under a
+    /// ceiling, `beyond_take` stands before it and does start empty. Guards against refusing customers
+    /// with few units, for whom a share that starts empty admits nothing for seconds.
     fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
-        let (now, quota, most_units) = (self.now, self.window_of(plan).1, self.set.most_units);
-        let (rate, opened) = (self.set.plans[plan].rate, self.breaker.opened.unwrap_or(self.now));
-        let Some(seen) = self.customers.get(&customer).map(|c| c.window.seen) else { return false };
-        let left = if seen > 0.0 { self.room(customer, seen).max(0.0) } else { 0.0 };
+        let (now, most_units, p) = (self.now, self.set.most_units, &self.set.plans[plan]);
+        let (rate, burst) = (p.rate, p.burst);
+        let Some(c) = self.customers.get(&customer) else { return false };
+        let left = self.room(customer, c.window.seen + c.window.owed + c.window.posting).max(0.0);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
         let bucket = c.bucket.get_or_insert_with(|| TokenBucket {
             level: left / c.spread,
-            depth: (quota / c.spread).max(most_units),
+            depth: (burst / c.spread).max(most_units),
             rate: rate / c.spread,
-            at: opened.min(now),
+            at: now,
         });
         let ok = bucket.take(now, units);
         if ok {
