--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,11 +28,13 @@
 const LIMIT_START: f64 = 2.0;
 const LIMIT_MOST: f64 = 64.0;
 /// An answer later than this part of the aim says that the server holds too much.
-const LATE_PART: f64 = 0.7;
+const LATE_PART: f64 = 0.5;
 /// Below this share of failed or late attempts over all servers, trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
 /// One earlier than this, while the bound was in use, says that it could hold more.
-const GROW_PART: f64 = 0.4;
+const GROW_PART: f64 = 0.25;
+/// And below this one the fleet may be called idle.
+const IDLE_SHARE: f64 = 0.03;
 /// Outlier ejection: failures in a row, smoothed share of failures, first and longest time out.
 const EJECT_STREAK: u32 = 3;
 const EJECT_SHARE: f64 = 0.3;
@@ -799,6 +801,7 @@
     /// A server of ours stands idle and nothing waits: room for what is beyond a quota.
     fn idle(&self) -> bool {
         self.held.is_empty()
+            && self.fail_share < IDLE_SHARE
             && self
                 .servers
                 .values()
