--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,53 +7,49 @@
 use crate::state::*;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Failures in a row that open the breaker, and its cooldown (the source's defaults).
+/// The source's breaker: failures in a row that open it, and its cooldown.
 const FAILURES_TO_OPEN: f64 = 3.0;
 const COOLDOWN: Micros = Micros(5_000_000);
-/// Part of the counter's own time-out after which a call counts as failed here. Late answers reconcile.
+/// Part of the counter's own time-out after which a call counts as failed here; late answers reconcile.
 const CALL_PATIENCE: f64 = 0.75;
 /// Share of requests that ask: cut by each failed call, raised by each answer, and never below.
 const ASK_CUT: f64 = 0.8;
 const ASK_GROW: f64 = 0.02;
 const ASK_LEAST: f64 = 0.1;
-/// Part of the ceiling's window that may be used up beyond the quota; the rest covers sends at its edges.
+/// Part of the ceiling's window that may be used beyond the quota; the rest covers sends at its edges.
 const CEILING_FILL: f64 = 0.85;
-/// Length of one epoch of the count of attempts out: a leak (a killed gateway) is forgotten after it.
+/// Life of one count of attempts out: what a killed gateway held is forgotten after it.
 const EPOCH: Micros = Micros(5_000_000);
-/// Weight of the newest sample in smoothed figures.
+/// Weight of the newest sample in smoothed figures; time over which the flow of work is averaged.
 const SMOOTH: f64 = 0.1;
-/// Time over which the flow of work sent is averaged.
 const FLOW_SPAN: f64 = 2.0;
-/// Bounds on attempts out at one server, learnt between the two; the first is what it starts from.
+/// Bounds on attempts out at one server: where learning starts, and the most.
 const LIMIT_START: f64 = 2.0;
 const LIMIT_MOST: f64 = 64.0;
-/// An answer later than this part of the aim says that the server holds too much.
+/// An answer later than this part of the aim says that a server holds too much; one earlier than the
+/// second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.5;
-/// Below this share of failed or late attempts over all servers, trouble lies with single servers.
-const CALM_SHARE: f64 = 0.15;
-/// One earlier than this, while the bound was in use, says that it could hold more.
 const GROW_PART: f64 = 0.25;
-/// And below this one the fleet may be called idle.
+/// Share of failed or late attempts over all servers: below the first, trouble lies with single
+/// servers; below the second, the fleet may be called idle.
+const CALM_SHARE: f64 = 0.15;
 const IDLE_SHARE: f64 = 0.03;
-/// Outlier ejection: failures in a row, smoothed share of failures, first and longest time out.
+/// Outlier ejection: failures in a row, smoothed share of failures, first time out and its doublings,
+/// good answers, one at a time, before the server takes its full share again.
 const EJECT_STREAK: u32 = 3;
 const EJECT_SHARE: f64 = 0.3;
 const EJECT_FIRST: Micros = Micros(1_000_000);
 const EJECT_DOUBLINGS: u32 = 3;
-/// Good answers, one at a time, before an ejected server takes its full share again.
 const TRIAL_ANSWERS: u32 = 3;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
-/// Further attempts earned by each request, and the most saved up.
+/// Retry budget: further attempts earned by each request, and the most saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 20.0;
-/// Longest wait for a free server, as part of the aim; after it the request is refused.
+/// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
-/// How often held requests are looked at.
 const HOLD_STEP: Micros = Micros(10_000);
-/// PLAIN
-const PLAIN: bool = true;
-/// How long customers and finished things are remembered.
+/// How long idle customers are remembered.
 const FORGET: Micros = Micros(120_000_000);
 
 /// A breaker over one way to the counter.
@@ -65,16 +61,13 @@
 }
 
 impl Breaker {
-    /// Whether a call may be made now. After the cooldown the first to ask is the half-open probe.
-    fn allows(&mut self, now: Micros) -> bool {
-        match self.opened {
-            None => true,
-            Some(at) if !self.probing && now >= at + COOLDOWN => {
-                self.probing = true;
-                true
-            }
-            Some(_) => false,
-        }
+    /// Whether a call could be made now.
+    fn ready(&self, now: Micros) -> bool {
+        self.opened.is_none_or(|at| !self.probing && now >= at + COOLDOWN)
+    }
+    /// A call is made; after the cooldown it is the half-open probe.
+    fn ask(&mut self) {
+        self.probing |= self.opened.is_some();
     }
     fn failure(&mut self, now: Micros, probe: bool) {
         self.streak += 1.0;
@@ -93,30 +86,6 @@
     }
 }
 
-/// A store of units that fills at a rate. It may go below nothing where the caller lets it.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct TokenBucket {
-    level: f64,
-    depth: f64,
-    rate: f64,
-    at: Micros,
-}
-
-impl TokenBucket {
-    fn fill(&mut self, now: Micros) {
-        self.level = (self.level + self.rate * (now - self.at).secs()).min(self.depth);
-        self.at = now.max(self.at);
-    }
-    fn take(&mut self, now: Micros, units: f64) -> bool {
-        self.fill(now);
-        let enough = self.level >= units;
-        if enough {
-            self.level -= units;
-        }
-        enough
-    }
-}
-
 /// One gateway. It shares nothing with others but what the counter tells.
 #[derive(Default)]
 pub struct Gateway {
@@ -262,10 +231,9 @@
         (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
         self.requests.insert(id, Request { a, arrived: now, ..Request::default() });
         self.roll(customer);
-        if self.set.plans[plan].rate > 0.0 {
-            self.ask_window(id);
-        } else {
-            self.ask_place(id);
+        match self.set.plans[plan].rate > 0.0 {
+            true => self.ask_window(id),
+            false => self.ask_place(id),
         }
     }
 
@@ -281,20 +249,17 @@
         // What would have overflowed the store is gone.
         c.window.start -= (c.window.start + refill - total - burst).max(0.0);
         let held = c.window.start + refill - total;
-        if PLAIN {
-            held.max(quota - total)
-        } else {
-            held
-        }
+        held.max(quota - total)
     }
 
     fn may_call(&mut self, customer: CustomerId) -> bool {
-        let now = self.now;
         let Some(c) = self.customers.get_mut(&customer) else { return false };
-        self.set.counter
-            && c.breaker.opened.is_none_or(|at| now >= at + COOLDOWN)
-            && self.breaker.allows(now)
-            && c.breaker.allows(now)
+        let ready = self.set.counter && self.breaker.ready(self.now) && c.breaker.ready(self.now);
+        if ready {
+            self.breaker.ask();
+            c.breaker.ask();
+        }
+        ready
     }
 
     /// The ordinary path: one add on the customer's window before anything is sent on.
@@ -345,29 +310,17 @@
         let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
         let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
         self.serial += 1;
-        let serial = self.serial;
-        let amount = units + extra;
-        self.calls.entry(name).or_default().push_back(Call {
-            serial,
-            purpose,
-            customer: id,
-            span,
-            request,
-            amount,
-            extra,
-            probe,
-            expired: false,
-        });
+        let (serial, amount, customer, expired) = (self.serial, units + extra, id, false);
+        let call = Call { serial, purpose, customer, span, request, amount, extra, probe, expired };
+        self.calls.entry(name).or_default().push_back(call);
         self.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
         self.timer(Timer::Call(name, serial), self.set.count_timeout.times(CALL_PATIENCE));
     }
 
     /// Our own short time-out: the call counts as failed and the local bucket decides.
     fn on_call_expired(&mut self, name: CountName, serial: u64) {
-        let Some(call) = self.calls.get_mut(&name).and_then(|q| q.iter_mut().find(|c| c.serial == serial))
-        else {
-            return;
-        };
+        let queue = self.calls.get_mut(&name);
+        let Some(call) = queue.and_then(|q| q.iter_mut().find(|c| c.serial == serial)) else { return };
         call.expired = true;
         let (customer, probe, request, purpose) = (call.customer, call.probe, call.request, call.purpose);
         self.call_failed(customer, probe);
@@ -383,9 +336,7 @@
             self.breaker.failure(now, probe);
         }
         self.last_failed = Some(customer);
-        if let Some(c) = self.customers.get_mut(&customer) {
-            c.breaker.failure(now, probe);
-        }
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.breaker.failure(now, probe));
     }
 
     fn on_counted(&mut self, name: CountName, outcome: Outcome, total: f64) {
@@ -400,10 +351,9 @@
             if outcome == Outcome::Ok && c.window.span == call.span + 1 {
                 let (plan, before, start) = (c.plan, c.window.before, c.window.start);
                 let held = (before + self.window_of(plan).1 - total).clamp(0.0, self.set.plans[plan].burst);
-                self.customers
-                    .get_mut(&call.customer)
-                    .into_iter()
-                    .for_each(|c| c.window.start = held.min(start));
+                if let Some(c) = self.customers.get_mut(&call.customer) {
+                    c.window.start = held.min(start);
+                }
             }
             return;
         }
@@ -435,27 +385,23 @@
         } else if outcome != Outcome::Timeout && current {
             tally.owed += call.extra;
         }
+        let window = call.purpose == Purpose::Window;
         if call.expired {
             self.reconcile(&call, outcome);
-            return call.request.into_iter().for_each(|id| self.let_go(id));
-        }
-        if heard.is_none() {
-            self.call_failed(call.customer, call.probe);
-        } else if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)) {
-            if call.purpose == Purpose::Window {
+        } else {
+            if heard.is_none() {
+                self.call_failed(call.customer, call.probe);
+            } else if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)).filter(|_| window)
+            {
                 r.counted = Some(call.span);
             }
+            self.decide(call.request, call.purpose, heard);
+            let owed = self.customers.get(&call.customer).is_some_and(|c| c.window.owed > 0.5);
+            if owed && window && heard.is_some() {
+                self.call(Purpose::Window, call.customer, None, 0.0);
+            }
         }
-        self.decide(call.request, call.purpose, heard);
-        if let Some(id) = call.request {
-            self.let_go(id);
-        }
-        if self.customers.get(&call.customer).is_some_and(|c| c.window.owed > 0.5)
-            && call.purpose == Purpose::Window
-            && heard.is_some()
-        {
-            self.call(Purpose::Window, call.customer, None, 0.0);
-        }
+        call.request.into_iter().for_each(|id| self.let_go(id));
     }
 
     /// A late answer: keep the add if the request went on, else take it back; what went on uncounted
@@ -503,29 +449,24 @@
     fn decide_window(&mut self, id: RequestId, heard: Option<f64>) {
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
-        if r.done {
-            if let Some(span) = r.counted {
-                self.take_back(customer, span, units);
-            }
-            return;
-        }
         let ok = match heard {
-            Some(total) if self.room(customer, total) >= 0.0 => true,
-            Some(total) => {
-                total <= self.window_most(plan) && self.idle() && self.beyond_take(customer, plan, units)
-            }
+            _ if r.done => return,
+            Some(total) if total <= self.window_of(plan).1 => true,
+            Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
+            Some(total) if total > self.window_most(plan) || !self.idle() => false,
+            Some(_) => self.beyond_take(customer, plan, units),
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
-        if ok {
-            self.ask_place(id);
-        } else {
-            self.refuse(id);
+        match ok {
+            true => self.ask_place(id),
+            false => self.refuse(id),
         }
     }
 
-    /// Guards the hard ceiling where the counter does not speak for what is sent on: unheard, or beyond
-    /// the quota. Each gateway may send so only its part of what the ceiling holds above the quota; the
-    /// counted rest stays within the quota, so the sum keeps the ceiling whatever the counter forgets.
+    /// Guards the hard ceiling wherever the plain window does not speak for what is sent on: unheard, by
+    /// what a gateway believes was left over, or beyond the quota. Each gateway may send so only its
+    /// part of what the ceiling holds above the quota; plain windows stay within the quota, so the sum
+    /// keeps the ceiling whatever single gateways believe. May hurt one that has all the traffic.
     fn beyond_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
         let (now, p) = (self.now, &self.set.plans[plan]);
         let Some(c) = self.customers.get_mut(&customer).filter(|_| p.ceiling_rate > 0.0) else { return true };
@@ -544,16 +485,9 @@
         let Some(c) = self.customers.get(&customer) else { return false };
         let left = self.room(customer, c.window.seen + c.window.owed + c.window.posting).max(0.0);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
-        let bucket = c.bucket.get_or_insert_with(|| TokenBucket {
-            level: left / c.spread,
-            depth: (burst / c.spread).max(most_units),
-            rate: rate / c.spread,
-            at: now,
-        });
-        let ok = bucket.take(now, units);
-        if ok {
-            c.window.owed += units;
-        }
+        let (level, depth, rate) = (left / c.spread, (burst / c.spread).max(most_units), rate / c.spread);
+        let ok = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now }).take(now, units);
+        c.window.owed += if ok { units } else { 0.0 };
         ok
     }
 
@@ -565,10 +499,9 @@
             Some(total) => total <= plan.open,
             None => c.out < (plan.open / c.spread).floor().max(1.0),
         };
-        if ok && !done {
-            self.admit(id);
-        } else {
-            self.refuse(id);
+        match ok && !done {
+            true => self.admit(id),
+            false => self.refuse(id),
         }
         self.sync_places(customer);
     }
@@ -591,9 +524,7 @@
         r.admitted = true;
         if self.set.plans[r.a.plan.0].open > 0.0 {
             r.holds_place = true;
-            if let Some(c) = self.customers.get_mut(&r.a.customer) {
-                c.out += 1.0;
-            }
+            self.customers.get_mut(&r.a.customer).into_iter().for_each(|c| c.out += 1.0);
         }
         self.dispatch(id);
     }
@@ -608,7 +539,11 @@
             r.held_since = Some(self.now);
             self.held.push(id);
         }
-        if !self.hold_timer {
+        self.watch_held();
+    }
+
+    fn watch_held(&mut self) {
+        if !self.held.is_empty() && !self.hold_timer {
             self.hold_timer = true;
             self.timer(Timer::Held, HOLD_STEP);
         }
@@ -665,10 +600,7 @@
                 self.held.push(id);
             }
         }
-        if !self.held.is_empty() && !self.hold_timer {
-            self.hold_timer = true;
-            self.timer(Timer::Held, HOLD_STEP);
-        }
+        self.watch_held();
     }
 
     /// Refuses with a retry-after where that is allowed, or fails.
@@ -686,15 +618,9 @@
         if !r.done {
             r.done = true;
             self.out.extend(answer);
-            for (i, _) in
-                r.attempts.iter().enumerate().filter(|(_, a)| a.out && self.set.may_cancel && !r.streaming)
-            {
-                self.out.push(Action::Cancel(id, i));
-            }
-        }
-        let (customer, units, counted) = (r.a.customer, r.a.units, r.counted.take());
-        if let Some(span) = counted {
-            self.take_back(customer, span, units);
+            let recall = self.set.may_cancel && !r.streaming;
+            let still_out = r.attempts.iter().enumerate().filter(|(_, a)| a.out && recall);
+            self.out.extend(still_out.map(|(i, _)| Action::Cancel(id, i)));
         }
         self.let_go(id);
     }
@@ -705,36 +631,33 @@
         if !r.done || r.attempts.iter().any(|a| a.out) {
             return;
         }
-        let (customer, held) = (r.a.customer, r.holds_place);
         // A call still out needs to know whether the request went on.
         let asked = self.calls.values().any(|q| q.iter().any(|c| c.request == Some(id)));
+        let (customer, units, held, counted) = (r.a.customer, r.a.units, r.holds_place, r.counted);
+        if let Some(r) = self.requests.get_mut(&id).filter(|_| asked) {
+            (r.holds_place, r.counted) = (false, None);
+        } else {
+            self.requests.remove(&id);
+        }
+        counted.into_iter().for_each(|span| self.take_back(customer, span, units));
         if held {
-            if let Some(c) = self.customers.get_mut(&customer) {
-                c.out -= 1.0;
-            }
+            self.customers.get_mut(&customer).into_iter().for_each(|c| c.out -= 1.0);
             self.sync_places(customer);
         }
-        if !asked {
-            self.requests.remove(&id);
-        } else if let Some(r) = self.requests.get_mut(&id) {
-            r.holds_place = false;
-        }
     }
 
+    /// Every request has its answer by its deadline.
     fn on_deadline(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id) else { return };
-        if !r.done && !r.streaming {
+        if self.requests.get(&id).is_some_and(|r| !r.done && !r.streaming) {
             self.refuse(id);
-        } else if r.done {
-            self.let_go(id);
         }
     }
+
     fn on_attempt(&mut self, end: AttemptEnd) {
         let (id, outcome) = (end.id, end.outcome);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(end.attempt).filter(|a| a.out && a.server == end.server) else {
-            return;
-        };
+        let named = r.attempts.get_mut(end.attempt);
+        let Some(a) = named.filter(|a| a.out && a.server == end.server) else { return };
         a.out = false;
         a.may_have_run = !outcome.never_ran();
         let (aim, was_done) = (self.set.classes[r.a.class.0].aim, r.done);
@@ -763,32 +686,23 @@
     /// The allowed server with the least expected wait; own zone on near ties.
     fn pick(&mut self, id: RequestId) -> Option<ServerId> {
         self.warm_up();
+        let salt = self.rng.u64(..);
         let r = self.requests.get(&id)?;
+        let any_healthy = self.servers.values().any(|s| s.listed && self.healthy(s));
         let mut best: Option<(f64, ServerId)> = None;
-        for spare in [false, true] {
-            for (&sid, s) in &self.servers {
-                if !self.may_send(r, sid, s)
-                    || (!spare && !self.healthy(s))
-                    || s.out >= s.limit.floor().max(1.0)
-                {
-                    continue;
-                }
-                if spare && s.out >= 1.0 {
-                    continue; // Nothing healthy is left: one at a time to whatever is listed.
-                }
-                let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
-                let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
-                let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
-                score *= 1.0 + 0.1 * self.rng.f64() + if s.zone == self.set.zone { 0.0 } else { 0.05 };
-                if best.is_none_or(|(b, _)| score < b) {
-                    best = Some((score, sid));
-                }
-            }
-            if best.is_some() {
-                break;
+        for (&sid, s) in self.servers.iter().filter(|(_, s)| self.may_send(r, s)) {
+            // With nothing healthy left, one at a time to whatever is listed.
+            let most = if any_healthy { s.limit.floor().max(1.0) } else { 1.0 };
+            if s.out >= most || any_healthy && !self.healthy(s) {
+                continue;
             }
-            if self.servers.values().any(|s| s.listed && self.healthy(s)) {
-                break; // There are healthy ones, only full: wait for them.
+            let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
+            let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
+            let far = if s.zone == self.set.zone { 0.0 } else { 0.05 };
+            let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
+            score *= 1.0 + 0.1 * (mix(salt ^ u64::from(sid.0)) as f64 / u64::MAX as f64) + far;
+            if best.is_none_or(|(b, _)| score < b) {
+                best = Some((score, sid));
             }
         }
         best.map(|(_, sid)| sid)
@@ -800,18 +714,15 @@
 
     /// A server of ours stands idle and nothing waits: room for what is beyond a quota.
     fn idle(&self) -> bool {
-        self.held.is_empty()
-            && self.fail_share < IDLE_SHARE
-            && self
-                .servers
-                .values()
-                .any(|s| s.listed && s.out < 1.0 && s.cold_since.is_none() && s.trial == 0 && self.healthy(s))
+        let free = |s: &Server| s.listed && s.out < 1.0 && s.cold_since.is_none() && s.trial == 0;
+        let calm = self.held.is_empty() && self.fail_share < IDLE_SHARE;
+        calm && self.servers.values().any(|s| free(s) && self.healthy(s))
     }
 
     // ---- health and cold starts ----
 
     fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
-        let (now, cold) = (self.now, self.set.cold);
+        let now = self.now;
         let jitter = 0.75 + 0.5 * self.rng.f64();
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
@@ -841,12 +752,8 @@
                     s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
                 }
             }
-            if s.cold_since.is_some_and(|at| now >= at + cold) {
-                s.cold_since = None;
-            }
-            return;
         }
-        if matches!(outcome, Outcome::Cancelled | Outcome::Moot) {
+        if matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
             return;
         }
         if outcome == Outcome::Full {
@@ -923,18 +830,22 @@
         }
         let (now, cold, units) = (self.now, self.set.cold, self.set.most_units);
         for e in entries {
-            let s = self
-                .servers
-                .entry(e.server)
-                .or_insert_with(|| Server { limit: LIMIT_START, ..Server::default() });
+            let new = || Server { limit: LIMIT_START, ..Server::default() };
+            let s = self.servers.entry(e.server).or_insert_with(new);
             (s.zone, s.cell, s.weight) = (e.zone, e.cell, if e.weight > 0.0 { e.weight } else { 1.0 });
             s.listed = e.listed == Listed::InService;
             if let Some(started) = e.started.filter(|&at| now < at + cold) {
                 if s.cold_since.is_none_or(|at| at < started) {
+                    // A new life: nothing held against the old one counts, and it starts slowly.
+                    *s = Server {
+                        out: s.out,
+                        zone: s.zone,
+                        cell: s.cell,
+                        weight: s.weight,
+                        listed: s.listed,
+                        ..new()
+                    };
                     s.cold_room = TokenBucket { level: -units, depth: 1.0, rate: 0.0, at: now };
-                    (s.ejected_until, s.ejections, s.trial, s.streak, s.fail_share) =
-                        (Micros(0), 0, 0, 0, 0.0);
-                    (s.unreached_since, s.limit) = (None, LIMIT_START);
                 }
                 s.cold_since = Some(started);
             }
@@ -945,25 +856,18 @@
     // ---- guards of the rules: every send and every refusal passes here ----
 
     fn may_repeat(&self, id: RequestId) -> bool {
-        let Some(r) = self.requests.get(&id) else { return false };
-        !r.done && self.servers.iter().any(|(&sid, s)| self.may_send(r, sid, s))
+        let request = self.requests.get(&id);
+        request.is_some_and(|r| self.servers.values().any(|s| self.may_send(r, s)))
     }
 
     /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
-    fn may_send(&self, r: &Request, _id: ServerId, s: &Server) -> bool {
+    fn may_send(&self, r: &Request, s: &Server) -> bool {
         let class = &self.set.classes[r.a.class.0];
-        if r.done
-            || r.streaming
-            || !s.listed
-            || self.now >= r.a.deadline
-            || r.attempts.len() >= self.set.max_attempts
-        {
-            return false;
-        }
-        if s.cold_since.is_some() && s.cold_room.level <= 0.0 {
-            return false;
-        }
-        if r.attempts.iter().any(|a| a.out) && !self.set.second_copies {
+        let over =
+            r.done || r.streaming || self.now >= r.a.deadline || r.attempts.len() >= self.set.max_attempts;
+        let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
+        let second = r.attempts.iter().any(|a| a.out) && !self.set.second_copies;
+        if over || pushed || second || !s.listed {
             return false;
         }
         let mut ran = r.attempts.iter().filter(|a| a.out || a.may_have_run);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,31 @@
 //! What a gateway keeps in mind. Nothing here decides.
 
 use crate::api::*;
-use crate::rules::{Breaker, TokenBucket};
+use crate::rules::Breaker;
+
+/// A store of units that fills at a rate. It may go below nothing where the caller lets it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct TokenBucket {
+    pub(crate) level: f64,
+    pub(crate) depth: f64,
+    pub(crate) rate: f64,
+    pub(crate) at: Micros,
+}
+
+impl TokenBucket {
+    pub(crate) fn fill(&mut self, now: Micros) {
+        self.level = (self.level + self.rate * (now - self.at).secs()).min(self.depth);
+        self.at = now.max(self.at);
+    }
+    pub(crate) fn take(&mut self, now: Micros, units: f64) -> bool {
+        self.fill(now);
+        let enough = self.level >= units;
+        if enough {
+            self.level -= units;
+        }
+        enough
+    }
+}
 
 /// What a count is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/tests/breaker.rs
@@ -0,0 +1,113 @@
+//! The breaker over the counter: each transition, and the breaks foreseen for it.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+
+/// Makes one window call for a customer and lets it fail; says whether a call was made.
+fn failing(rig: &mut Rig, customer: u64) -> bool {
+    let (_, out) = rig.request(0, 0, customer, 1.0);
+    let made = counts(&out);
+    for (name, _) in &made {
+        rig.tell(Event::Counted(*name, Outcome::Full, 0.0));
+    }
+    !made.is_empty()
+}
+
+fn open(rig: &mut Rig) {
+    (1..=3).for_each(|c| assert!(failing(rig, c), "closed: request {c} asks"));
+}
+
+#[test]
+fn three_failures_in_a_row_open_it() {
+    let mut rig = Rig::new(settings(), 4);
+    open(&mut rig);
+    assert!(!failing(&mut rig, 4), "open: nobody asks");
+}
+
+#[test]
+fn two_failures_do_not() {
+    let mut rig = Rig::new(settings(), 4);
+    failing(&mut rig, 1);
+    failing(&mut rig, 2);
+    // With calls failing only a part of the requests asks; among twenty customers some do.
+    let asked = (10..30).filter(|c| !counts(&rig.request(0, 0, *c, 1.0).1).is_empty()).count();
+    assert!(asked > 0);
+}
+
+#[test]
+fn after_the_cooldown_one_request_probes_and_success_closes() {
+    let mut rig = Rig::new(settings(), 4);
+    open(&mut rig);
+    rig.pass(5 * S - 1);
+    assert!(!failing(&mut rig, 4), "still cooling down");
+    rig.pass(1);
+    let (_, out) = rig.request(0, 0, 5, 1.0);
+    let probe = adds(&out);
+    assert_eq!(probe.len(), 1, "half-open: one probe");
+    assert!(counts(&rig.request(0, 0, 6, 1.0).1).is_empty(), "while the probe is out nobody else asks");
+    rig.tell(Event::Counted(probe[0].0, Outcome::Ok, 1.0));
+    let asked = (10..30).filter(|c| !adds(&rig.request(0, 0, *c, 1.0).1).is_empty()).count();
+    assert!(asked > 0, "closed again");
+}
+
+#[test]
+fn a_failed_probe_opens_it_for_another_cooldown() {
+    let mut rig = Rig::new(settings(), 4);
+    open(&mut rig);
+    rig.pass(5 * S);
+    assert!(failing(&mut rig, 5), "the probe");
+    rig.pass(5 * S - 1);
+    assert!(!failing(&mut rig, 6));
+    rig.pass(1);
+    assert!(failing(&mut rig, 7), "the next probe");
+}
+
+#[test]
+fn a_silent_counter_opens_it_by_short_time_outs() {
+    let mut rig = Rig::new(settings(), 4);
+    (1..=3).for_each(|c| drop(rig.request(0, 0, c, 1.0)));
+    rig.pass(80 * MS);
+    assert!(counts(&rig.request(0, 0, 4, 1.0).1).is_empty());
+}
+
+#[test]
+fn one_hot_name_does_not_open_it_for_every_customer() {
+    let mut rig = Rig::new(settings(), 4);
+    (0..10).for_each(|_| drop(failing(&mut rig, 1)));
+    let asked = (10..60).filter(|c| !adds(&rig.request(0, 0, *c, 1.0).1).is_empty()).count();
+    assert!(asked > 0, "others still ask");
+    assert!(!failing(&mut rig, 1), "the hot customer's own breaker is open");
+}
+
+#[test]
+fn a_slow_counter_that_answers_now_and_then_still_opens_it() {
+    let mut rig = Rig::new(settings(), 4);
+    let mut customer = 100;
+    for round in 0..60 {
+        customer += 1;
+        let (_, out) = rig.request(0, 0, customer, 1.0);
+        for (name, _) in adds(&out) {
+            // One answer in five: never three failures without an answer would reset a plain streak.
+            let outcome = if round % 3 == 2 { Outcome::Ok } else { Outcome::Full };
+            rig.tell(Event::Counted(name, outcome, 1.0));
+        }
+    }
+    let asked = (0..200).filter(|c| !adds(&rig.request(0, 0, 1_000 + c, 1.0).1).is_empty()).count();
+    assert_eq!(asked, 0, "open");
+}
+
+#[test]
+fn a_half_open_customer_does_not_swallow_the_common_probe() {
+    let mut rig = Rig::new(settings(), 4);
+    open(&mut rig);
+    for _ in 0..3 {
+        failing(&mut rig, 1); // Decided locally.
+    }
+    rig.pass(5 * S);
+    let (_, out) = rig.request(0, 0, 1, 1.0);
+    let probe = adds(&out);
+    assert_eq!(probe.len(), 1);
+    rig.tell(Event::Counted(probe[0].0, Outcome::Full, 0.0));
+    rig.pass(5 * S);
+    assert!(failing(&mut rig, 9), "the probe was given back");
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,165 @@
+//! A gateway under test, driven through the interface, and a counter that answers on demand.
+#![allow(dead_code)]
+
+use chalkdeck::api::*;
+use chalkdeck::rules::Gateway;
+
+pub const MS: u64 = 1_000;
+pub const S: u64 = 1_000_000;
+
+pub fn class(effect: Effect, group: Group) -> Class {
+    Class {
+        aim: Micros(800 * MS),
+        deadline: Micros(3 * S),
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+        group,
+        window: Micros(S),
+        stream: false,
+    }
+}
+
+pub fn plan(rate: f64, burst: f64) -> Plan {
+    Plan {
+        rate,
+        burst,
+        open: 0.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    }
+}
+
+/// Classes: 0 safe, 1 keyed by cell, 2 unsafe, 3 keyed by all. Plans: 0 ten units a second and twenty at
+/// once, 1 the same under a ceiling twice as high, 2 two attempts out at once, 3 no quota.
+pub fn settings() -> Settings {
+    let ceiling = Plan { ceiling_rate: 20.0, ceiling_burst: 40.0, ceiling_slack: 4.0, ..plan(10.0, 20.0) };
+    Settings {
+        gateways: 2,
+        classes: vec![
+            class(Effect::Safe, Group::All),
+            class(Effect::Keyed, Group::Cell),
+            class(Effect::Unsafe, Group::All),
+            class(Effect::Keyed, Group::All),
+        ],
+        plans: vec![plan(10.0, 20.0), ceiling, Plan { open: 2.0, ..plan(0.0, 0.0) }, plan(0.0, 0.0)],
+        max_attempts: 4,
+        may_cancel: true,
+        retry_after: true,
+        max_retry_after: Micros(2 * S),
+        counter: true,
+        count_timeout: Micros(80 * MS),
+        most_units: 4.0,
+        answer_slack: Micros(8 * MS),
+        cold_from: 0.2,
+        cold: Micros(10 * S),
+        fall_multiple: 2.0,
+        tip_after: Micros(S),
+        tick: Micros(2 * MS),
+        ..Settings::default()
+    }
+}
+
+pub struct Rig {
+    pub gateway: Gateway,
+    pub now: u64,
+    pub done: Vec<Action>,
+    pub next: u64,
+    timers: Vec<(u64, TimerId)>,
+}
+
+impl Rig {
+    pub fn new(settings: Settings, servers: u32) -> Rig {
+        let gateway = Gateway::new(7, settings).expect("sound settings");
+        let mut rig = Rig { gateway, now: 1_000 * S, done: Vec::new(), next: 1, timers: Vec::new() };
+        let entries = (0..servers).map(|i| entry(i, Listed::InService, None)).collect();
+        rig.tell(Event::Servers(ListScope::Whole, entries));
+        rig
+    }
+    /// Tells one event and returns what it led to.
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gateway.handle(Micros(self.now), event, &mut out);
+        for action in &out {
+            if let Action::SetTimer(id, after) = action {
+                self.timers.push((self.now + after.0, *id));
+            }
+        }
+        self.done.extend(out.iter().cloned());
+        out
+    }
+    /// Lets time pass, ringing timers as they come due, and returns what they led to.
+    pub fn pass(&mut self, span: u64) -> Vec<Action> {
+        let (end, mut led) = (self.now + span, Vec::new());
+        while let Some(&(at, id)) = self.timers.iter().filter(|t| t.0 <= end).min_by_key(|t| t.0) {
+            self.timers.retain(|t| t.1 != id);
+            self.now = self.now.max(at);
+            led.extend(self.tell(Event::Timer(id)));
+        }
+        self.now = end;
+        led
+    }
+    pub fn request(
+        &mut self,
+        class: usize,
+        plan: usize,
+        customer: u64,
+        units: f64,
+    ) -> (RequestId, Vec<Action>) {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let deadline = Micros(self.now + 3 * S);
+        let (class, plan, customer) = (ClassId(class), PlanId(plan), CustomerId(customer));
+        let arrival = Arrival { id, class, plan, customer, spread: 2, deadline, units };
+        (id, self.tell(Event::Request(arrival)))
+    }
+    /// A request without quota, sent on at once; returns where it went.
+    pub fn sent(&mut self, class: usize) -> (RequestId, ServerId) {
+        let (id, out) = self.request(class, 3, 1, 1.0);
+        (id, sends(&out).first().expect("it is sent on").1)
+    }
+    pub fn ended(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        server: ServerId,
+        outcome: Outcome,
+    ) -> Vec<Action> {
+        let (took, ended) = (Micros(50 * MS), outcome == Outcome::Ok);
+        let report = Report::default();
+        let end = AttemptEnd { id, attempt, server, outcome, took, ended, settled: None, report };
+        self.tell(Event::AttemptEnded(end))
+    }
+}
+
+pub fn entry(i: u32, listed: Listed, started: Option<u64>) -> ServerEntry {
+    ServerEntry {
+        server: ServerId(i),
+        zone: ZoneId(0),
+        cell: CellId(u64::from(i) / 2),
+        listed,
+        weight: 1.0,
+        started: started.map(Micros),
+    }
+}
+
+pub fn counts(out: &[Action]) -> Vec<(CountName, f64)> {
+    out.iter().filter_map(|a| if let Action::Count(n, x, _) = a { Some((*n, *x)) } else { None }).collect()
+}
+/// The count calls that add or take off.
+pub fn adds(out: &[Action]) -> Vec<(CountName, f64)> {
+    counts(out).into_iter().filter(|(_, x)| *x != 0.0).collect()
+}
+pub fn sends(out: &[Action]) -> Vec<(RequestId, ServerId)> {
+    out.iter().filter_map(|a| if let Action::Send(r, s, _) = a { Some((*r, *s)) } else { None }).collect()
+}
+pub fn refused(out: &[Action], id: RequestId) -> bool {
+    out.iter().any(|a| matches!(a, Action::Refuse(r, _) if *r == id))
+}
+pub fn failed(out: &[Action], id: RequestId) -> bool {
+    out.contains(&Action::Fail(id))
+}
--- /dev/null
+++ b/tests/window.rs
@@ -0,0 +1,154 @@
+//! The window count: its edges, refusals, late answers, lost adds, and the local bucket.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+
+/// One request whose call is answered with this total.
+fn with_total(rig: &mut Rig, units: f64, total: f64) -> (RequestId, Vec<Action>) {
+    let (id, out) = rig.request(0, 0, 1, units);
+    let add = adds(&out);
+    assert_eq!(add.len(), 1, "one add before sending on");
+    assert!(sends(&out).is_empty(), "nothing is sent on before the answer");
+    (id, rig.tell(Event::Counted(add[0].0, Outcome::Ok, total)))
+}
+
+#[test]
+fn one_add_of_the_units_then_the_send() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, out) = rig.request(0, 0, 1, 3.0);
+    assert_eq!(adds(&out).iter().map(|a| a.1).collect::<Vec<_>>(), [3.0]);
+    let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Ok, 3.0));
+    assert_eq!(sends(&out)[0].0, id);
+}
+
+#[test]
+fn the_allowance_itself_still_goes_on() {
+    let mut rig = Rig::new(settings(), 4);
+    let (_, out) = with_total(&mut rig, 2.0, 20.0);
+    assert_eq!(sends(&out).len(), 1);
+}
+
+#[test]
+fn over_the_allowance_is_refused_added_back_and_told_when_to_come() {
+    let mut rig = Rig::new(settings(), 4);
+    // Far beyond what any store can hold: twice the burst and more.
+    let (id, out) = with_total(&mut rig, 4.0, 43.0);
+    let Some(Action::Refuse(_, Some(wait))) =
+        out.iter().find(|a| matches!(a, Action::Refuse(r, _) if *r == id))
+    else {
+        panic!("refused with advice: {out:?}");
+    };
+    assert!(wait.0 > 0 && wait.0 <= 2 * S);
+    assert!(sends(&out).is_empty());
+    // The add goes back, at once or with the next call of this window.
+    let later = rig.request(0, 0, 1, 1.0).1;
+    let back: f64 = adds(&out).iter().chain(&adds(&later)).map(|a| a.1).sum();
+    assert!(back <= -3.0 || adds(&later).is_empty(), "{back}");
+}
+
+#[test]
+fn a_known_full_window_is_refused_without_a_call() {
+    let mut rig = Rig::new(settings(), 4);
+    with_total(&mut rig, 2.0, 43.0);
+    let (id, out) = rig.request(0, 0, 1, 2.0);
+    assert!(refused(&out, id) && adds(&out).is_empty());
+}
+
+#[test]
+fn a_new_window_asks_again_under_a_new_name() {
+    let mut rig = Rig::new(settings(), 4);
+    let first = adds(&rig.request(0, 0, 1, 2.0).1)[0].0;
+    rig.tell(Event::Counted(first, Outcome::Ok, 43.0));
+    rig.pass(2 * S);
+    let (_, out) = rig.request(0, 0, 1, 2.0);
+    assert_eq!(adds(&out).len(), 1);
+    assert_ne!(adds(&out)[0].0, first);
+}
+
+#[test]
+fn gateways_agree_on_the_name() {
+    let mut other = settings();
+    other.me = 1;
+    let (mut a, mut b) = (Rig::new(settings(), 4), Rig::new(other, 2));
+    assert_eq!(adds(&a.request(0, 0, 1, 2.0).1)[0].0, adds(&b.request(0, 0, 1, 2.0).1)[0].0);
+}
+
+#[test]
+fn an_emptied_counter_gets_our_spend_back() {
+    let mut rig = Rig::new(settings(), 4);
+    with_total(&mut rig, 4.0, 4.0);
+    with_total(&mut rig, 4.0, 8.0);
+    // The memory is lost: only this add is there.
+    let (_, out) = with_total(&mut rig, 2.0, 2.0);
+    assert_eq!(adds(&out).iter().map(|a| a.1).sum::<f64>(), 8.0);
+}
+
+#[test]
+fn a_late_answer_of_a_refused_request_is_taken_back() {
+    let mut rig = Rig::new(settings(), 4);
+    // Three silent calls with little left in the window: the local bucket refuses the last of them.
+    let (_, out) = with_total(&mut rig, 4.0, 19.0);
+    assert_eq!(sends(&out).len(), 1);
+    let (id, out) = rig.request(0, 0, 1, 4.0);
+    let name = match adds(&out).first() {
+        Some(add) => add.0,
+        None => return assert!(refused(&out, id)),
+    };
+    let out = rig.pass(80 * MS);
+    if refused(&out, id) {
+        let out = rig.tell(Event::Counted(name, Outcome::Ok, 23.0));
+        assert!(sends(&out).is_empty());
+    }
+}
+
+#[test]
+fn local_spend_goes_out_with_the_next_call() {
+    let mut rig = Rig::new(settings(), 4);
+    let (_, out) = rig.request(0, 0, 1, 2.0);
+    // Turned away: nothing was added, the local bucket lets it go on.
+    let out = rig.tell(Event::Counted(adds(&out)[0].0, Outcome::Full, 0.0));
+    assert_eq!(sends(&out).len(), 1);
+    let next = (0..50).find_map(|_| adds(&rig.request(0, 0, 1, 1.0).1).first().map(|a| a.1));
+    assert!(next.expect("somebody asks") >= 3.0, "its own unit and what went on unheard");
+}
+
+#[test]
+fn without_a_counter_the_share_decides() {
+    let mut set = settings();
+    set.counter = false;
+    let mut rig = Rig::new(set, 8);
+    let mut through = 0;
+    for _ in 0..400 {
+        rig.pass(100 * MS);
+        let (id, out) = rig.request(0, 0, 1, 1.0);
+        assert!(counts(&out).is_empty());
+        if let Some((_, server)) = sends(&out).first() {
+            through += 1;
+            rig.ended(id, 0, *server, Outcome::Ok);
+        }
+    }
+    // 40 s at a share of 5 units a second, and at most one burst's share on top.
+    assert!((190..=212).contains(&through), "{through}");
+}
+
+#[test]
+fn the_cap_on_attempts_out_is_asked_and_let_go() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, out) = rig.request(0, 2, 1, 1.0);
+    let (name, one) = adds(&out)[0];
+    assert_eq!(one, 1.0);
+    let out = rig.tell(Event::Counted(name, Outcome::Ok, 1.0));
+    let server = sends(&out)[0].1;
+    let out = rig.ended(id, 0, server, Outcome::Ok);
+    assert_eq!(adds(&out), [(name, -1.0)]);
+    let (id, out) = rig.request(0, 2, 1, 1.0);
+    rig.tell(Event::Counted(name, Outcome::Ok, 0.0));
+    let out2 = rig.tell(Event::Counted(name, Outcome::Ok, 3.0));
+    assert!(refused(&out2, id) || refused(&out, id), "two are out elsewhere");
+}
+
+#[test]
+fn an_answer_to_a_call_never_made_changes_nothing() {
+    let mut rig = Rig::new(settings(), 4);
+    assert!(rig.tell(Event::Counted(CountName(5), Outcome::Ok, 1.0)).is_empty());
+}
