--- a/src/rules.rs
+++ b/src/rules.rs
@@ -701,6 +701,8 @@
             let far = if s.zone == self.set.zone { 0.0 } else { 0.05 };
             let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
             score *= 1.0 + 0.1 * (mix(salt ^ u64::from(sid.0)) as f64 / u64::MAX as f64) + far;
+            // A server on trial is asked first, or one that failed would never be tried again.
+            score *= if s.trial > 0 && r.attempts.is_empty() { 0.3 } else { 1.0 };
             if best.is_none_or(|(b, _)| score < b) {
                 best = Some((score, sid));
             }
@@ -735,9 +737,10 @@
             }
             s.streak = 0;
             s.fail_share *= 1.0 - SMOOTH;
-            s.trial = s.trial.saturating_sub(1);
-            if s.trial == 0 {
-                s.ejections = 0;
+            match s.trial {
+                0 => s.ejections = 0,
+                1 => (s.trial, s.fail_share) = (0, 0.0), // The trial is passed.
+                _ => s.trial -= 1,
             }
             if took > aim.times(LATE_PART) {
                 s.limit = (s.limit * 0.9).max(1.0);
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -73,7 +73,9 @@
 #[test]
 fn one_hot_name_does_not_open_it_for_every_customer() {
     let mut rig = Rig::new(settings(), 4);
-    (0..10).for_each(|_| drop(failing(&mut rig, 1)));
+    for _ in 0..10 {
+        failing(&mut rig, 1);
+    }
     let asked = (10..60).filter(|c| !adds(&rig.request(0, 0, *c, 1.0).1).is_empty()).count();
     assert!(asked > 0, "others still ask");
     assert!(!failing(&mut rig, 1), "the hot customer's own breaker is open");
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,203 @@
+//! The five rules, each by the guard that keeps it.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+
+fn finals(done: &[Action], id: RequestId) -> usize {
+    done.iter().filter(|a| matches!(a, Action::Refuse(r, _) | Action::Fail(r) if *r == id)).count()
+}
+
+#[test]
+fn every_request_is_answered_once_by_its_deadline() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, _) = rig.sent(0);
+    rig.pass(3 * S);
+    assert_eq!(finals(&rig.done, id), 1, "no outcome ever came");
+    rig.pass(10 * S);
+    assert_eq!(finals(&rig.done, id), 1);
+}
+
+#[test]
+fn with_no_server_the_request_is_refused_in_time() {
+    let mut rig = Rig::new(settings(), 0);
+    let (id, _) = rig.request(0, 3, 1, 1.0);
+    rig.pass(3 * S);
+    assert_eq!(finals(&rig.done, id), 1);
+}
+
+#[test]
+fn nothing_is_sent_after_the_end() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, server) = rig.sent(0);
+    rig.tell(Event::ClientGone(id));
+    let out = rig.ended(id, 0, server, Outcome::Error);
+    assert!(sends(&out).is_empty() && finals(&out, id) == 0);
+    assert!(sends(&rig.ended(id, 0, server, Outcome::Error)).is_empty(), "a repeated outcome");
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, server) = rig.sent(2);
+    let out = rig.ended(id, 0, server, Outcome::Error);
+    assert!(failed(&out, id) && sends(&out).is_empty());
+}
+
+#[test]
+fn an_unsafe_request_that_never_ran_goes_elsewhere() {
+    let mut rig = Rig::new(settings(), 4);
+    let (id, server) = rig.sent(2);
+    let out = rig.ended(id, 0, server, Outcome::ConnectFailed);
+    assert_eq!(sends(&out).len(), 1);
+    assert_ne!(sends(&out)[0].1, server);
+}
+
+#[test]
+fn a_keyed_request_is_repeated_in_its_cell_only() {
+    for _ in 0..20 {
+        let mut rig = Rig::new(settings(), 8);
+        let (id, server) = rig.sent(1);
+        let out = rig.ended(id, 0, server, Outcome::Error);
+        assert_eq!(sends(&out)[0].1 .0 / 2, server.0 / 2);
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window_and_not_refused() {
+    let mut set = settings();
+    set.classes[1].window = Micros(100 * MS);
+    let mut rig = Rig::new(set, 8);
+    let (id, server) = rig.sent(1);
+    rig.pass(100 * MS);
+    let out = rig.ended(id, 0, server, Outcome::Error);
+    assert!(failed(&out, id) && sends(&out).is_empty());
+}
+
+#[test]
+fn a_safe_request_may_be_refused_with_an_attempt_out() {
+    let mut rig = Rig::new(settings(), 1);
+    let (id, _) = rig.sent(0);
+    let out = rig.pass(3 * S);
+    assert!(refused(&out, id) && out.contains(&Action::Cancel(id, 0)));
+}
+
+#[test]
+fn nothing_goes_to_a_server_that_drains_or_is_gone() {
+    for listed in [Listed::Draining, Listed::Gone] {
+        let mut rig = Rig::new(settings(), 2);
+        rig.tell(Event::Servers(ListScope::Changes, vec![entry(0, listed, None)]));
+        for _ in 0..50 {
+            let (_, server) = rig.sent(0);
+            assert_eq!(server, ServerId(1));
+            rig.ended(RequestId(rig.next - 1), 0, server, Outcome::Ok);
+        }
+        rig.tell(Event::Servers(ListScope::Whole, vec![entry(0, Listed::InService, None)]));
+        assert_eq!(rig.sent(0).1, ServerId(0), "a server missing from a whole list is gone");
+    }
+}
+
+#[test]
+fn all_draining_means_refusal_in_time() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.tell(Event::Servers(ListScope::Changes, vec![entry(0, Listed::Draining, None)]));
+    let (id, out) = rig.request(0, 3, 1, 1.0);
+    assert!(sends(&out).is_empty());
+    rig.pass(3 * S);
+    assert_eq!(finals(&rig.done, id), 1);
+}
+
+/// Runs a steady flow for five seconds and counts what each server got.
+fn flow(rig: &mut Rig) -> Vec<u32> {
+    let mut got = vec![0; 8];
+    for _ in 0..500 {
+        rig.pass(10 * MS);
+        let (id, out) = rig.request(0, 3, 1, 1.0);
+        for (_, server) in sends(&out) {
+            got[server.0 as usize] += 1;
+            rig.ended(id, 0, server, Outcome::Ok);
+        }
+    }
+    got
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_its_part() {
+    let mut rig = Rig::new(settings(), 4);
+    flow(&mut rig);
+    let (now, cold) = (rig.now, 3);
+    rig.tell(Event::Servers(ListScope::Changes, vec![entry(cold, Listed::InService, Some(now))]));
+    let got = flow(&mut rig);
+    let warm = got[..3].iter().sum::<u32>() / 3;
+    // From a fifth to three fifths of its capacity over these seconds.
+    assert!(got[3] > 0 && got[3] * 2 < warm, "{got:?}");
+}
+
+#[test]
+fn a_restart_that_is_not_listed_yet_counts_as_cold() {
+    let mut rig = Rig::new(settings(), 2);
+    flow(&mut rig);
+    for _ in 0..2_000 {
+        rig.pass(10 * MS);
+        let (id, server) = rig.sent(0);
+        let up = rig.now > 1_010 * S;
+        let outcome = if server == ServerId(0) && !up { Outcome::ConnectFailed } else { Outcome::Ok };
+        let out = rig.ended(id, 0, server, outcome);
+        for (id, server) in sends(&out) {
+            rig.ended(id, 1, server, Outcome::Ok);
+        }
+        if up && server == ServerId(0) {
+            break;
+        }
+    }
+    let got = flow(&mut rig);
+    assert!(got[0] > 0 && got[0] * 3 < got[1] * 2, "{got:?}");
+}
+
+/// The most that one customer under a ceiling may have had at any moment: two gateways, each
+/// offered all it could want for thirty seconds while the counter answers by `answer`.
+fn ceiling_low(mut answer: impl FnMut(u64) -> (Outcome, f64)) -> f64 {
+    let mut set = settings();
+    set.plans[1].over_worth = 0.5;
+    set.plans[1].over_cost = 0.0;
+    let mut rigs = [Rig::new(set.clone(), 8), Rig::new(set, 8)];
+    let (mut level, mut lowest, mut call) = (40.0f64, 40.0f64, 0);
+    for _ in 0..3_000 {
+        level = (level + 20.0 * 0.01).min(40.0);
+        for rig in &mut rigs {
+            rig.pass(10 * MS);
+            let (id, out) = rig.request(0, 1, 1, 1.0);
+            let mut pending = out;
+            while !pending.is_empty() {
+                let mut next = Vec::new();
+                for (name, _) in counts(&pending) {
+                    call += 1;
+                    let (outcome, total) = answer(call);
+                    next.extend(rig.tell(Event::Counted(name, outcome, total)));
+                }
+                for (_, server) in sends(&pending) {
+                    level -= 1.0;
+                    lowest = lowest.min(level);
+                    next.extend(rig.ended(id, 0, server, Outcome::Ok));
+                }
+                pending = next;
+            }
+        }
+    }
+    lowest
+}
+
+#[test]
+fn the_ceiling_holds_while_the_counter_is_down() {
+    assert!(ceiling_low(|_| (Outcome::Full, 0.0)) >= -4.0);
+}
+
+#[test]
+fn the_ceiling_holds_while_the_counter_comes_and_goes() {
+    assert!(ceiling_low(|n| if n % 3 == 0 { (Outcome::Ok, 10.0) } else { (Outcome::Full, 0.0) }) >= -4.0);
+}
+
+#[test]
+fn the_ceiling_holds_when_both_believe_that_much_was_left_over() {
+    // Each total is within what a full store would hold, beyond the plain window.
+    assert!(ceiling_low(|_| (Outcome::Ok, 14.0)) >= -4.0);
+}
--- /dev/null
+++ b/tests/servers.rs
@@ -0,0 +1,143 @@
+//! Choice of a server, health, further attempts and what waits.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+
+#[test]
+fn work_spreads_by_what_is_out() {
+    let mut rig = Rig::new(settings(), 4);
+    let mut seen: Vec<_> = (0..4).map(|_| rig.sent(0).1).collect();
+    seen.sort();
+    seen.dedup();
+    assert_eq!(seen.len(), 4, "each of four gets one before any gets two");
+}
+
+#[test]
+fn an_unreachable_server_is_ejected_and_tried_again_later() {
+    let mut rig = Rig::new(settings(), 2);
+    let mut hits = 0;
+    for _ in 0..100 {
+        rig.pass(10 * MS);
+        let (id, server) = rig.sent(0);
+        let bad = server == ServerId(0);
+        hits += u32::from(bad);
+        let out = rig.ended(id, 0, server, if bad { Outcome::ConnectFailed } else { Outcome::Ok });
+        assert!(!bad || sends(&out).iter().all(|s| s.1 == ServerId(1)));
+        sends(&out).iter().for_each(|(id, s)| drop(rig.ended(*id, 1, *s, Outcome::Ok)));
+    }
+    assert!((1..=3).contains(&hits), "{hits}");
+    rig.pass(9 * S);
+    let tried = (0..10).any(|_| {
+        let (id, server) = rig.sent(0);
+        rig.ended(id, 0, server, Outcome::Ok);
+        server == ServerId(0)
+    });
+    assert!(tried);
+}
+
+#[test]
+fn time_outs_everywhere_eject_nobody() {
+    let mut rig = Rig::new(settings(), 4);
+    let mut last = Vec::new();
+    for i in 0..200 {
+        let (id, out) = rig.request(0, 3, 1, 1.0);
+        for (_, server) in sends(&out) {
+            rig.pass(20 * MS);
+            // Every server alike: one answer in three.
+            let outcome = if i % 3 == 0 { Outcome::Ok } else { Outcome::Timeout };
+            let out = rig.ended(id, 0, server, outcome);
+            sends(&out).iter().for_each(|(id, s)| drop(rig.ended(*id, 1, *s, Outcome::Ok)));
+            if i >= 150 {
+                last.push(server);
+            }
+        }
+    }
+    last.sort();
+    last.dedup();
+    assert!(last.len() >= 3, "still in use: {last:?}");
+}
+
+#[test]
+fn further_attempts_stay_within_the_retry_budget() {
+    let mut rig = Rig::new(settings(), 4);
+    let (mut tries, mut first) = (0, 0);
+    for _ in 0..500 {
+        rig.pass(50 * MS);
+        let (id, out) = rig.request(0, 3, 1, 1.0);
+        let (mut out, mut attempt) = (sends(&out), 0);
+        first += out.len();
+        while let Some((_, server)) = out.first().copied() {
+            tries += 1;
+            out = sends(&rig.ended(id, attempt, server, Outcome::Error));
+            attempt += 1;
+        }
+    }
+    let further = tries - first;
+    assert!(further > 0 && further as f64 <= 20.0 + 0.2 * 500.0, "{further} of {first}");
+}
+
+#[test]
+fn with_every_server_full_the_request_waits_and_then_is_refused() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.sent(0);
+    rig.sent(0);
+    let (id, out) = rig.request(0, 3, 1, 1.0);
+    assert!(sends(&out).is_empty() && !refused(&out, id), "it waits");
+    assert!(refused(&rig.pass(400 * MS), id), "not past what the aim allows");
+}
+
+#[test]
+fn a_held_request_goes_when_a_server_is_free_and_the_dearest_first() {
+    let mut set = settings();
+    set.classes[3].worth = 5.0;
+    let mut rig = Rig::new(set, 1);
+    let (first, server) = rig.sent(0);
+    rig.sent(0);
+    let (cheap, _) = rig.request(0, 3, 1, 1.0);
+    let (dear, _) = rig.request(3, 3, 1, 1.0);
+    let out = rig.ended(first, 0, server, Outcome::Ok);
+    assert_eq!(sends(&out), [(dear, server)]);
+    assert_ne!(cheap, dear);
+}
+
+#[test]
+fn a_lost_subscription_is_renewed() {
+    let mut set = settings();
+    set.must_subscribe = true;
+    let mut rig = Rig::new(set, 1);
+    assert!(rig.done.contains(&Action::Subscribe));
+    rig.tell(Event::Servers(ListScope::Lost, Vec::new()));
+    assert!(rig.pass(S).contains(&Action::Subscribe));
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = || {
+        let mut rig = Rig::new(settings(), 6);
+        for i in 0..200 {
+            rig.pass(7 * MS);
+            let (id, out) = rig.request((i % 4) as usize, (i % 3) as usize, i % 5, 1.0);
+            for (name, _) in counts(&out) {
+                let out = rig.tell(Event::Counted(name, Outcome::Ok, (i % 17) as f64));
+                sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+            }
+        }
+        rig.done
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn senseless_settings_are_refused() {
+    let bad = |change: fn(&mut Settings)| {
+        let mut set = settings();
+        change(&mut set);
+        chalkdeck::rules::Gateway::new(1, set).is_err()
+    };
+    assert!(bad(|s| s.gateways = 0));
+    assert!(bad(|s| s.me = 2));
+    assert!(bad(|s| s.plans[0].rate = -1.0));
+    assert!(bad(|s| s.plans[0].price = f64::NAN));
+    assert!(bad(|s| s.plans[0].burst = 0.0));
+    assert!(!bad(|_| ()));
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,98 @@
+//! The adapter on good and bad text.
+use chalkdeck::wire::Drill;
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const START: &str = "START rng_seed=5 balancers=2 my_number=1 classes.count=1 classes.0.name=view \
+    classes.0.deadline=3000000 classes.0.on_time=750000 classes.0.effect=pure plans.count=1 plans.0.name=p \
+    plans.0.per_second=10.0 plans.0.peak_units=20.0 specifics.counter=true specifics.count_limit=80000 \
+    bounds.max_attempts=3 unheard.of=7 zone=a zones=a,b";
+const LIST: &str = "FLEET gen=1 scope=warm_copy items=1\n\
+    ITEM backend=10.0.0.1:80 rack_zone=a model=m pod=0 status=in_service heft=1";
+
+fn talk(text: &str) -> Result<Vec<String>, String> {
+    let mut drill = Drill::default();
+    let mut replies = Vec::new();
+    for line in text.lines() {
+        replies.extend(drill.line(line).map_err(|e| e.0)?);
+    }
+    drill.finish().map_err(|e| e.0)?;
+    Ok(replies)
+}
+
+fn started(rest: &str) -> Result<Vec<String>, String> {
+    talk(&format!("TICK now=1000000\nFOR who=3\n{START}\n{LIST}\n{rest}"))
+}
+
+const KNOCK: &str =
+    "KNOCK ref=9 kind=view user_key=91f03b7c55d20a64 doors=2 plan=p drop_dead=3000000 price_units=2";
+
+#[test]
+fn an_empty_batch_gets_an_empty_reply() {
+    assert_eq!(talk("TICK now=5\nFLUSH").unwrap(), ["EOR\n"]);
+}
+
+#[test]
+fn a_request_is_counted_then_routed() {
+    let replies = started(&format!("{KNOCK}\nFLUSH")).unwrap();
+    let add =
+        replies[0].lines().find(|l| l.starts_with("ADD_AND_GET") && l.contains("amount=2")).expect("an add");
+    assert!(replies[0].starts_with("AS who=3\n") && replies[0].ends_with("EOR\n"));
+    let book = add.split(' ').find(|p| p.starts_with("book=")).unwrap();
+    let answer = format!("COUNT_RESULT {book} how=200 result_value=2 took=900");
+    let replies =
+        started(&format!("{KNOCK}\nFLUSH\nTICK now=1002000\nFOR who=3\nSOMETHING_NEW a=1\n{answer}\nFLUSH"))
+            .unwrap();
+    assert!(replies[1].contains("ROUTE ref=9 backend=10.0.0.1:80 abandon_at="), "{}", replies[1]);
+}
+
+#[test]
+fn after_down_nothing_is_said_for_the_instance() {
+    let replies = started(&format!("{KNOCK}\nDOWN\n{KNOCK}\nFLUSH")).unwrap();
+    assert_eq!(replies, ["EOR\n"]);
+}
+
+#[test]
+fn bad_lines_are_named() {
+    let cases = [
+        ("KNOCK ref=x", "kind"),
+        ("KNOCK ref=9 kind=view plan=p user_key=zz price_units=2", "user_key"),
+        ("KNOCK ref=9 kind=nope plan=p user_key=1", "a known class"),
+        ("KNOCK ref=99999999999999999999999 kind=view plan=p user_key=1", "ref"),
+        ("KNOCK ref=9 kind=view plan=p user_key=1 price_units=-1", "price_units"),
+        ("OUTCOME ref=9 backend=10.0.0.1:80 how=777", "how"),
+        ("RING", "ref"),
+        ("RING ref", "name=value"),
+        ("FLEET scope=odd items=0", "scope"),
+        ("FLEET scope=total items=2\nFLUSH", "ITEM"),
+        ("ITEM backend=b status=in_service", "FLEET"),
+    ];
+    for (line, field) in cases {
+        let error = started(&format!("{line}\nFLUSH")).expect_err(line);
+        assert!(error.starts_with("line ") && error.contains(field), "{line}: {error}");
+        assert_eq!(error.lines().count(), 1);
+    }
+    assert!(talk("RING ref=1").is_err(), "outside a batch");
+    assert!(talk("TICK now=5\nFLUSH\nTICK now=4\nFLUSH").is_err(), "a clock that goes back");
+    assert!(talk("TICK now=5").is_err(), "a batch without an end");
+    assert!(talk("TICK now=5\nRING ref=1\nFLUSH").is_err(), "an event for nobody");
+    let senseless = START.replace("balancers=2", "balancers=0");
+    assert!(talk(&format!("TICK now=1\nFOR who=1\n{senseless}\nFLUSH")).is_err());
+}
+
+#[test]
+fn the_program_exits_with_one_plain_line() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_chalkdeck-drill"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    child.stdin.take().expect("piped").write_all(b"TICK now=1\nFLUSH\nTICK now=abc\n").expect("it reads");
+    let done = child.wait_with_output().expect("it ends");
+    assert!(!done.status.success());
+    assert_eq!(done.stdout, b"EOR\n");
+    let error = String::from_utf8(done.stderr).expect("plain text");
+    assert_eq!(error.lines().count(), 1, "{error}");
+    assert!(error.contains("line 3") && error.contains("now"));
+}
