Bounds at servers give way fast, come back slowly, may fall below one

Told from sick servers: all alike, few attempts out, long answers. Should also hold against slow disks or a noisy neighbour; may hurt just after a short stall of the whole fleet.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,9 +23,13 @@
 /// Weight of the newest sample in smoothed figures; time over which the flow of work is averaged.
 const SMOOTH: f64 = 0.1;
 const FLOW_SPAN: f64 = 2.0;
-/// Bounds on attempts out at one server: where learning starts, and the most.
+/// Bounds on attempts out at one server: where learning starts, the most, the least, what a late answer
+/// leaves of it, what an early one adds.
 const LIMIT_START: f64 = 2.0;
 const LIMIT_MOST: f64 = 64.0;
+const LIMIT_LEAST: f64 = 0.1;
+const LIMIT_CUT: f64 = 0.7;
+const LIMIT_GROW: f64 = 0.03;
 /// An answer later than this part of the aim says that a server holds too much; one earlier than the
 /// second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.5;
@@ -148,7 +152,9 @@
 
     fn on_timer(&mut self, id: TimerId) {
         match self.timers.remove(&id) {
-            Some(Timer::Deadline(id)) => self.on_deadline(id),
+            // Every request has its answer by its deadline.
+            Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.streaming) => {}
+            Some(Timer::Deadline(id)) => self.refuse(id),
             Some(Timer::Call(name, serial)) => self.on_call_expired(name, serial),
             Some(Timer::Held) => {
                 self.hold_timer = false;
@@ -277,7 +283,7 @@
         if (self.breaker.opened.is_some() || self.rng.f64() < self.ask) && self.may_call(customer) {
             self.call(Purpose::Window, customer, Some(id), units);
         } else {
-            self.decide_window(id, None);
+            self.decide(Some(id), Purpose::Window, None);
         }
     }
 
@@ -438,15 +444,12 @@
         }
     }
 
+    /// Decides a request by the total heard, or without one by the local bucket or share.
     fn decide(&mut self, request: Option<RequestId>, purpose: Purpose, heard: Option<f64>) {
         let Some(id) = request else { return };
-        match purpose {
-            Purpose::Window => self.decide_window(id, heard),
-            _ => self.decide_place(id, heard),
+        if purpose == Purpose::Open {
+            return self.decide_place(id, heard);
         }
-    }
-
-    fn decide_window(&mut self, id: RequestId, heard: Option<f64>) {
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
         let ok = match heard {
@@ -646,13 +649,6 @@
         }
     }
 
-    /// Every request has its answer by its deadline.
-    fn on_deadline(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|r| !r.done && !r.streaming) {
-            self.refuse(id);
-        }
-    }
-
     fn on_attempt(&mut self, end: AttemptEnd) {
         let (id, outcome) = (end.id, end.outcome);
         let Some(r) = self.requests.get_mut(&id) else { return };
@@ -664,8 +660,8 @@
         r.done |= end.ended || outcome == Outcome::Ok;
         let (answered, in_time) = (r.done, self.now < r.arrived + aim);
         if let (Some(true_units), Outcome::Ok, false) = (end.settled, outcome, was_done) {
-            let more = true_units - r.a.units;
-            self.customers.get_mut(&r.a.customer).into_iter().for_each(|c| c.window.owed += more);
+            let owed = self.customers.get_mut(&r.a.customer).map(|c| &mut c.window.owed);
+            owed.into_iter().for_each(|o| *o += true_units - r.a.units);
         }
         self.judge(end.server, outcome, end.took, aim);
         if answered {
@@ -688,7 +684,12 @@
         self.warm_up();
         let salt = self.rng.u64(..);
         let r = self.requests.get(&id)?;
-        let any_healthy = self.servers.values().any(|s| s.listed && self.healthy(s));
+        // Bounds may fall below one (many gateways): what is out in all stays within their sum.
+        let fit = self.servers.values().filter(|s| s.listed && self.healthy(s));
+        let (any_healthy, most) = fit.fold((false, 0.0), |(_, sum), s| (true, sum + s.limit));
+        if any_healthy && self.servers.values().map(|s| s.out).sum::<f64>() >= most.max(1.0) {
+            return None;
+        }
         let mut best: Option<(f64, ServerId)> = None;
         for (&sid, s) in self.servers.iter().filter(|(_, s)| self.may_send(r, s)) {
             // With nothing healthy left, one at a time to whatever is listed.
@@ -728,6 +729,14 @@
         let jitter = 0.75 + 0.5 * self.rng.f64();
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
+        // Guards against servers that hold too much and work worse for it, by overload or by a trouble of
+        // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
+        let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && took > aim.times(LATE_PART);
+        if late || matches!(outcome, Outcome::Full | Outcome::Timeout) {
+            s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
+        } else if outcome == Outcome::Ok && s.out + 1.0 >= s.limit.floor() && took < aim.times(GROW_PART) {
+            s.limit = (s.limit + LIMIT_GROW).min(LIMIT_MOST);
+        }
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
         self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
         if outcome == Outcome::Ok {
@@ -742,11 +751,6 @@
                 1 => (s.trial, s.fail_share) = (0, 0.0), // The trial is passed.
                 _ => s.trial -= 1,
             }
-            if took > aim.times(LATE_PART) {
-                s.limit = (s.limit * 0.9).max(1.0);
-            } else if s.out + 1.0 >= s.limit.floor() && took < aim.times(GROW_PART) {
-                s.limit = (s.limit + 0.5).min(LIMIT_MOST);
-            }
             // Guards against a restart that the list has not told yet: connects failed for a while and
             // now it answers, so it is taken to be cold.
             if let Some(since) = s.unreached_since.take() {
@@ -760,7 +764,6 @@
             return;
         }
         if outcome == Outcome::Full {
-            s.limit = (s.limit * 0.8).max(1.0);
             s.rest_until = now + REST;
             return;
         }
@@ -769,9 +772,6 @@
         if outcome == Outcome::ConnectFailed {
             s.unreached_since.get_or_insert(now);
         }
-        if outcome == Outcome::Timeout {
-            s.limit = (s.limit * 0.9).max(1.0);
-        }
         // Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is
         // out of line only against the others, or overload would eject them one by one.
         let out_of_line = outcome == Outcome::ConnectFailed
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -141,3 +141,21 @@
     assert!(bad(|s| s.plans[0].burst = 0.0));
     assert!(!bad(|_| ()));
 }
+
+#[test]
+fn late_answers_lower_what_may_be_out_even_below_one_a_server() {
+    let mut rig = Rig::new(settings(), 4);
+    for _ in 0..60 {
+        let (id, out) = rig.request(0, 3, 1, 1.0);
+        for (_, server) in sends(&out) {
+            let took = Micros(600 * MS);
+            let (outcome, report) = (Outcome::Ok, Report::default());
+            let end =
+                AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+            rig.tell(Event::AttemptEnded(end));
+        }
+        rig.pass(300 * MS);
+    }
+    let at_once = (0..8).map(|_| sends(&rig.request(0, 3, 1, 1.0).1).len()).sum::<usize>();
+    assert_eq!(at_once, 1, "one attempt out over all four");
+}
