Local share: half by the gateways, half by what this one was seen to carry

Should also hold when one gateway is lost and others take its traffic; may hurt just after traffic shifts.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,7 +1,6 @@
 //! Every decision of a gateway. What it is told and what it may do stands in `src/api.rs`.
 //!
-//! Order: constants, admission (window count, breaker, local bucket), the life of a request, choice of
-//! a server, health and cold starts, and last the guards of the five rules.
+//! Order: constants, admission, the life of a request, choice of a server, health, guards of the rules.
 
 use crate::api::*;
 use crate::state::*;
@@ -18,10 +17,13 @@
 const ASK_LEAST: f64 = 0.1;
 /// Part of the ceiling's window that may be used beyond the quota; the rest covers sends at its edges.
 const CEILING_FILL: f64 = 0.85;
-/// Life of one count of attempts out: what a killed gateway held is forgotten after it.
+/// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
 const EPOCH: Micros = Micros(5_000_000);
-/// Weight of the newest sample in smoothed figures; time over which the flow of work is averaged.
+const FORGET: Micros = Micros(120_000_000);
+/// Weight of the newest sample in smoothed figures, of the newest window in what this gateway carries of
+/// a customer; time over which the flow of work is averaged.
 const SMOOTH: f64 = 0.1;
+const CARRY: f64 = 0.3;
 const FLOW_SPAN: f64 = 2.0;
 /// Bounds on attempts out at one server: where learning starts, the most, the least, what a late answer
 /// leaves of it, what an early one adds.
@@ -53,8 +55,6 @@
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
-/// How long idle customers are remembered.
-const FORGET: Micros = Micros(120_000_000);
 
 /// A breaker over one way to the counter.
 #[derive(Debug, Default)]
@@ -65,7 +65,6 @@
 }
 
 impl Breaker {
-    /// Whether a call could be made now.
     fn ready(&self, now: Micros) -> bool {
         self.opened.is_none_or(|at| !self.probing && now >= at + COOLDOWN)
     }
@@ -109,7 +108,6 @@
     held: Vec<RequestId>,
     hold_timer: bool,
     retries: f64,
-    /// Units sent on, fading.
     flow: TokenBucket,
     /// Smoothed over all servers: time to answer, share of attempts that failed or came too late.
     latency: f64,
@@ -162,8 +160,7 @@
             }
             Some(Timer::Resubscribe) => self.out.push(Action::Subscribe),
             Some(Timer::Sweep) => {
-                let oldest = self.now - FORGET;
-                self.customers.retain(|_, c| c.used >= oldest || c.out > 0.0);
+                self.customers.retain(|_, c| c.used + FORGET >= self.now || c.out > 0.0);
                 self.timer(Timer::Sweep, FORGET);
             }
             None => {}
@@ -209,6 +206,8 @@
         let (span, epoch) = (self.span(id, length).0, self.span(id, EPOCH).0);
         let Some(c) = self.customers.get_mut(&id) else { return };
         if c.window.span != span {
+            c.heard =
+                (c.heard.0 * (1.0 - CARRY) + c.window.posted, c.heard.1 * (1.0 - CARRY) + c.window.seen);
             let before = if c.window.span + 1 == span { c.window.start } else { burst };
             let start = (before + quota - c.window.seen).clamp(0.0, burst);
             let start = if c.window.span + 1 == span { start } else { burst };
@@ -417,9 +416,8 @@
             return self.sync_places(call.customer);
         }
         let own = call.amount - call.extra;
-        let went_on = call.request.is_some_and(|id| {
-            self.requests.get(&id).is_some_and(|r| r.admitted && !r.done || !r.attempts.is_empty())
-        });
+        let request = call.request.and_then(|id| self.requests.get(&id));
+        let went_on = request.is_some_and(|r| r.admitted && !r.done || !r.attempts.is_empty());
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
         if c.window.span == call.span && outcome.never_ran() && went_on {
             c.window.owed += own;
@@ -488,7 +486,10 @@
         let Some(c) = self.customers.get(&customer) else { return false };
         let left = self.room(customer, c.window.seen + c.window.owed + c.window.posting).max(0.0);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
-        let (level, depth, rate) = (left / c.spread, (burst / c.spread).max(most_units), rate / c.spread);
+        // Half by the gateways it can come through, half by what this one was seen to carry: sums to one.
+        let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
+        let share = (carried + 1.0 / c.spread) / 2.0;
+        let (level, depth, rate) = (left * share, (burst * share).max(most_units), rate * share);
         let ok = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now }).take(now, units);
         c.window.owed += if ok { units } else { 0.0 };
         ok
@@ -753,11 +754,10 @@
             }
             // Guards against a restart that the list has not told yet: connects failed for a while and
             // now it answers, so it is taken to be cold.
-            if let Some(since) = s.unreached_since.take() {
-                if now - since > EJECT_FIRST && s.cold_since.is_none() {
-                    s.cold_since = Some(now);
-                    s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
-                }
+            let unreached = s.unreached_since.take().is_some_and(|at| now - at > EJECT_FIRST);
+            if unreached && s.cold_since.is_none() {
+                s.cold_since = Some(now);
+                s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
             }
         }
         if matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,6 +75,8 @@
     pub(crate) spread: f64,
     pub(crate) window: Tally,
     pub(crate) epoch: Tally,
+    /// Own adds and totals of past windows, fading.
+    pub(crate) heard: (f64, f64),
     pub(crate) bucket: Option<TokenBucket>,
     /// What may go on unheard or beyond the quota under a ceiling.
     pub(crate) beyond: TokenBucket,
--- a/tests/window.rs
+++ b/tests/window.rs
@@ -152,3 +152,33 @@
     let mut rig = Rig::new(settings(), 4);
     assert!(rig.tell(Event::Counted(CountName(5), Outcome::Ok, 1.0)).is_empty());
 }
+
+#[test]
+fn unheard_a_gateway_that_carries_nearly_all_gets_the_larger_share() {
+    let passed = |others: f64| {
+        let mut rig = Rig::new(settings(), 8);
+        // Four windows in which this gateway adds four units of a total that others raise.
+        for _ in 0..4 {
+            rig.pass(2 * S);
+            let (id, out) = rig.request(0, 0, 1, 4.0);
+            for (name, amount) in counts(&out) {
+                let total = if amount > 0.0 { 4.0 + others } else { 0.0 };
+                let out = rig.tell(Event::Counted(name, Outcome::Ok, total));
+                sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+            }
+        }
+        let mut passed = 0;
+        for _ in 0..300 {
+            rig.pass(100 * MS);
+            let (id, mut out) = rig.request(0, 0, 1, 1.0);
+            for (name, _) in counts(&out.clone()) {
+                out.extend(rig.tell(Event::Counted(name, Outcome::Full, 0.0)));
+            }
+            passed += sends(&out).len();
+            sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+        }
+        passed
+    };
+    let (alone, beside) = (passed(0.0), passed(12.0));
+    assert!(alone * 4 > beside * 5, "{alone} against {beside}");
+}
