--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -84,14 +84,15 @@
 #[test]
 fn a_slow_counter_that_answers_now_and_then_still_opens_it() {
     let mut rig = Rig::new(settings(), 4);
-    let mut customer = 100;
-    for round in 0..60 {
+    let (mut customer, mut calls) = (100, 0);
+    for _ in 0..2_000 {
         customer += 1;
         let (_, out) = rig.request(0, 0, customer, 1.0);
-        for (name, _) in adds(&out) {
-            // One answer in five: never three failures without an answer would reset a plain streak.
-            let outcome = if round % 3 == 2 { Outcome::Ok } else { Outcome::Full };
-            rig.tell(Event::Counted(name, outcome, 1.0));
+        for (name, amount) in counts(&out) {
+            // Two failures, one answer, and again: three in a row never come.
+            calls += u32::from(amount != 0.0);
+            let outcome = if amount == 0.0 || calls % 3 == 0 { Outcome::Ok } else { Outcome::Full };
+            rig.tell(Event::Counted(name, outcome, amount));
         }
     }
     let asked = (0..200).filter(|c| !adds(&rig.request(0, 0, 1_000 + c, 1.0).1).is_empty()).count();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -159,16 +159,24 @@
 /// offered all it could want for thirty seconds; `answer` fails a call or tells which part of its
 /// totals the counter still has.
 fn ceiling_low(answer: impl Fn(u64) -> Option<f64>) -> f64 {
+    ceiling_low_with(|n, _| answer(n), |_, _| true)
+}
+
+/// The same, with the amount of each call told, and gateways that have traffic only at some steps.
+fn ceiling_low_with(answer: impl Fn(u64, f64) -> Option<f64>, busy: impl Fn(usize, u64) -> bool) -> f64 {
     let mut totals = std::collections::BTreeMap::new();
     let mut set = settings();
     set.plans[1].over_worth = 0.5;
     set.plans[1].over_cost = 0.0;
     let mut rigs = [Rig::new(set.clone(), 8), Rig::new(set, 8)];
     let (mut level, mut lowest, mut call) = (40.0f64, 40.0f64, 0);
-    for _ in 0..3_000 {
+    for step in 0..3_000 {
         level = (level + 20.0 * 0.01).min(40.0);
-        for rig in &mut rigs {
+        for (i, rig) in rigs.iter_mut().enumerate() {
             rig.pass(10 * MS);
+            if !busy(i, step) {
+                continue;
+            }
             let (id, out) = rig.request(0, 1, 1, 1.0);
             let mut pending = out;
             while !pending.is_empty() {
@@ -176,7 +184,7 @@
                 for (name, amount) in counts(&pending) {
                     call += 1;
                     let (mut outcome, mut heard) = (Outcome::Full, 0.0);
-                    if let Some(kept) = answer(call) {
+                    if let Some(kept) = answer(call, amount) {
                         totals.values_mut().for_each(|t| *t *= kept);
                         let total = totals.entry(name).or_insert(0.0);
                         *total += amount;
@@ -223,3 +231,15 @@
         assert!(low >= -4.0, "emptied every {every} calls: {low}");
     }
 }
+
+#[test]
+fn the_ceiling_holds_when_gateways_take_turns_and_each_believes_the_store_full() {
+    // Every read of the window before fails; a spell of traffic here, then there.
+    for turn in [100, 150, 200, 300] {
+        let low = ceiling_low_with(
+            |_, amount| (amount != 0.0).then_some(1.0),
+            |rig, step| (step / turn) % 2 == rig as u64,
+        );
+        assert!(low >= -4.0, "turns of {turn} steps: {low}");
+    }
+}
