Deterministic subsetting: each gateway learns from its own part of the fleet

Cause: with hundreds of gateways each saw a server once in half a minute; bounds started at two a server for each gateway, so in overload nothing bound, and ties always fell to the own zone. Change: a gateway sends to its own part of the fleet first (parts laid by the golden ratio, growing with its flow) and bounds start at the fleet's start over the gateways that share a server. Should hold against any trouble that must be learnt per server; hurts if traffic is so uneven that a part is overloaded (the part grows with flow; beyond it the rest is used).

--- a/src/api.rs
+++ b/src/api.rs
@@ -43,8 +43,8 @@
     RequestId, u64);
 id!(/// A customer, whose quota all gateways share.
     CustomerId, u64);
-id!(/// A server of the back end.
-    ServerId, u32);
+id!(/// A server of the back end; every gateway knows it by the same number.
+    ServerId, u64);
 id!(/// A place in `Settings::classes`.
     ClassId, usize);
 id!(/// A place in `Settings::plans`.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,8 +24,15 @@
 const SMOOTH: f64 = 0.1;
 const CARRY: f64 = 0.3;
 const FLOW_SPAN: f64 = 2.0;
+/// Deterministic subsetting: servers in a gateway's own part of the fleet, at least, and for each unit a
+/// second that it sends on. More spreads its load better, fewer lets it learn of each in a second or two.
+const REACH_LEAST: f64 = 8.0;
+const REACH_FLOW: f64 = 1.0;
+/// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
+/// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
+const FLEET_START: f64 = 6.0;
 /// Bounds on attempts out at one server: where learning starts, the most, the least, what a late answer
-/// leaves of it, what an early one adds.
+/// leaves of it, what an early one adds. All but the cut are scaled to the gateway's part (`scale`).
 const LIMIT_START: f64 = 2.0;
 const LIMIT_MOST: f64 = 64.0;
 const LIMIT_LEAST: f64 = 0.1;
@@ -103,7 +110,11 @@
     customers: BTreeMap<CustomerId, Customer>,
     requests: BTreeMap<RequestId, Request>,
     servers: BTreeMap<ServerId, Server>,
+    /// The listed servers, in an order that all gateways share.
+    ring: Vec<ServerId>,
     timers: BTreeMap<TimerId, Timer>,
+    /// Attempts out at all servers.
+    out_now: f64,
     held: Vec<RequestId>,
     hold_timer: bool,
     retries: f64,
@@ -580,6 +591,7 @@
         self.flow.at = now;
         if let Some(s) = self.servers.get_mut(&server) {
             s.out += 1.0;
+            self.out_now += 1.0;
             s.cold_room.level -= units;
         }
         self.out.push(Action::Send(id, server, until));
@@ -678,29 +690,55 @@
 
     // ---- choice of a server ----
 
-    /// The allowed server with the least expected wait; own zone on near ties.
+    /// How many servers are in this gateway's own part of the fleet.
+    fn reach(&self) -> usize {
+        (REACH_LEAST + REACH_FLOW * self.flow_rate()).min(self.ring.len() as f64) as usize
+    }
+
+    /// This gateway's part in the bound at one server: one where few gateways share it, else by how many do.
+    fn scale(&self) -> f64 {
+        let sharing = f64::from(self.set.gateways) * self.reach() as f64 / self.ring.len().max(1) as f64;
+        (FLEET_START / LIMIT_START / sharing.max(1e-9)).min(1.0)
+    }
+
+    /// The listed servers, this gateway's own part of the fleet first. Guards against learning nothing of
+    /// any server where each gateway sees few requests. The golden ratio spreads the parts evenly, also
+    /// those of gateways in a row, through which one customer comes.
+    fn own_part_first(&self) -> impl Iterator<Item = ServerId> + '_ {
+        let start = (f64::from(self.set.me) * 0.618_033_988_749_895).fract() * self.ring.len() as f64;
+        self.ring.iter().cycle().skip(start as usize).take(self.ring.len()).copied()
+    }
+
+    /// The allowed server with the least expected wait, beyond the own part only if that has none.
     fn pick(&mut self, id: RequestId) -> Option<ServerId> {
         self.warm_up();
         let salt = self.rng.u64(..);
+        let (reach, scale) = (self.reach(), self.scale());
         let r = self.requests.get(&id)?;
         // Bounds may fall below one (many gateways): what is out in all stays within their sum.
-        let fit = self.servers.values().filter(|s| s.listed && self.healthy(s));
-        let (any_healthy, most) = fit.fold((false, 0.0), |(_, sum), s| (true, sum + s.limit));
-        if any_healthy && self.servers.values().map(|s| s.out).sum::<f64>() >= most.max(1.0) {
+        let fit =
+            self.own_part_first().take(reach).map(|sid| &self.servers[&sid]).filter(|s| self.healthy(s));
+        let most: f64 = fit.map(|s| s.limit * scale).sum();
+        let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.healthy(s));
+        if most > 0.0 && self.out_now >= most.max(1.0) {
             return None;
         }
         let mut best: Option<(f64, ServerId)> = None;
-        for (&sid, s) in self.servers.iter().filter(|(_, s)| self.may_send(r, s)) {
+        for (i, sid) in self.own_part_first().enumerate() {
+            if i >= reach && best.is_some() {
+                break;
+            }
+            let s = &self.servers[&sid];
             // With nothing healthy left, one at a time to whatever is listed.
-            let most = if any_healthy { s.limit.floor().max(1.0) } else { 1.0 };
-            if s.out >= most || any_healthy && !self.healthy(s) {
+            let most = if any_healthy { (s.limit * scale).floor().max(1.0) } else { 1.0 };
+            if s.out >= most || any_healthy && !self.healthy(s) || !self.may_send(r, s) {
                 continue;
             }
             let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
             let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
-            let far = if s.zone == self.set.zone { 0.0 } else { 0.05 };
+            let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
             let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
-            score *= 1.0 + 0.1 * (mix(salt ^ u64::from(sid.0)) as f64 / u64::MAX as f64) + far;
+            score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
             // A server on trial is asked first, or one that failed would never be tried again.
             score *= if s.trial > 0 && r.attempts.is_empty() { 0.3 } else { 1.0 };
             if best.is_none_or(|(b, _)| score < b) {
@@ -725,16 +763,20 @@
 
     fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
         let now = self.now;
-        let jitter = 0.75 + 0.5 * self.rng.f64();
+        let (jitter, scale) = (0.75 + 0.5 * self.rng.f64(), self.scale());
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
+        self.out_now = (self.out_now - 1.0).max(0.0);
         // Guards against servers that hold too much and work worse for it, by overload or by a trouble of
         // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
         let held = took + Micros(2 * s.latency as u64);
         let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
         if late || matches!(outcome, Outcome::Full | Outcome::Timeout) {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
-        } else if outcome == Outcome::Ok && s.out + 1.0 >= s.limit.floor() && took < aim.times(GROW_PART) {
+        } else if outcome == Outcome::Ok
+            && s.out + 1.0 >= (s.limit * scale).floor()
+            && took < aim.times(GROW_PART)
+        {
             s.limit = (s.limit + LIMIT_GROW).min(LIMIT_MOST);
         }
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
@@ -844,6 +886,7 @@
             (s.zone, s.cell, s.weight) = (e.zone, e.cell, if e.weight > 0.0 { e.weight } else { 1.0 });
             s.listed = e.listed == Listed::InService;
         }
+        self.ring = self.servers.iter().filter(|(_, s)| s.listed).map(|(&id, _)| id).collect();
         self.serve_held();
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -115,8 +115,7 @@
     classes: HashMap<String, usize>,
     plans: HashMap<String, usize>,
     zones: HashMap<String, u32>,
-    servers: HashMap<String, u32>,
-    addresses: Vec<String>,
+    addresses: HashMap<ServerId, String>,
     class_list: Vec<Class>,
 }
 
@@ -204,17 +203,20 @@
         };
         let gateway = Gateway::new(seed, settings)
             .map_err(|e| WireError(format!("line {}: START: settings: {e}", f.at)))?;
-        let (servers, addresses) = (HashMap::new(), Vec::new());
-        Ok(Instance { gateway, classes, plans, zones, servers, addresses, class_list })
+        let addresses = HashMap::new();
+        Ok(Instance { gateway, classes, plans, zones, addresses, class_list })
     }
     fn server(&mut self, address: &str) -> ServerId {
-        if let Some(&id) = self.servers.get(address) {
-            return ServerId(id);
+        // The FNV-1a hash: the same number at every gateway; the next free one on a clash.
+        let hash = address
+            .bytes()
+            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
+        let mut id = ServerId(hash);
+        while self.addresses.get(&id).is_some_and(|known| known != address) {
+            id = ServerId(id.0.wrapping_add(1));
         }
-        let id = self.addresses.len() as u32;
-        self.servers.insert(address.to_string(), id);
-        self.addresses.push(address.to_string());
-        ServerId(id)
+        self.addresses.entry(id).or_insert_with(|| address.to_string());
+        id
     }
     fn entry(&mut self, f: &Fields) -> Result<ServerEntry> {
         Ok(ServerEntry {
@@ -277,7 +279,7 @@
         }))
     }
     fn write(&self, action: &Action, out: &mut String) {
-        let name = |s: &ServerId| self.addresses.get(s.0 as usize).map_or("", String::as_str);
+        let name = |s: &ServerId| self.addresses.get(s).map_or("", String::as_str);
         // Writing to a String cannot fail.
         let _ = match action {
             Action::Send(r, s, until) => {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -138,7 +138,7 @@
 
 pub fn entry(i: u32, listed: Listed, started: Option<u64>) -> ServerEntry {
     ServerEntry {
-        server: ServerId(i),
+        server: ServerId(u64::from(i)),
         zone: ZoneId(0),
         cell: CellId(u64::from(i) / 2),
         listed,
