--- a/src/rules.rs
+++ b/src/rules.rs
@@ -228,7 +228,7 @@
         let rated = self.set.plans[c.plan].rate > 0.0;
         let (length, quota) = if rated { self.window_of(c.plan) } else { (EPOCH, 0.0) };
         let (span, epoch) = (self.span(id, length).0, self.span(id, EPOCH).0);
-        let closed = self.breaker.opened.is_none();
+        let closed = self.set.counter && self.breaker.opened.is_none();
         let Some(c) = self.customers.get_mut(&id) else { return };
         if c.window.span != span {
             c.heard =
@@ -489,7 +489,7 @@
         c.window.seen -= units;
         let total = c.window.seen;
         // Nobody could use a scrap of room: then it goes back with the next call.
-        if self.breaker.opened.is_none() && self.ask >= 1.0 && self.room(customer, total) >= 1.0 {
+        if self.breaker.opened.is_none() && self.rng.f64() < self.ask && self.room(customer, total) >= 1.0 {
             self.call(Purpose::Window, customer, None, -units);
         } else if let Some(c) = self.customers.get_mut(&customer) {
             c.window.owed -= units;
