--- a/src/api.rs
+++ b/src/api.rs
@@ -266,6 +266,8 @@
     pub deadline: Micros,
     /// Its units.
     pub units: f64,
+    /// The client repeats a try that was refused, failed or given up (where clients say so).
+    pub resent: bool,
 }
 
 /// An attempt that ended.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,12 +21,12 @@
 const ASK_SLOW: f64 = 0.98;
 const ASK_AGAIN: f64 = 0.5;
 /// Adaptive throttling: how many times what was let in may be asked for, how fast a customer's and a
-/// plan's odds fade with each request, what the plan's odds weigh, the odds below which none goes unheard.
+/// plan's odds fade with each request, what the plan's odds weigh, what a guess must earn for its work.
 const THROTTLE: f64 = 2.0;
 const ODDS_MEMORY: f64 = 0.9;
 const PLAN_MEMORY: f64 = 0.99;
 const PRIOR_WEIGHT: f64 = 2.0;
-const UNHEARD_LEAST: f64 = 0.5;
+const GUESS_MARGIN: f64 = 0.1;
 /// Part of the ceiling's window that may be used beyond the quota; the rest covers sends at its edges.
 const CEILING_FILL: f64 = 0.85;
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
@@ -284,6 +284,15 @@
         (c.odds.let_in + PRIOR_WEIGHT * prior) / (c.odds.asked + PRIOR_WEIGHT)
     }
 
+    /// Whether to let in a request that did not ask the counter or got no answer. Guards against quotas
+    /// passed at hundreds of gateways that each know little: by the customer's odds it must earn more than
+    /// it costs, and a repeat, which was just refused elsewhere, must be heard. While the breaker is open
+    /// the local bucket alone decides.
+    fn worth_a_guess(&self, customer: CustomerId, plan: usize, resent: bool) -> bool {
+        let (odds, cost) = (self.accepted(customer), self.set.plans[plan].over_cost);
+        self.breaker.opened.is_some() || !resent && odds >= (1.0 - odds) * cost + GUESS_MARGIN
+    }
+
     fn note_odds(&mut self, customer: CustomerId, let_in: bool) {
         let Some(c) = self.customers.get_mut(&customer) else { return };
         let plan = self.plan_odds.get_mut(c.plan).map(|odds| (odds, PLAN_MEMORY));
@@ -504,6 +513,7 @@
         }
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
+        let resent = r.a.resent;
         let (done, before) = (r.done, self.customers.get(&customer).and_then(|c| c.window.left));
         let ok = match heard {
             _ if done => return,
@@ -517,8 +527,7 @@
             },
             Some(total) if total > self.window_most(plan) || !self.idle() => false,
             Some(_) => self.beyond_take(customer, plan, units),
-            // Not asked or not answered: who was refused of late is not let in unheard.
-            None if self.breaker.opened.is_none() && self.accepted(customer) < UNHEARD_LEAST => false,
+            None if !self.worth_a_guess(customer, plan, resent) => false,
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
         if heard.is_some() {
@@ -570,7 +579,8 @@
         let ok = match heard {
             Some(total) => total <= plan.open,
             None => {
-                c.out < (plan.open / c.spread).floor().max(1.0) && self.accepted(customer) >= UNHEARD_LEAST
+                c.out < (plan.open / c.spread).floor().max(1.0)
+                    && self.worth_a_guess(customer, c.plan, r.a.resent)
             }
         };
         if heard.is_some() {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -256,6 +256,7 @@
                     spread: f.real_or("doors", 1.0)?.clamp(1.0, 1e6) as u32,
                     deadline: f.read("drop_dead", "a clock time")?.map_or(now + longest, Micros),
                     units,
+                    resent: f.flag_or("resent", false)?,
                 })
             }
             "RING" => Event::Timer(TimerId(f.whole("ref")?)),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -114,7 +114,7 @@
         self.next += 1;
         let deadline = Micros(self.now + 3 * S);
         let (class, plan, customer) = (ClassId(class), PlanId(plan), CustomerId(customer));
-        let arrival = Arrival { id, class, plan, customer, spread: 2, deadline, units };
+        let arrival = Arrival { id, class, plan, customer, spread: 2, deadline, units, resent: false };
         (id, self.tell(Event::Request(arrival)))
     }
     /// A request without quota, sent on at once; returns where it went.
