--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,6 +27,8 @@
 const PLAN_MEMORY: f64 = 0.99;
 const PRIOR_WEIGHT: f64 = 2.0;
 const GUESS_MARGIN: f64 = 0.1;
+/// The share of repeats that ask is the share of first tries to this power.
+const REPEAT_POWER: i32 = 3;
 /// Part of the ceiling's window that may be used beyond the quota; the rest covers sends at its edges.
 const CEILING_FILL: f64 = 0.85;
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
@@ -302,6 +304,13 @@
         }
     }
 
+    /// Whether a request is to ask, of the part that the counter can bear: repeats last, as they were
+    /// refused a moment ago.
+    fn asks(&mut self, resent: bool) -> bool {
+        let power = if resent { REPEAT_POWER } else { 1 };
+        self.breaker.opened.is_some() || self.rng.f64() < self.ask.powi(power)
+    }
+
     fn may_call(&mut self, customer: CustomerId) -> bool {
         let Some(c) = self.customers.get_mut(&customer) else { return false };
         let ready = self.set.counter && self.breaker.ready(self.now) && c.breaker.ready(self.now);
@@ -315,7 +324,7 @@
     /// The ordinary path: one add on the customer's window before anything is sent on.
     fn ask_window(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
+        let (customer, units, plan, resent) = (r.a.customer, r.a.units, r.a.plan.0, r.a.resent);
         let c = &self.customers[&customer];
         let total = c.window.known();
         let full = self.room(customer, total).max(self.window_most(plan) - total) < units;
@@ -330,7 +339,7 @@
             self.note_odds(customer, false);
             return self.refuse(id);
         }
-        if (self.breaker.opened.is_some() || self.rng.f64() < self.ask) && self.may_call(customer) {
+        if self.asks(resent) && self.may_call(customer) {
             self.call(Purpose::Window, customer, Some(id), units);
         } else {
             self.decide(Some(id), Purpose::Window, None);
@@ -339,10 +348,10 @@
 
     fn ask_place(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        let customer = r.a.customer;
+        let (customer, resent) = (r.a.customer, r.a.resent);
         if self.set.plans[r.a.plan.0].open <= 0.0 {
             self.admit(id);
-        } else if (self.breaker.opened.is_some() || self.rng.f64() < self.ask) && self.may_call(customer) {
+        } else if self.asks(resent) && self.may_call(customer) {
             self.call(Purpose::Open, customer, Some(id), 1.0);
         } else {
             self.decide_place(id, None);
