--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,8 @@
 const GUESS_MARGIN: f64 = 0.1;
 /// The share of repeats that ask is the share of first tries to this power.
 const REPEAT_POWER: i32 = 3;
+/// How long after a refusal the like of it counts as its repeat.
+const REPEAT_SPAN: Micros = Micros(1_000_000);
 /// Part of the ceiling's window that may be used beyond the quota; the rest covers sends at its edges.
 const CEILING_FILL: f64 = 0.85;
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
@@ -259,7 +261,10 @@
             c.beyond.at = now; // Starts empty: an earlier life of this gateway may have spent it.
         }
         (c.plan, c.spread, c.used) = (plan, f64::from(a.spread.max(1)), now);
-        self.requests.insert(id, Request { a, arrived: now, ..Request::default() });
+        // Where clients do not mark repeats: the like of what was refused here a moment ago.
+        let alike = |r: &Refusal| r.class == a.class && r.units == a.units && now < r.at + REPEAT_SPAN;
+        let resent = a.resent || c.refused.as_ref().is_some_and(alike);
+        self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
         self.roll(customer);
         match self.set.plans[plan].rate > 0.0 {
             true => self.ask_window(id),
@@ -706,6 +711,9 @@
         let wait = (self.set.retry_after && self.set.plans[r.a.plan.0].rate > 0.0)
             .then(|| self.span(r.a.customer, self.window_of(r.a.plan.0).0).1.min(self.set.max_retry_after));
         let answer = if self.may_refuse(r) { Action::Refuse(id, wait) } else { Action::Fail(id) };
+        if let Some(c) = self.customers.get_mut(&r.a.customer) {
+            c.refused = Some(Refusal { class: r.a.class, units: r.a.units, at: self.now });
+        }
         self.finish(id, Some(answer));
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,8 +83,17 @@
     pub(crate) let_in: f64,
 }
 
+/// What was refused last, by which a repeat is known.
+#[derive(Debug)]
+pub(crate) struct Refusal {
+    pub(crate) class: ClassId,
+    pub(crate) units: f64,
+    pub(crate) at: Micros,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Customer {
+    pub(crate) refused: Option<Refusal>,
     pub(crate) odds: Odds,
     pub(crate) plan: usize,
     pub(crate) spread: f64,
