--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,7 +46,7 @@
 const REACH_FLOW: f64 = 1.0;
 /// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
 /// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
-const FLEET_START: f64 = 6.0;
+const FLEET_START: f64 = 4.0;
 /// Bounds on attempts out at one server: where learning starts, the most, the least, what a late answer
 /// leaves of it, what an early one adds. All but the cut are scaled to the gateway's part (`scale`).
 const LIMIT_START: f64 = 2.0;
@@ -353,10 +353,10 @@
 
     fn ask_place(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (customer, resent) = (r.a.customer, r.a.resent);
+        let customer = r.a.customer;
         if self.set.plans[r.a.plan.0].open <= 0.0 {
             self.admit(id);
-        } else if self.asks(resent) && self.may_call(customer) {
+        } else if self.asks(true) && self.may_call(customer) {
             self.call(Purpose::Open, customer, Some(id), 1.0);
         } else {
             self.decide_place(id, None);
