Adaptive throttling before the servers, by late answers, where bounds start below one attempt

Change: where a gateway's bound at a server starts below one attempt it sheds by chance, cheap requests first, as answers come late (the same lateness that lowers bounds), and may have two out whatever the bounds. Holds against any overload; may shed on rare long answers.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,13 @@
 /// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.85;
 const GROW_PART: f64 = 0.25;
+/// What a late answer leaves of the part that passes, what others add, and the least.
+const PASS_CUT: f64 = 0.85;
+const PASS_GROW: f64 = 0.01;
+const PASS_LEAST: f64 = 0.05;
+/// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
+/// chance at the same moment.
+const FEW_OUT: f64 = 2.0;
 /// Share of failed or late attempts over all servers: below the first, trouble lies with single
 /// servers; below the second, the fleet may be called idle.
 const CALM_SHARE: f64 = 0.15;
@@ -139,6 +146,9 @@
     /// Smoothed over all servers: time to answer, share of attempts that failed or came too late.
     latency: f64,
     fail_share: f64,
+    /// Part of the requests of usual worth that the servers can take, and the usual worth.
+    pass: f64,
+    worth: f64,
     serial: u64,
 }
 
@@ -148,7 +158,7 @@
         set.check()?;
         let rng = fastrand::Rng::with_seed(seed);
         let plan_odds = vec![Odds::default(); set.plans.len()];
-        Ok(Gateway { set, rng, plan_odds, retries: RETRY_SAVED, ask: 1.0, ..Gateway::default() })
+        Ok(Gateway { set, rng, plan_odds, retries: RETRY_SAVED, ask: 1.0, pass: 1.0, ..Gateway::default() })
     }
 
     /// Takes one event and appends what is to be done.
@@ -266,12 +276,25 @@
         let resent = a.resent || c.refused.as_ref().is_some_and(alike);
         self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
         self.roll(customer);
+        if self.shed(id) {
+            return self.refuse(id);
+        }
         match self.set.plans[plan].rate > 0.0 {
             true => self.ask_window(id),
             false => self.ask_place(id),
         }
     }
 
+    /// Adaptive throttling before the servers: refuses by chance as many as came back late of late, those
+    /// worth little first. Guards against overload where a gateway has too few attempts out to bound them.
+    fn shed(&mut self, id: RequestId) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        let worth = self.set.classes[r.a.class.0].worth * self.set.plans[r.a.plan.0].price;
+        self.worth += SMOOTH / 3.0 * (worth - self.worth);
+        let power = if worth > 0.0 { (self.worth / worth).powi(2) } else { f64::MAX };
+        self.sparse() && self.rng.f64() > self.pass.powf(power)
+    }
+
     /// What a customer's quota has room for in this window by a total of the shared count: the window's
     /// plain allowance, or the store as it is with what the last window left; unknown, that is all of it.
     /// Guards against refusing inside the quota: the plain window forgets what the last one left.
@@ -787,6 +810,11 @@
         (FLEET_START / LIMIT_START / sharing.max(1e-9)).min(1.0)
     }
 
+    /// So many gateways share the servers that bounds start below one attempt and say little.
+    fn sparse(&self) -> bool {
+        LIMIT_START * self.scale() < 1.0
+    }
+
     /// The listed servers, this gateway's own part of the fleet first. Guards against learning nothing of
     /// any server where each gateway sees few requests. The golden ratio spreads the parts evenly, also
     /// those of gateways in a row, through which one customer comes.
@@ -806,7 +834,7 @@
             self.own_part_first().take(reach).map(|sid| &self.servers[&sid]).filter(|s| self.healthy(s));
         let most: f64 = fit.map(|s| s.limit * scale).sum();
         let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.healthy(s));
-        if most > 0.0 && self.out_now >= most.max(1.0) {
+        if most > 0.0 && self.out_now >= most.max(if self.sparse() { FEW_OUT } else { 1.0 }) {
             return None;
         }
         let mut best: Option<(f64, ServerId)> = None;
@@ -857,7 +885,9 @@
         // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
         let held = took + Micros(2 * s.latency as u64);
         let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
-        if late || matches!(outcome, Outcome::Full | Outcome::Timeout) {
+        let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
+        self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(PASS_LEAST, 1.0);
+        if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Ok
             && s.out + 1.0 >= (s.limit * scale).floor()
