Window room by the store followed over windows: no read of the last window, no sends beyond a quota

After a gap only a share of the store counts as left, so gateways that see a customer seldom do not each believe it full. A customer's own open breaker counts as silence.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,6 @@
 const REPEAT_POWER: i32 = 3;
 /// How long after a refusal the like of it counts as its repeat.
 const REPEAT_SPAN: Micros = Micros(1_000_000);
-/// Part of the ceiling's window that may be used beyond the quota; the rest covers sends at its edges.
-const CEILING_FILL: f64 = 0.85;
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
 const EPOCH: Micros = Micros(5_000_000);
 const FORGET: Micros = Micros(120_000_000);
@@ -65,10 +63,8 @@
 /// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
 /// chance at the same moment.
 const FEW_OUT: f64 = 2.0;
-/// Share of failed or late attempts over all servers: below the first, trouble lies with single
-/// servers; below the second, the fleet may be called idle.
+/// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
-const IDLE_SHARE: f64 = 0.03;
 /// Outlier ejection: failures in a row, smoothed share of failures, first time out and its doublings,
 /// good answers, one at a time, before the server takes its full share again.
 const EJECT_STREAK: u32 = 3;
@@ -214,21 +210,6 @@
         (Micros(((p.burst / p.rate) * part * 1e6).max(1.0) as u64), p.burst * part)
     }
 
-    /// What may be sent on in a window all told: more than the quota's part only where it earns more
-    /// than it costs, and then only up to the ceiling, which fills the same windows.
-    fn window_most(&self, plan: usize) -> f64 {
-        let (length, quota) = self.window_of(plan);
-        let p = &self.set.plans[plan];
-        if p.over_worth <= p.over_cost {
-            quota
-        } else if p.ceiling_rate > 0.0 {
-            let room = (p.ceiling_rate * length.secs()).min(p.ceiling_burst / 2.0);
-            quota.max(room * CEILING_FILL)
-        } else {
-            f64::MAX
-        }
-    }
-
     /// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not
     /// all windows end at once.
     fn span(&self, customer: CustomerId, length: Micros) -> (u64, Micros) {
@@ -239,18 +220,20 @@
     /// Brings a customer's counts to the present window and epoch.
     fn roll(&mut self, id: CustomerId) {
         let Some(c) = self.customers.get(&id) else { return };
-        let rated = self.set.plans[c.plan].rate > 0.0;
+        let (rated, burst) = (self.set.plans[c.plan].rate > 0.0, self.set.plans[c.plan].burst);
         let (length, quota) = if rated { self.window_of(c.plan) } else { (EPOCH, 0.0) };
         let (span, epoch) = (self.span(id, length).0, self.span(id, EPOCH).0);
-        let closed = self.set.counter && self.breaker.opened.is_none();
+        let silent = self.silent(id);
         let Some(c) = self.customers.get_mut(&id) else { return };
         if c.window.span != span {
             c.heard =
                 (c.heard.0 * (1.0 - CARRY) + c.window.posted, c.heard.1 * (1.0 - CARRY) + c.window.seen);
-            // What the last window left is known where that was full, and else only by asking. Spend not
-            // yet counted goes to this window: gateways that see a customer seldom would never count it.
-            let left = (c.window.span + 1 == span && c.window.seen >= quota).then_some(0.0);
-            let owed = if closed { c.window.owed.clamp(0.0, quota) } else { 0.0 };
+            // What the windows left, as far as they were followed here, else a share of the store. Spend not yet counted goes to this
+            // window: gateways that see a customer seldom would never count it.
+            let follows = c.window.span + 1 == span;
+            let left = c.window.left + quota - c.window.known();
+            let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
+            let owed = if silent { 0.0 } else { c.window.owed.clamp(0.0, quota) };
             c.window = Tally { span, left, owed, ..Tally::default() };
         }
         if let Some(c) = self.customers.get_mut(&id).filter(|c| c.epoch.span != epoch) {
@@ -296,13 +279,13 @@
     }
 
     /// What a customer's quota has room for in this window by a total of the shared count: the window's
-    /// plain allowance, or the store as it is with what the last window left; unknown, that is all of it.
+    /// plain allowance, or the store as it is with what the last window left, where this gateway knows.
     /// Guards against refusing inside the quota: the plain window forgets what the last one left.
     fn room(&self, customer: CustomerId, total: f64) -> f64 {
         let Some(c) = self.customers.get(&customer) else { return 0.0 };
         let (length, quota) = self.window_of(c.plan);
         let refill = quota * (1.0 - self.span(customer, length).1.secs() / length.secs());
-        (c.window.left.unwrap_or(quota) + refill).max(quota) - total
+        (c.window.left + refill).max(quota) - total
     }
 
     /// Adaptive throttling: the part of a customer's requests that were let in of late, where little is
@@ -314,13 +297,18 @@
         (c.odds.let_in + PRIOR_WEIGHT * prior) / (c.odds.asked + PRIOR_WEIGHT)
     }
 
+    /// The counter says nothing of this customer for a while: then the local bucket alone decides.
+    fn silent(&self, customer: CustomerId) -> bool {
+        let own_open = self.customers.get(&customer).is_some_and(|c| c.breaker.opened.is_some());
+        !self.set.counter || self.breaker.opened.is_some() || own_open
+    }
+
     /// Whether to let in a request that did not ask the counter or got no answer. Guards against quotas
     /// passed at hundreds of gateways that each know little: by the customer's odds it must earn more than
-    /// it costs, and a repeat, which was just refused elsewhere, must be heard. While the breaker is open
-    /// the local bucket alone decides.
+    /// it costs, and a repeat, which was just refused elsewhere, must be heard.
     fn worth_a_guess(&self, customer: CustomerId, plan: usize, resent: bool) -> bool {
         let (odds, cost) = (self.accepted(customer), self.set.plans[plan].over_cost);
-        self.breaker.opened.is_some() || !resent && odds >= (1.0 - odds) * cost + GUESS_MARGIN
+        self.silent(customer) || !resent && odds >= (1.0 - odds) * cost + GUESS_MARGIN
     }
 
     fn note_odds(&mut self, customer: CustomerId, let_in: bool) {
@@ -352,10 +340,10 @@
     /// The ordinary path: one add on the customer's window before anything is sent on.
     fn ask_window(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (customer, units, plan, resent) = (r.a.customer, r.a.units, r.a.plan.0, r.a.resent);
+        let (customer, units, resent) = (r.a.customer, r.a.units, r.a.resent);
         let c = &self.customers[&customer];
         let total = c.window.known();
-        let full = self.room(customer, total).max(self.window_most(plan) - total) < units;
+        let full = self.room(customer, total) < units;
         if full && self.breaker.opened.is_none() && total > 0.0 {
             self.note_odds(customer, false);
             return self.refuse(id); // Known full: a call could only tell the same.
@@ -391,10 +379,9 @@
         let plan = c.plan;
         let (span, extra) = match purpose {
             Purpose::Window => (c.window.span, c.window.owed),
-            Purpose::Past => (c.window.span.wrapping_sub(1), 0.0),
             Purpose::Open => (c.epoch.span, c.epoch.owed),
         };
-        if units + extra == 0.0 && request.is_none() && purpose != Purpose::Past {
+        if units + extra == 0.0 && request.is_none() {
             return;
         }
         let tally = if purpose == Purpose::Open { &mut c.epoch } else { &mut c.window };
@@ -419,9 +406,7 @@
         call.expired = true;
         let (customer, probe, request, purpose) = (call.customer, call.probe, call.request, call.purpose);
         self.call_failed(customer, probe);
-        if purpose != Purpose::Past {
-            self.decide(request, purpose, None);
-        }
+        self.decide(request, purpose, None);
     }
 
     /// Guards against one hot name that fills its part of the counter: failures of the same customer in
@@ -444,18 +429,8 @@
         call.request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking -= 1);
         self.roll(call.customer);
         let plan = self.customers.get(&call.customer).map_or(0, |c| c.plan);
-        let quota = self.window_of(plan).1;
         let slow = self.now - call.made > self.set.count_timeout.times(CALL_SLOW);
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
-        if call.purpose == Purpose::Past {
-            if c.window.span == call.span + 1 {
-                let before = if outcome == Outcome::Ok { total } else { f64::MAX };
-                c.window.left = Some((quota - before).max(0.0));
-            }
-            let seen = self.customers.get(&call.customer).map(|c| c.window.known());
-            self.decide(call.request, Purpose::Window, seen);
-            return call.request.into_iter().for_each(|id| self.let_go(id));
-        }
         let tally = if call.purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
         let current = tally.span == call.span;
         if current {
@@ -535,7 +510,7 @@
         c.window.seen -= units;
         let total = c.window.seen;
         // Nobody could use a scrap of room: then it goes back with the next call.
-        if self.breaker.opened.is_none() && self.rng.f64() < self.ask && self.room(customer, total) >= 1.0 {
+        if self.breaker.opened.is_none() && self.room(customer, total) >= 1.0 {
             self.call(Purpose::Window, customer, None, -units);
         } else if let Some(c) = self.customers.get_mut(&customer) {
             c.window.owed -= units;
@@ -551,19 +526,13 @@
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
         let resent = r.a.resent;
-        let (done, before) = (r.done, self.customers.get(&customer).and_then(|c| c.window.left));
+        let done = r.done;
         let ok = match heard {
             _ if done => return,
             // Under a ceiling what a counter forgot is paid off first.
             Some(total) if total <= self.window_of(plan).1 => self.beyond_take(customer, plan, 0.0),
-            Some(total) if self.room(customer, total) >= 0.0 => match before {
-                None if self.breaker.opened.is_none() => {
-                    return self.call(Purpose::Past, customer, Some(id), 0.0);
-                }
-                _ => self.beyond_take(customer, plan, units),
-            },
-            Some(total) if total > self.window_most(plan) || !self.idle() => false,
-            Some(_) => self.beyond_take(customer, plan, units),
+            Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
+            Some(_) => false,
             None if !self.worth_a_guess(customer, plan, resent) => false,
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
@@ -866,13 +835,6 @@
         self.now >= s.ejected_until && self.now >= s.rest_until && (s.trial == 0 || s.out < 1.0)
     }
 
-    /// A server of ours stands idle and nothing waits: room for what is beyond a quota.
-    fn idle(&self) -> bool {
-        let free = |s: &Server| s.listed && s.out < 1.0 && s.cold_since.is_none() && s.trial == 0;
-        let calm = self.held.is_empty() && self.fail_share < IDLE_SHARE;
-        calm && self.servers.values().any(|s| free(s) && self.healthy(s))
-    }
-
     // ---- health and cold starts ----
 
     fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,8 +31,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Purpose {
     Window,
-    /// The window before, only read.
-    Past,
     Open,
 }
 
@@ -65,8 +63,8 @@
     pub(crate) posting: f64,
     /// The last total heard.
     pub(crate) seen: f64,
-    /// What the window before left of its allowance, where that is known.
-    pub(crate) left: Option<f64>,
+    /// What the window before left of its allowance, as far as is known.
+    pub(crate) left: f64,
 }
 
 impl Tally {
