--- a/src/rules.rs
+++ b/src/rules.rs
@@ -15,10 +15,7 @@
 const ASK_CUT: f64 = 0.8;
 const ASK_GROW: f64 = 1.02;
 const ASK_LEAST: f64 = 0.05;
-/// Part of the counter's time-out after which an answer shows a long line, and what it leaves of the share;
-/// the share with which asking begins again when a probe was answered.
-const CALL_SLOW: f64 = 0.4;
-const ASK_SLOW: f64 = 0.98;
+/// The share with which asking begins again when a probe was answered.
 const ASK_AGAIN: f64 = 0.5;
 /// Adaptive throttling: how many times what was let in may be asked for, how fast a customer's and a
 /// plan's odds fade with each request, what the plan's odds weigh, what a guess must earn for its work.
@@ -223,7 +220,6 @@
         let (rated, burst) = (self.set.plans[c.plan].rate > 0.0, self.set.plans[c.plan].burst);
         let (length, quota) = if rated { self.window_of(c.plan) } else { (EPOCH, 0.0) };
         let (span, epoch) = (self.span(id, length).0, self.span(id, EPOCH).0);
-        let silent = self.silent(id);
         let Some(c) = self.customers.get_mut(&id) else { return };
         if c.window.span != span {
             c.heard =
@@ -233,8 +229,7 @@
             let follows = c.window.span + 1 == span;
             let left = c.window.left + quota - c.window.known();
             let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
-            let owed = if silent { 0.0 } else { c.window.owed.clamp(0.0, quota) };
-            c.window = Tally { span, left, owed, ..Tally::default() };
+            c.window = Tally { span, left, ..Tally::default() };
         }
         if let Some(c) = self.customers.get_mut(&id).filter(|c| c.epoch.span != epoch) {
             c.epoch = Tally { span: epoch, owed: c.out, ..Tally::default() };
@@ -390,9 +385,8 @@
         let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
         let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
         self.serial += 1;
-        let (serial, amount, customer, made) = (self.serial, units + extra, id, self.now);
-        let call =
-            Call { serial, purpose, customer, span, request, amount, extra, probe, made, expired: false };
+        let (serial, amount, customer) = (self.serial, units + extra, id);
+        let call = Call { serial, purpose, customer, span, request, amount, extra, probe, expired: false };
         self.calls.entry(name).or_default().push_back(call);
         request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking += 1);
         self.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
@@ -429,7 +423,6 @@
         call.request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking -= 1);
         self.roll(call.customer);
         let plan = self.customers.get(&call.customer).map_or(0, |c| c.plan);
-        let slow = self.now - call.made > self.set.count_timeout.times(CALL_SLOW);
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
         let tally = if call.purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
         let current = tally.span == call.span;
@@ -455,7 +448,7 @@
                 if c.spread * self.set.most_units <= self.set.plans[plan].burst {
                     c.bucket = None;
                 }
-                self.ask = if slow { self.ask * ASK_SLOW } else { (self.ask * ASK_GROW).min(1.0) };
+                self.ask = (self.ask * ASK_GROW).min(1.0);
                 if call.probe {
                     self.ask = self.ask.max(ASK_AGAIN);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,7 +46,6 @@
     /// The part of the amount that is not this request's own.
     pub(crate) extra: f64,
     pub(crate) probe: bool,
-    pub(crate) made: Micros,
     /// Our short time-out has passed; the request was decided without the answer.
     pub(crate) expired: bool,
 }
