--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,13 +17,6 @@
 const ASK_LEAST: f64 = 0.05;
 /// The share with which asking begins again when a probe was answered.
 const ASK_AGAIN: f64 = 0.5;
-/// Adaptive throttling: how many times what was let in may be asked for, how fast a customer's and a
-/// plan's odds fade with each request, what the plan's odds weigh, what a guess must earn for its work.
-const THROTTLE: f64 = 2.0;
-const ODDS_MEMORY: f64 = 0.9;
-const PLAN_MEMORY: f64 = 0.99;
-const PRIOR_WEIGHT: f64 = 2.0;
-const GUESS_MARGIN: f64 = 0.1;
 /// The share of repeats that ask is the share of first tries to this power.
 const REPEAT_POWER: i32 = 3;
 /// How long after a refusal the like of it counts as its repeat.
@@ -42,10 +35,9 @@
 /// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
 /// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
 const FLEET_START: f64 = 4.0;
-/// Bounds on attempts out at one server: where learning starts, the most, the least, what a late answer
-/// leaves of it, what an early one adds. All but the cut are scaled to the gateway's part (`scale`).
+/// Bounds on attempts out at one server: where learning starts, the least, what a late answer leaves of it,
+/// what an early one adds. All but the cut are scaled to the gateway's part (`scale`).
 const LIMIT_START: f64 = 2.0;
-const LIMIT_MOST: f64 = 64.0;
 const LIMIT_LEAST: f64 = 0.1;
 const LIMIT_CUT: f64 = 0.7;
 const LIMIT_GROW: f64 = 0.03;
@@ -62,18 +54,17 @@
 const FEW_OUT: f64 = 2.0;
 /// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
-/// Outlier ejection: failures in a row, smoothed share of failures, first time out and its doublings,
-/// good answers, one at a time, before the server takes its full share again.
-const EJECT_STREAK: u32 = 3;
-const EJECT_SHARE: f64 = 0.3;
+/// Outlier ejection: smoothed share of failures (three in a row pass it), first time out, its doublings.
+const EJECT_SHARE: f64 = 0.25;
 const EJECT_FIRST: Micros = Micros(1_000_000);
 const EJECT_DOUBLINGS: u32 = 3;
-const TRIAL_ANSWERS: u32 = 3;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
 /// Retry budget: further attempts earned by each request, and the most saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 20.0;
+/// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
+const SPARE_PART: f64 = 0.35;
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
@@ -100,8 +91,8 @@
             (self.opened, self.probing) = (Some(now), false);
         }
     }
-    /// Guards against a slow counter that answers now and then: while closed, a success halves the
-    /// streak instead of clearing it, so that mostly failing calls still open the breaker.
+    /// Guards against a slow counter that answers now and then: while closed, a success halves the streak
+    /// instead of clearing it, so that mostly failing calls still open the breaker.
     fn success(&mut self, probe: bool) {
         if probe && self.probing {
             *self = Breaker::default();
@@ -122,7 +113,6 @@
     /// Share of requests that ask the counter.
     ask: f64,
     last_failed: Option<CustomerId>,
-    plan_odds: Vec<Odds>,
     calls: BTreeMap<CountName, VecDeque<Call>>,
     customers: BTreeMap<CustomerId, Customer>,
     requests: BTreeMap<RequestId, Request>,
@@ -141,7 +131,7 @@
     fail_share: f64,
     /// Part of the requests of usual worth that the servers can take, and the usual worth.
     pass: f64,
-    worth: f64,
+    usual_worth: f64,
     serial: u64,
 }
 
@@ -150,8 +140,12 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let rng = fastrand::Rng::with_seed(seed);
-        let plan_odds = vec![Odds::default(); set.plans.len()];
-        Ok(Gateway { set, rng, plan_odds, retries: RETRY_SAVED, ask: 1.0, pass: 1.0, ..Gateway::default() })
+        let must_subscribe = set.must_subscribe;
+        let mut new = Gateway { set, rng, retries: RETRY_SAVED, ask: 1.0, pass: 1.0, ..Gateway::default() };
+        // Goes out with the first event, whichever that is.
+        new.timer(Timer::Sweep, FORGET);
+        new.out.extend(must_subscribe.then_some(Action::Subscribe));
+        Ok(new)
     }
 
     /// Takes one event and appends what is to be done.
@@ -207,8 +201,8 @@
         (Micros(((p.burst / p.rate) * part * 1e6).max(1.0) as u64), p.burst * part)
     }
 
-    /// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not
-    /// all windows end at once.
+    /// The current window (or epoch) of a customer; the customer's hash shifts its edges, so that not all
+    /// windows end at once.
     fn span(&self, customer: CustomerId, length: Micros) -> (u64, Micros) {
         let shifted = self.now.0 + mix(customer.0) % length.0;
         (shifted / length.0, Micros(length.0 - shifted % length.0))
@@ -224,8 +218,8 @@
         if c.window.span != span {
             c.heard =
                 (c.heard.0 * (1.0 - CARRY) + c.window.posted, c.heard.1 * (1.0 - CARRY) + c.window.seen);
-            // What the windows left, as far as they were followed here, else a share of the store. Spend not yet counted goes to this
-            // window: gateways that see a customer seldom would never count it.
+            // What the windows left, as far as they were followed here, else a share of the store. Spend not
+            // yet counted goes to this window: gateways that see a customer seldom would never count it.
             let follows = c.window.span + 1 == span;
             let left = c.window.left + quota - c.window.known();
             let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
@@ -263,19 +257,23 @@
         }
     }
 
+    fn worth(&self, r: &Request) -> f64 {
+        self.set.classes[r.a.class.0].worth * self.set.plans[r.a.plan.0].price
+    }
+
     /// Adaptive throttling before the servers: refuses by chance as many as came back late of late, those
     /// worth little first. Guards against overload where a gateway has too few attempts out to bound them.
     fn shed(&mut self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
-        let worth = self.set.classes[r.a.class.0].worth * self.set.plans[r.a.plan.0].price;
-        self.worth += SMOOTH / 3.0 * (worth - self.worth);
-        let power = if worth > 0.0 { (self.worth / worth).powi(2) } else { f64::MAX };
+        let worth = self.worth(r);
+        self.usual_worth += SMOOTH / 3.0 * (worth - self.usual_worth);
+        let power = if worth > 0.0 { (self.usual_worth / worth).powi(2) } else { f64::MAX };
         self.sparse() && self.rng.f64() > self.pass.powf(power)
     }
 
-    /// What a customer's quota has room for in this window by a total of the shared count: the window's
-    /// plain allowance, or the store as it is with what the last window left, where this gateway knows.
-    /// Guards against refusing inside the quota: the plain window forgets what the last one left.
+    /// What a customer's quota has room for in this window by a total of the shared count: the window's plain
+    /// allowance, or the store as it is with what the last window left, where this gateway knows. Guards
+    /// against refusing inside the quota: the plain window forgets what the last one left.
     fn room(&self, customer: CustomerId, total: f64) -> f64 {
         let Some(c) = self.customers.get(&customer) else { return 0.0 };
         let (length, quota) = self.window_of(c.plan);
@@ -283,40 +281,14 @@
         (c.window.left + refill).max(quota) - total
     }
 
-    /// Adaptive throttling: the part of a customer's requests that were let in of late, where little is
-    /// known of it the part of its plan's.
-    fn accepted(&self, customer: CustomerId) -> f64 {
-        let Some(c) = self.customers.get(&customer) else { return 1.0 };
-        let plan = self.plan_odds.get(c.plan).copied().unwrap_or_default();
-        let prior = (plan.let_in + 1.0) / (plan.asked + 1.0);
-        (c.odds.let_in + PRIOR_WEIGHT * prior) / (c.odds.asked + PRIOR_WEIGHT)
-    }
-
     /// The counter says nothing of this customer for a while: then the local bucket alone decides.
     fn silent(&self, customer: CustomerId) -> bool {
         let own_open = self.customers.get(&customer).is_some_and(|c| c.breaker.opened.is_some());
         !self.set.counter || self.breaker.opened.is_some() || own_open
     }
 
-    /// Whether to let in a request that did not ask the counter or got no answer. Guards against quotas
-    /// passed at hundreds of gateways that each know little: by the customer's odds it must earn more than
-    /// it costs, and a repeat, which was just refused elsewhere, must be heard.
-    fn worth_a_guess(&self, customer: CustomerId, plan: usize, resent: bool) -> bool {
-        let (odds, cost) = (self.accepted(customer), self.set.plans[plan].over_cost);
-        self.silent(customer) || !resent && odds >= (1.0 - odds) * cost + GUESS_MARGIN
-    }
-
-    fn note_odds(&mut self, customer: CustomerId, let_in: bool) {
-        let Some(c) = self.customers.get_mut(&customer) else { return };
-        let plan = self.plan_odds.get_mut(c.plan).map(|odds| (odds, PLAN_MEMORY));
-        for (odds, memory) in [Some((&mut c.odds, ODDS_MEMORY)), plan].into_iter().flatten() {
-            odds.asked = odds.asked * memory + 1.0;
-            odds.let_in = odds.let_in * memory + f64::from(u8::from(let_in));
-        }
-    }
-
-    /// Whether a request is to ask, of the part that the counter can bear: repeats last, as they were
-    /// refused a moment ago.
+    /// Whether a request is to ask. Guards against a counter that our own calls drown, slow or near its
+    /// capacity: while calls fail only a part asks, repeats last, as they were refused a moment ago.
     fn asks(&mut self, resent: bool) -> bool {
         let power = if resent { REPEAT_POWER } else { 1 };
         self.breaker.opened.is_some() || self.rng.f64() < self.ask.powi(power)
@@ -338,18 +310,9 @@
         let (customer, units, resent) = (r.a.customer, r.a.units, r.a.resent);
         let c = &self.customers[&customer];
         let total = c.window.known();
-        let full = self.room(customer, total) < units;
-        if full && self.breaker.opened.is_none() && total > 0.0 {
-            self.note_odds(customer, false);
+        if self.room(customer, total) < units && self.breaker.opened.is_none() && total > 0.0 {
             return self.refuse(id); // Known full: a call could only tell the same.
         }
-        // Guards against a counter that our own calls drown, slow or near its capacity: while calls fail,
-        // requests that would hardly be let in are refused unasked, and of the others a part asks.
-        let strained = self.ask < 1.0 && self.breaker.opened.is_none();
-        if strained && self.rng.f64() > THROTTLE * self.accepted(customer) {
-            self.note_odds(customer, false);
-            return self.refuse(id);
-        }
         if self.asks(resent) && self.may_call(customer) {
             self.call(Purpose::Window, customer, Some(id), units);
         } else {
@@ -403,8 +366,8 @@
         self.decide(request, purpose, None);
     }
 
-    /// Guards against one hot name that fills its part of the counter: failures of the same customer in
-    /// a row count once for the common breaker, while that customer's own breaker opens.
+    /// Guards against one hot name that fills its part of the counter: failures of the same customer in a row
+    /// count once for the common breaker, while that customer's own breaker opens.
     fn call_failed(&mut self, customer: CustomerId, probe: bool) {
         let now = self.now;
         self.ask = (self.ask * ASK_CUT).max(ASK_LEAST);
@@ -433,8 +396,8 @@
         if outcome == Outcome::Ok {
             if current {
                 tally.posted += call.amount;
-                // Guards against an emptied counter: a total below our own adds proves lost memory;
-                // our spend goes back on and is reckoned with here until it has.
+                // Guards against an emptied counter: a total below our own adds proves lost memory; our spend
+                // goes back on and is reckoned with here until it has.
                 let lost = tally.posted - total;
                 if lost > 0.5 && call.purpose == Purpose::Window {
                     (tally.owed, tally.posted) = (tally.owed + lost, total);
@@ -477,8 +440,7 @@
         call.request.into_iter().for_each(|id| self.let_go(id));
     }
 
-    /// A late answer: keep the add if the request went on, else take it back; what went on uncounted
-    /// is owed.
+    /// A late answer: keep the add if the request went on, else take it back; what went on uncounted is owed.
     fn reconcile(&mut self, call: &Call, outcome: Outcome) {
         if call.purpose == Purpose::Open {
             return self.sync_places(call.customer);
@@ -518,30 +480,27 @@
         }
         let Some(r) = self.requests.get(&id) else { return };
         let (customer, units, plan) = (r.a.customer, r.a.units, r.a.plan.0);
-        let resent = r.a.resent;
-        let done = r.done;
+        let (resent, done) = (r.a.resent, r.done);
         let ok = match heard {
             _ if done => return,
             // Under a ceiling what a counter forgot is paid off first.
             Some(total) if total <= self.window_of(plan).1 => self.beyond_take(customer, plan, 0.0),
             Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
             Some(_) => false,
-            None if !self.worth_a_guess(customer, plan, resent) => false,
+            // A repeat was refused a moment ago, here or elsewhere: it must be heard.
+            None if resent && !self.silent(customer) => false,
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
         };
-        if heard.is_some() {
-            self.note_odds(customer, ok);
-        }
         match ok {
             true => self.ask_place(id),
             false => self.refuse(id),
         }
     }
 
-    /// Guards the hard ceiling wherever the plain window does not speak for what is sent on: unheard, by
-    /// what a gateway believes was left over, or beyond the quota. Each gateway may send so only its
-    /// part of what the ceiling holds above the quota; plain windows stay within the quota, so the sum
-    /// keeps the ceiling whatever single gateways believe. May hurt one that has all the traffic.
+    /// Guards the hard ceiling wherever the plain window does not speak for what is sent on: unheard, by what
+    /// a gateway believes was left over, or beyond the quota. Each gateway may send so only its part of what
+    /// the ceiling holds above the quota; plain windows stay within the quota, so the sum keeps the ceiling
+    /// whatever single gateways believe. May hurt one that has all the traffic.
     fn beyond_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
         let (now, p) = (self.now, &self.set.plans[plan]);
         let Some(c) = self.customers.get_mut(&customer).filter(|_| p.ceiling_rate > 0.0) else { return true };
@@ -550,10 +509,10 @@
         c.beyond.take(now, units)
     }
 
-    /// The local bucket decides where the counter does not: the customer's rate over its gateways. It
-    /// starts with this gateway's part of what the customer's store was last known to hold; under a
-    /// ceiling, `beyond_take` stands before it and does start empty. Guards against refusing customers
-    /// with few units, for whom a share that starts empty admits nothing for seconds.
+    /// The local bucket decides where the counter does not: the customer's rate over its gateways. It starts
+    /// with this gateway's part of what the customer's store was last known to hold; under a ceiling,
+    /// `beyond_take` stands before it and does start empty. Guards against refusing customers with few units,
+    /// for whom a share that starts empty admits nothing for seconds.
     fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
         let (now, most_units, p) = (self.now, self.set.most_units, &self.set.plans[plan]);
         let (rate, burst) = (p.rate, p.burst);
@@ -573,18 +532,13 @@
 
     fn decide_place(&mut self, id: RequestId, heard: Option<f64>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let (customer, plan, done) = (r.a.customer, self.set.plans[r.a.plan.0].clone(), r.done);
+        let (customer, plan, done) = (r.a.customer, &self.set.plans[r.a.plan.0], r.done);
         let Some(c) = self.customers.get(&customer) else { return };
         let ok = match heard {
             Some(total) => total <= plan.open,
-            None => {
-                c.out < (plan.open / c.spread).floor().max(1.0)
-                    && self.worth_a_guess(customer, c.plan, r.a.resent)
-            }
+            None if r.a.resent && !self.silent(customer) => false,
+            None => c.out < (plan.open / c.spread).floor().max(1.0),
         };
-        if heard.is_some() {
-            self.note_odds(customer, ok);
-        }
         match ok && !done {
             true => self.admit(id),
             false => self.refuse(id),
@@ -620,8 +574,7 @@
         if let Some(server) = self.pick(id) {
             return self.send(id, server);
         }
-        let Some(r) = self.requests.get_mut(&id) else { return };
-        if r.held_since.is_none() {
+        if let Some(r) = self.requests.get_mut(&id).filter(|r| r.held_since.is_none()) {
             r.held_since = Some(self.now);
             self.held.push(id);
         }
@@ -639,7 +592,6 @@
         let now = self.now;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let class = &self.set.classes[r.a.class.0];
-        let aim_at = r.arrived + class.aim;
         // An attempt is given up while another could still meet the aim. Guards against servers that fall
         // silent. Not while attempts fail or are late everywhere: giving up wastes work in overload.
         let again = class.effect != Effect::Unsafe
@@ -647,14 +599,12 @@
             && r.attempts.len() + 1 < self.set.max_attempts
             && (class.effect == Effect::Safe || class.group == Group::All)
             && self.fail_share < CALM_SHARE;
-        let spare = Micros((self.latency * 2.0) as u64).max(class.aim.times(0.3)).min(class.aim.times(0.5));
-        let early = aim_at - spare;
-        let until =
-            if again && early > now + class.aim.times(0.3) { early.min(r.a.deadline) } else { r.a.deadline };
+        let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
+        let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
         r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
         r.held_since = None;
         r.counted = None;
-        let units = r.a.units;
+        let (units, until) = (r.a.units, until.min(r.a.deadline));
         self.flow.level = self.flow_rate() * FLOW_SPAN + units;
         self.flow.at = now;
         if let Some(s) = self.servers.get_mut(&server) {
@@ -670,11 +620,7 @@
         let mut waiting = std::mem::take(&mut self.held);
         waiting.retain(|id| self.requests.get(id).is_some_and(|r| !r.done && r.held_since.is_some()));
         // In overload the least worth for its work waits longest and is refused first.
-        let worth = |id: &RequestId| {
-            let r = &self.requests[id];
-            (self.set.classes[r.a.class.0].worth * self.set.plans[r.a.plan.0].price * 1e6) as u64
-        };
-        waiting.sort_by_key(|id| (std::cmp::Reverse(worth(id)), *id));
+        waiting.sort_by_key(|id| (std::cmp::Reverse((self.worth(&self.requests[id]) * 1e6) as u64), *id));
         for id in waiting {
             let r = &self.requests[&id];
             let longest = self.set.classes[r.a.class.0].aim.times(HOLD_PART);
@@ -742,8 +688,9 @@
         r.done |= end.ended || outcome == Outcome::Ok;
         let (answered, in_time) = (r.done, self.now < r.arrived + aim);
         if let (Some(true_units), Outcome::Ok, false) = (end.settled, outcome, was_done) {
-            let owed = self.customers.get_mut(&r.a.customer).map(|c| &mut c.window.owed);
-            owed.into_iter().for_each(|o| *o += true_units - r.a.units);
+            if let Some(c) = self.customers.get_mut(&r.a.customer) {
+                c.window.owed += true_units - r.a.units;
+            }
         }
         self.judge(end.server, outcome, end.took, aim);
         if answered {
@@ -777,9 +724,9 @@
         LIMIT_START * self.scale() < 1.0
     }
 
-    /// The listed servers, this gateway's own part of the fleet first. Guards against learning nothing of
-    /// any server where each gateway sees few requests. The golden ratio spreads the parts evenly, also
-    /// those of gateways in a row, through which one customer comes.
+    /// The listed servers, this gateway's own part of the fleet first. Guards against learning nothing of any
+    /// server where each gateway sees few requests. The golden ratio spreads the parts evenly, also those of
+    /// gateways in a row, through which one customer comes.
     fn own_part_first(&self) -> impl Iterator<Item = ServerId> + '_ {
         let start = (f64::from(self.set.me) * 0.618_033_988_749_895).fract() * self.ring.len() as f64;
         self.ring.iter().cycle().skip(start as usize).take(self.ring.len()).copied()
@@ -816,7 +763,7 @@
             let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
             score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
             // A server on trial is asked first, or one that failed would never be tried again.
-            score *= if s.trial > 0 && r.attempts.is_empty() { 0.3 } else { 1.0 };
+            score *= if s.trial && r.attempts.is_empty() { 0.3 } else { 1.0 };
             if best.is_none_or(|(b, _)| score < b) {
                 best = Some((score, sid));
             }
@@ -825,7 +772,7 @@
     }
 
     fn healthy(&self, s: &Server) -> bool {
-        self.now >= s.ejected_until && self.now >= s.rest_until && (s.trial == 0 || s.out < 1.0)
+        self.now >= s.ejected_until && (!s.trial || s.out < 1.0)
     }
 
     // ---- health and cold starts ----
@@ -848,7 +795,7 @@
             && s.out + 1.0 >= (s.limit * scale).floor()
             && took < aim.times(GROW_PART)
         {
-            s.limit = (s.limit + LIMIT_GROW).min(LIMIT_MOST);
+            s.limit += LIMIT_GROW;
         }
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
         self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
@@ -857,15 +804,14 @@
             for smooth in [&mut s.latency, &mut self.latency] {
                 *smooth = if *smooth == 0.0 { sample } else { *smooth + SMOOTH * (sample - *smooth) };
             }
-            s.streak = 0;
             s.fail_share *= 1.0 - SMOOTH;
-            match s.trial {
-                0 => s.ejections = 0,
-                1 => (s.trial, s.fail_share) = (0, 0.0), // The trial is passed.
-                _ => s.trial -= 1,
+            if std::mem::take(&mut s.trial) {
+                s.fail_share = 0.0; // The trial is passed.
+            } else {
+                s.ejections = 0;
             }
-            // Guards against a restart that the list has not told yet: connects failed for a while and
-            // now it answers, so it is taken to be cold.
+            // Guards against a restart that the list has not told yet: connects failed for a while and now it
+            // answers, so it is taken to be cold.
             let unreached = s.unreached_since.take().is_some_and(|at| now - at > EJECT_FIRST);
             if unreached && s.cold_since.is_none() {
                 s.cold_since = Some(now);
@@ -876,23 +822,21 @@
             return;
         }
         if outcome == Outcome::Full {
-            s.rest_until = now + REST;
+            s.ejected_until = s.ejected_until.max(now + REST);
             return;
         }
-        s.streak += 1;
         s.fail_share += SMOOTH * (1.0 - s.fail_share);
         if outcome == Outcome::ConnectFailed {
             s.unreached_since.get_or_insert(now);
         }
-        // Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is
-        // out of line only against the others, or overload would eject them one by one.
-        let out_of_line = outcome == Outcome::ConnectFailed
-            || self.fail_share < CALM_SHARE && s.streak >= EJECT_STREAK
-            || s.fail_share > EJECT_SHARE.max(2.0 * self.fail_share);
-        if now >= s.ejected_until && (out_of_line || s.trial > 0) {
+        // Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out
+        // of line only against the others, or overload would eject them one by one.
+        let out_of_line =
+            outcome == Outcome::ConnectFailed || s.fail_share > EJECT_SHARE.max(2.0 * self.fail_share);
+        if now >= s.ejected_until && (out_of_line || s.trial) {
             s.ejected_until = now + EJECT_FIRST.times(f64::from(1 << s.ejections) * jitter);
             s.ejections = (s.ejections + 1).min(EJECT_DOUBLINGS);
-            s.trial = TRIAL_ANSWERS;
+            s.trial = true;
         }
     }
 
@@ -901,9 +845,9 @@
         self.flow.level / FLOW_SPAN * (-(self.now - self.flow.at).secs() / FLOW_SPAN).exp()
     }
 
-    /// Guards against pushing over a cold server: it is given the work that a warm one of its size gets
-    /// from this gateway, times the part of its capacity that it must have by now. Warm servers bear
-    /// that load, and each gateway scales its own, so the sum stays in proportion.
+    /// Guards against pushing over a cold server: it is given the work that a warm one of its size gets from
+    /// this gateway, times the part of its capacity that it must have by now. Warm servers bear that load,
+    /// and each gateway scales its own, so the sum stays in proportion.
     fn warm_up(&mut self) {
         let (now, set) = (self.now, &self.set);
         if self.servers.values().all(|s| s.cold_since.is_none()) {
@@ -934,12 +878,6 @@
             }
             return;
         }
-        if self.serial == 0 {
-            self.timer(Timer::Sweep, FORGET);
-            if self.set.must_subscribe {
-                self.out.push(Action::Subscribe);
-            }
-        }
         if scope == ListScope::Whole {
             self.servers.values_mut().for_each(|s| s.listed = false);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,13 +73,6 @@
     }
 }
 
-/// Requests of late, fading, and how many of them were let in.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct Odds {
-    pub(crate) asked: f64,
-    pub(crate) let_in: f64,
-}
-
 /// What was refused last, by which a repeat is known.
 #[derive(Debug)]
 pub(crate) struct Refusal {
@@ -91,7 +84,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Customer {
     pub(crate) refused: Option<Refusal>,
-    pub(crate) odds: Odds,
     pub(crate) plan: usize,
     pub(crate) spread: f64,
     pub(crate) window: Tally,
@@ -148,12 +140,10 @@
     pub(crate) out: f64,
     pub(crate) latency: f64,
     pub(crate) limit: f64,
-    pub(crate) streak: u32,
     pub(crate) fail_share: f64,
     pub(crate) ejected_until: Micros,
     pub(crate) ejections: u32,
-    pub(crate) trial: u32,
-    pub(crate) rest_until: Micros,
+    pub(crate) trial: bool,
     pub(crate) unreached_since: Option<Micros>,
     pub(crate) cold_since: Option<Micros>,
     pub(crate) cold_room: TokenBucket,
