--- a/src/rules.rs
+++ b/src/rules.rs
@@ -9,8 +9,6 @@
 /// The source's breaker: failures in a row that open it, and its cooldown.
 const FAILURES_TO_OPEN: f64 = 3.0;
 const COOLDOWN: Micros = Micros(5_000_000);
-/// Part of the counter's own time-out after which a call counts as failed here; late answers reconcile.
-const CALL_PATIENCE: f64 = 0.75;
 /// Share of requests that ask: cut by each failed call, raised by each answer, and never below.
 const ASK_CUT: f64 = 0.8;
 const ASK_GROW: f64 = 1.02;
@@ -178,7 +176,6 @@
             // Every request has its answer by its deadline.
             Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.streaming) => {}
             Some(Timer::Deadline(id)) => self.refuse(id),
-            Some(Timer::Call(name, serial)) => self.on_call_expired(name, serial),
             Some(Timer::Held) => {
                 self.hold_timer = false;
                 self.serve_held();
@@ -316,7 +313,7 @@
         if self.asks(resent) && self.may_call(customer) {
             self.call(Purpose::Window, customer, Some(id), units);
         } else {
-            self.decide(Some(id), Purpose::Window, None);
+            self.decide(id, Purpose::Window, None);
         }
     }
 
@@ -347,23 +344,11 @@
         let length = if purpose == Purpose::Open { EPOCH } else { self.window_of(plan).0 };
         let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
         let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
-        self.serial += 1;
-        let (serial, amount, customer) = (self.serial, units + extra, id);
-        let call = Call { serial, purpose, customer, span, request, amount, extra, probe, expired: false };
+        let (amount, customer) = (units + extra, id);
+        let call = Call { purpose, customer, span, request, amount, extra, probe };
         self.calls.entry(name).or_default().push_back(call);
         request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking += 1);
         self.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
-        self.timer(Timer::Call(name, serial), self.set.count_timeout.times(CALL_PATIENCE));
-    }
-
-    /// Our own short time-out: the call counts as failed and the local bucket decides.
-    fn on_call_expired(&mut self, name: CountName, serial: u64) {
-        let queue = self.calls.get_mut(&name);
-        let Some(call) = queue.and_then(|q| q.iter_mut().find(|c| c.serial == serial)) else { return };
-        call.expired = true;
-        let (customer, probe, request, purpose) = (call.customer, call.probe, call.request, call.purpose);
-        self.call_failed(customer, probe);
-        self.decide(request, purpose, None);
     }
 
     /// Guards against one hot name that fills its part of the counter: failures of the same customer in a row
@@ -406,53 +391,29 @@
                 tally.seen = total;
             }
             heard = Some(total + if current { tally.owed + tally.posting } else { 0.0 });
-            if !call.expired {
-                c.breaker.success(call.probe);
-                if c.spread * self.set.most_units <= self.set.plans[plan].burst {
-                    c.bucket = None;
-                }
-                self.ask = (self.ask * ASK_GROW).min(1.0);
-                if call.probe {
-                    self.ask = self.ask.max(ASK_AGAIN);
-                }
-                self.last_failed = None;
-                self.breaker.success(call.probe);
-            }
-        } else if outcome != Outcome::Timeout && current {
-            tally.owed += call.extra;
-        }
-        let window = call.purpose == Purpose::Window;
-        if call.expired {
-            self.reconcile(&call, outcome);
-        } else {
-            if heard.is_none() {
-                self.call_failed(call.customer, call.probe);
-            } else if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)).filter(|_| window)
-            {
-                r.counted = Some(call.span);
+            c.breaker.success(call.probe);
+            if c.spread * self.set.most_units <= self.set.plans[plan].burst {
+                c.bucket = None;
             }
-            self.decide(call.request, call.purpose, heard);
-            let owed = self.customers.get(&call.customer).is_some_and(|c| c.window.owed > 0.5);
-            if owed && window && heard.is_some() {
-                self.call(Purpose::Window, call.customer, None, 0.0);
+            self.ask = (self.ask * ASK_GROW).min(1.0).max(if call.probe { ASK_AGAIN } else { 0.0 });
+            self.last_failed = None;
+            self.breaker.success(call.probe);
+            if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)) {
+                r.counted = (call.purpose == Purpose::Window).then_some(call.span);
             }
+        } else {
+            tally.owed += if current && outcome != Outcome::Timeout { call.extra } else { 0.0 };
+            self.call_failed(call.customer, call.probe);
         }
-        call.request.into_iter().for_each(|id| self.let_go(id));
-    }
-
-    /// A late answer: keep the add if the request went on, else take it back; what went on uncounted is owed.
-    fn reconcile(&mut self, call: &Call, outcome: Outcome) {
-        if call.purpose == Purpose::Open {
-            return self.sync_places(call.customer);
+        if let Some(id) = call.request {
+            self.decide(id, call.purpose, heard);
         }
-        let own = call.amount - call.extra;
-        let request = call.request.and_then(|id| self.requests.get(&id));
-        let went_on = request.is_some_and(|r| r.admitted && !r.done || !r.attempts.is_empty());
-        let Some(c) = self.customers.get_mut(&call.customer) else { return };
-        if c.window.span == call.span && outcome.never_ran() && went_on {
-            c.window.owed += own;
-        } else if outcome == Outcome::Ok && !went_on && call.request.is_some() {
-            self.take_back(call.customer, call.span, own);
+        let owed = self.customers.get(&call.customer).is_some_and(|c| c.window.owed > 0.5);
+        if owed && call.purpose == Purpose::Window && heard.is_some() {
+            self.call(Purpose::Window, call.customer, None, 0.0);
+        }
+        if let Some(id) = call.request {
+            self.let_go(id);
         }
     }
 
@@ -473,8 +434,7 @@
     }
 
     /// Decides a request by the total heard, or without one by the local bucket or share.
-    fn decide(&mut self, request: Option<RequestId>, purpose: Purpose, heard: Option<f64>) {
-        let Some(id) = request else { return };
+    fn decide(&mut self, id: RequestId, purpose: Purpose, heard: Option<f64>) {
         if purpose == Purpose::Open {
             return self.decide_place(id, heard);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -37,7 +37,6 @@
 /// One call to the counter whose answer is still to come.
 #[derive(Debug)]
 pub(crate) struct Call {
-    pub(crate) serial: u64,
     pub(crate) purpose: Purpose,
     pub(crate) customer: CustomerId,
     pub(crate) span: u64,
@@ -46,8 +45,6 @@
     /// The part of the amount that is not this request's own.
     pub(crate) extra: f64,
     pub(crate) probe: bool,
-    /// Our short time-out has passed; the request was decided without the answer.
-    pub(crate) expired: bool,
 }
 
 /// This gateway's side of a customer's shared count in one window (or epoch).
@@ -152,7 +149,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Timer {
     Deadline(RequestId),
-    Call(CountName, u64),
     Held,
     Resubscribe,
     Sweep,
