--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,7 +32,7 @@
 const REACH_FLOW: f64 = 1.0;
 /// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
 /// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
-const FLEET_START: f64 = 4.0;
+const FLEET_START: f64 = 6.0;
 /// Bounds on attempts out at one server: where learning starts, the least, what a late answer leaves of it,
 /// what an early one adds. All but the cut are scaled to the gateway's part (`scale`).
 const LIMIT_START: f64 = 2.0;
@@ -52,8 +52,8 @@
 const FEW_OUT: f64 = 2.0;
 /// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
-/// Outlier ejection: smoothed share of failures (three in a row pass it), first time out, its doublings.
-const EJECT_SHARE: f64 = 0.25;
+/// Outlier ejection: smoothed share of failures (four in a row pass it), first time out, its doublings.
+const EJECT_SHARE: f64 = 0.3;
 const EJECT_FIRST: Micros = Micros(1_000_000);
 const EJECT_DOUBLINGS: u32 = 3;
 /// A server that turned a request away is left alone for this long.
@@ -62,7 +62,7 @@
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 20.0;
 /// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
-const SPARE_PART: f64 = 0.35;
+const SPARE_PART: f64 = 0.3;
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
