Cold servers: seeded debts, and unused leave to send lapses where many gateways share a server

Should hold against any event told to all at once; hurts by giving cold servers less than they could bear.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -12,7 +12,7 @@
 /// Share of requests that ask: cut by each failed call, raised by each answer, and never below.
 const ASK_CUT: f64 = 0.8;
 const ASK_GROW: f64 = 1.02;
-const ASK_LEAST: f64 = 0.05;
+const LEAST_PART: f64 = 0.05;
 /// The share with which asking begins again when a probe was answered.
 const ASK_AGAIN: f64 = 0.5;
 /// The share of repeats that ask is the share of first tries to this power.
@@ -43,10 +43,9 @@
 /// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.85;
 const GROW_PART: f64 = 0.25;
-/// What a late answer leaves of the part that passes, what others add, and the least.
+/// What a late answer leaves of the part that passes, what others add.
 const PASS_CUT: f64 = 0.85;
 const PASS_GROW: f64 = 0.01;
-const PASS_LEAST: f64 = 0.05;
 /// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
 /// chance at the same moment.
 const FEW_OUT: f64 = 2.0;
@@ -58,6 +57,8 @@
 const EJECT_DOUBLINGS: u32 = 3;
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
+/// How long leave to send to a cold server holds where many gateways share it.
+const COLD_LEAVE: Micros = Micros(250_000);
 /// Retry budget: further attempts earned by each request, and the most saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 20.0;
@@ -180,7 +181,7 @@
                 self.hold_timer = false;
                 self.serve_held();
             }
-            Some(Timer::Resubscribe) => self.out.push(Action::Subscribe),
+            Some(Timer::Resubscribe) => self.out.extend(self.set.must_subscribe.then_some(Action::Subscribe)),
             Some(Timer::Sweep) => {
                 self.customers.retain(|_, c| c.used + FORGET >= self.now || c.out > 0.0);
                 self.timer(Timer::Sweep, FORGET);
@@ -355,7 +356,7 @@
     /// count once for the common breaker, while that customer's own breaker opens.
     fn call_failed(&mut self, customer: CustomerId, probe: bool) {
         let now = self.now;
-        self.ask = (self.ask * ASK_CUT).max(ASK_LEAST);
+        self.ask = (self.ask * ASK_CUT).max(LEAST_PART);
         if self.last_failed != Some(customer) || probe {
             self.breaker.failure(now, probe);
         }
@@ -475,7 +476,6 @@
     /// for whom a share that starts empty admits nothing for seconds.
     fn local_take(&mut self, customer: CustomerId, plan: usize, units: f64) -> bool {
         let (now, most_units, p) = (self.now, self.set.most_units, &self.set.plans[plan]);
-        let (rate, burst) = (p.rate, p.burst);
         let Some(c) = self.customers.get(&customer) else { return false };
         let left = self.room(customer, c.window.known()).max(0.0);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
@@ -483,8 +483,8 @@
         let carried = if c.heard.1 > 0.0 { (c.heard.0 / c.heard.1).clamp(0.0, 1.0) } else { 1.0 / c.spread };
         let share = (carried + 1.0 / c.spread) / 2.0;
         // Guards against shares of less than one request, which would refuse everything: at least that much.
-        let (level, depth) = ((left * share).max(most_units), (burst * share).max(most_units));
-        let rate = rate * share;
+        let (level, depth) = ((left * share).max(most_units), (p.burst * share).max(most_units));
+        let rate = p.rate * share;
         let ok = c.bucket.get_or_insert(TokenBucket { level, depth, rate, at: now }).take(now, units);
         c.window.owed += if ok { units } else { 0.0 };
         ok
@@ -748,7 +748,7 @@
         let held = took + Micros(2 * s.latency as u64);
         let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
         let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
-        self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(PASS_LEAST, 1.0);
+        self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Ok
@@ -809,7 +809,7 @@
     /// this gateway, times the part of its capacity that it must have by now. Warm servers bear that load,
     /// and each gateway scales its own, so the sum stays in proportion.
     fn warm_up(&mut self) {
-        let (now, set) = (self.now, &self.set);
+        let (now, set, many) = (self.now, &self.set, self.sparse());
         if self.servers.values().all(|s| s.cold_since.is_none()) {
             return;
         }
@@ -827,16 +827,17 @@
             let part = set.cold_from + (1.0 - set.cold_from) * ((now - since).secs() / set.cold.secs());
             s.cold_room.rate = per_weight * s.weight * part * (set.fall_multiple / 2.0).min(1.0);
             s.cold_room.fill(now);
+            // Guards against hundreds of gateways that each saved up one request: unused, leave soon lapses.
+            if many && s.cold_room.level > s.cold_room.rate * COLD_LEAVE.secs() {
+                s.cold_room.level = -set.most_units;
+            }
         }
     }
 
     fn on_servers(&mut self, scope: ListScope, entries: Vec<ServerEntry>) {
         if scope == ListScope::Lost {
-            if self.set.must_subscribe {
-                let wait = Micros(500_000 + self.rng.u64(0..500_000));
-                self.timer(Timer::Resubscribe, wait);
-            }
-            return;
+            let wait = Micros(500_000 + self.rng.u64(0..500_000));
+            return self.timer(Timer::Resubscribe, wait);
         }
         if scope == ListScope::Whole {
             self.servers.values_mut().for_each(|s| s.listed = false);
@@ -849,7 +850,8 @@
             if started.is_some_and(|started| s.cold_since.is_none_or(|at| at < started)) {
                 // A new life: nothing held against the old one counts, and it starts slowly.
                 *s = Server { out: s.out, ..new() };
-                s.cold_room = TokenBucket { level: -units, depth: 1.0, rate: 0.0, at: now };
+                let level = -units * (1.0 + self.rng.f64()); // Seeded: gateways do not all send at once.
+                s.cold_room = TokenBucket { level, depth: 1.0, rate: 0.0, at: now };
             }
             s.cold_since = started.or(s.cold_since);
             (s.zone, s.cell, s.weight) = (e.zone, e.cell, if e.weight > 0.0 { e.weight } else { 1.0 });
@@ -862,8 +864,7 @@
     // ---- guards of the rules: every send and every refusal passes here ----
 
     fn may_repeat(&self, id: RequestId) -> bool {
-        let request = self.requests.get(&id);
-        request.is_some_and(|r| self.servers.values().any(|s| self.may_send(r, s)))
+        self.requests.get(&id).is_some_and(|r| self.servers.values().any(|s| self.may_send(r, s)))
     }
 
     /// Whether this request may go to this server now: lists and drains, effect, copies, cold servers.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,7 +74,10 @@
 
 impl Rig {
     pub fn new(settings: Settings, servers: u32) -> Rig {
-        let gateway = Gateway::new(7, settings).expect("sound settings");
+        Rig::seeded(7, settings, servers)
+    }
+    pub fn seeded(seed: u64, settings: Settings, servers: u32) -> Rig {
+        let gateway = Gateway::new(seed, settings).expect("sound settings");
         let mut rig = Rig { gateway, now: 1_000 * S, done: Vec::new(), next: 1, timers: Vec::new() };
         let entries = (0..servers).map(|i| entry(i, Listed::InService, None)).collect();
         rig.tell(Event::Servers(ListScope::Whole, entries));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -244,3 +244,41 @@
         assert!(low >= -4.0, "offset {offset}: {low}");
     }
 }
+
+/// Hundreds of gateways with the same steady flow over one fleet, all told of a cold server at once.
+#[test]
+fn hundreds_of_gateways_do_not_tip_a_cold_server_together() {
+    let (gateways, servers) = (200, 20);
+    let step = |rig: &mut Rig| {
+        rig.pass(200 * MS);
+        let (id, out) = rig.request(0, 3, 1, 1.0);
+        let sent = sends(&out);
+        sent.iter().for_each(|(_, server)| drop(rig.ended(id, 0, *server, Outcome::Ok)));
+        sent.iter().any(|(_, server)| *server == ServerId(3))
+    };
+    let mut rigs: Vec<Rig> = (0..gateways)
+        .map(|me| {
+            let set = Settings { gateways, me, most_units: 1.0, ..settings() };
+            let mut rig = Rig::seeded(u64::from(me), set, servers);
+            for _ in 0..20 {
+                step(&mut rig);
+            }
+            let now = rig.now;
+            rig.tell(Event::Servers(ListScope::Changes, vec![entry(3, Listed::InService, Some(now))]));
+            rig
+        })
+        .collect();
+    // A warm server gets 50 of these a second; a cold one tips at twice its part of that.
+    let (mut second, mut total) = (std::collections::VecDeque::new(), 0);
+    for tick in 0..50 {
+        let got = rigs.iter_mut().filter_map(|rig| step(rig).then_some(())).count();
+        second.push_back(got);
+        if second.len() > 5 {
+            second.pop_front();
+        }
+        total += got;
+        let (most, part) = (second.iter().sum::<usize>() as f64, 0.2 + 0.8 * f64::from(tick) / 50.0);
+        assert!(most <= 2.0 * 50.0 * part + 4.0, "{most} in the second before {}", tick);
+    }
+    assert!(total > 20, "it does get work: {total}");
+}
