--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,92 @@
+//! What holds where hundreds of gateways see a request or two a second each.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+use std::collections::BTreeMap;
+
+fn one_of(gateways: u32, me: u32, servers: u32) -> Rig {
+    Rig::seeded(u64::from(me), Settings { gateways, me, ..settings() }, servers)
+}
+
+/// A request of a customer that comes through many gateways.
+fn wide(rig: &mut Rig, resent: bool) -> (RequestId, Vec<Action>) {
+    let id = RequestId(rig.next);
+    rig.next += 1;
+    let deadline = Micros(rig.now + 3 * S);
+    let (class, plan, customer) = (ClassId(0), PlanId(0), CustomerId(rig.next));
+    let arrival = Arrival { id, class, plan, customer, spread: 200, deadline, units: 2.0, resent };
+    (id, rig.tell(Event::Request(arrival)))
+}
+
+#[test]
+fn each_gateway_keeps_to_its_own_part_and_the_parts_cover_the_fleet_evenly() {
+    let mut gateways_at = BTreeMap::new();
+    for me in 0..100 {
+        let mut rig = one_of(100, me, 50);
+        let mut used = BTreeMap::new();
+        for _ in 0..100 {
+            rig.pass(500 * MS);
+            let (id, server) = rig.sent(0);
+            rig.ended(id, 0, server, Outcome::Ok);
+            *used.entry(server).or_insert(0) += 1;
+        }
+        assert!(used.len() <= 12, "gateway {me} used {} of 50", used.len());
+        used.into_keys().for_each(|server| *gateways_at.entry(server).or_insert(0) += 1);
+    }
+    assert_eq!(gateways_at.len(), 50, "no server is left out");
+    let (least, most) = (gateways_at.values().min(), gateways_at.values().max());
+    assert!(most <= least.map(|l| l * 4).as_ref(), "{gateways_at:?}");
+}
+
+#[test]
+fn late_answers_make_a_small_gateway_shed_and_quick_ones_do_not() {
+    let refusals = |took: u64| {
+        let mut rig = one_of(200, 3, 50);
+        let mut refusals = 0;
+        for _ in 0..200 {
+            rig.pass(700 * MS);
+            let (id, out) = rig.request(0, 3, 1, 1.0);
+            refusals += u32::from(refused(&out, id));
+            for (_, server) in sends(&out) {
+                rig.pass(took);
+                let (outcome, report, took) = (Outcome::Ok, Report::default(), Micros(took));
+                let end =
+                    AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+                rig.tell(Event::AttemptEnded(end));
+            }
+        }
+        refusals
+    };
+    assert_eq!(refusals(50 * MS), 0);
+    assert!(refusals(700 * MS) > 100, "one at a time, never two out, and still it sheds");
+}
+
+#[test]
+fn while_calls_fail_repeats_are_not_guessed_but_first_tries_are() {
+    let mut rig = one_of(200, 3, 50);
+    let mut went = [0, 0];
+    for i in 0..120 {
+        rig.pass(300 * MS);
+        let resent = i % 2 == 1;
+        let (id, mut out) = wide(&mut rig, resent);
+        // Every third call is turned away, so the breaker stays closed.
+        for (name, _) in counts(&out) {
+            let outcome = if i % 3 == 0 { Outcome::Full } else { Outcome::Ok };
+            out.extend(rig.tell(Event::Counted(name, outcome, 2.0)));
+        }
+        let guessed = i % 3 == 0 && !sends(&out).is_empty();
+        went[usize::from(resent)] += u32::from(guessed);
+        sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+    }
+    assert!(went[0] > 10, "first tries: {went:?}");
+    assert_eq!(went[1], 0, "repeats");
+}
+
+#[test]
+fn a_share_of_less_than_one_request_still_lets_one_go() {
+    let mut rig = one_of(200, 3, 50);
+    rig.pass(300 * MS);
+    let (id, out) = wide(&mut rig, false);
+    let out = rig.tell(Event::Counted(counts(&out)[0].0, Outcome::Full, 0.0));
+    assert_eq!(sends(&out).first().map(|s| s.0), Some(id));
+}
