--- a/src/rules.rs
+++ b/src/rules.rs
@@ -247,7 +247,7 @@
         self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
         self.roll(customer);
         if self.shed(id) {
-            return self.refuse(id);
+            return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
         }
         match self.set.plans[plan].rate > 0.0 {
             true => self.ask_window(id),
