--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -90,3 +90,29 @@
     let out = rig.tell(Event::Counted(counts(&out)[0].0, Outcome::Full, 0.0));
     assert_eq!(sends(&out).first().map(|s| s.0), Some(id));
 }
+
+#[test]
+fn with_the_counter_down_hundreds_of_gateways_keep_one_ceiling_by_their_sum() {
+    // 20 units a second up to 40, over 200 gateways that each have a request every second.
+    let mut rigs: Vec<Rig> = (0..200).map(|me| one_of(200, me, 50)).collect();
+    let (mut level, mut lowest) = (40.0f64, 40.0f64);
+    for _ in 0..20 {
+        level = (level + 20.0).min(40.0);
+        for rig in &mut rigs {
+            rig.pass(S);
+            let id = RequestId(rig.next);
+            rig.next += 1;
+            let deadline = Micros(rig.now + 3 * S);
+            let (plan, customer) = (PlanId(1), CustomerId(9));
+            let a = Arrival { id, plan, customer, spread: 200, deadline, units: 1.0, ..Arrival::default() };
+            let mut out = rig.tell(Event::Request(a));
+            for (name, _) in counts(&out) {
+                out.extend(rig.tell(Event::Counted(name, Outcome::Full, 0.0)));
+            }
+            level -= sends(&out).len() as f64;
+            lowest = lowest.min(level);
+            sends(&out).iter().for_each(|(_, s)| drop(rig.ended(id, 0, *s, Outcome::Ok)));
+        }
+    }
+    assert!(lowest >= -4.0, "{lowest}");
+}
