--- a/src/rules.rs
+++ b/src/rules.rs
@@ -216,8 +216,8 @@
         if c.window.span != span {
             c.heard =
                 (c.heard.0 * (1.0 - CARRY) + c.window.posted, c.heard.1 * (1.0 - CARRY) + c.window.seen);
-            // What the windows left, as far as they were followed here, else a share of the store. Spend not
-            // yet counted goes to this window: gateways that see a customer seldom would never count it.
+            // What the windows left, as far as they were followed here, else a share of the store: gateways
+            // that see a customer seldom must not each believe it full.
             let follows = c.window.span + 1 == span;
             let left = c.window.left + quota - c.window.known();
             let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
@@ -521,7 +521,6 @@
 
     fn admit(&mut self, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        r.admitted = true;
         if self.set.plans[r.a.plan.0].open > 0.0 {
             r.holds_place = true;
             self.customers.get_mut(&r.a.customer).into_iter().for_each(|c| c.out += 1.0);
@@ -809,10 +808,11 @@
     /// this gateway, times the part of its capacity that it must have by now. Warm servers bear that load,
     /// and each gateway scales its own, so the sum stays in proportion.
     fn warm_up(&mut self) {
-        let (now, set, many) = (self.now, &self.set, self.sparse());
+        let (now, set) = (self.now, &self.set);
         if self.servers.values().all(|s| s.cold_since.is_none()) {
             return;
         }
+        let many = self.sparse();
         let usable = |s: &&Server| s.listed && now >= s.ejected_until;
         let warm: f64 =
             self.servers.values().filter(usable).filter(|s| s.cold_since.is_none()).map(|s| s.weight).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,7 +115,6 @@
     pub(crate) holds_place: bool,
     /// Count calls made for it whose answers are still to come.
     pub(crate) asking: u32,
-    pub(crate) admitted: bool,
     pub(crate) held_since: Option<Micros>,
     pub(crate) streaming: bool,
     pub(crate) done: bool,
