--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,7 +19,7 @@
 const REPEAT_POWER: i32 = 3;
 /// How long after a refusal the like of it counts as its repeat.
 const REPEAT_SPAN: Micros = Micros(1_000_000);
-/// Part of a cap's places that unheard starts may fill: the heard ones need the others, and starts bunch.
+/// Part of a cap's places that unheard starts may fill: heard ones need the others, and starts bunch.
 const PLACES_UNHEARD: f64 = 0.5;
 /// Life of one count of attempts out, so that what a killed gateway held is forgotten; of idle customers.
 const EPOCH: Micros = Micros(5_000_000);
@@ -509,7 +509,7 @@
         self.sync_places(customer);
     }
 
-    /// Less than one place for each gateway, unheard: starts are paced so that all gateways together fill half
+    /// Less than one place for each gateway, unheard: starts are paced so that all gateways together fill a part
     /// of the places at the present time to answer. Guards against hundreds of gateways that each hold one of
     /// two places, in jams above all, when each is held long. Starts with one, or customers with few requests
     /// at a gateway are never let in; that may hurt where one sends much through many gateways at first.
