--- a/src/rules.rs
+++ b/src/rules.rs
@@ -509,10 +509,10 @@
         self.sync_places(customer);
     }
 
-    /// Less than one place for each gateway, unheard: starts are paced so that all gateways together fill a part
-    /// of the places at the present time to answer. Guards against hundreds of gateways that each hold one of
-    /// two places, in jams above all, when each is held long. Starts with one, or customers with few requests
-    /// at a gateway are never let in; that may hurt where one sends much through many gateways at first.
+    /// Less than one place for each gateway, unheard: starts are paced so that all gateways together fill a
+    /// part of the places at the present time to answer. Guards against hundreds of gateways that each hold
+    /// one of two places, in jams above all, when each is held long. Starts with one, or customers with few
+    /// requests at a gateway are never let in; may hurt where one sends much through many gateways at first.
     fn unheard_place(&mut self, customer: CustomerId) -> bool {
         let (now, held) = (self.now, self.latency.max(1.0) / 1e6);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
