--- a/src/rules.rs
+++ b/src/rules.rs
@@ -749,11 +749,11 @@
         if most > 0.0 && self.out_now >= most.max(if self.sparse() { FEW_OUT } else { 1.0 }) {
             return None;
         }
-        // Guards against jams that feed themselves: servers that hold too much work worse for it, and hundreds
-        // of gateways with an attempt or two each keep them full though most is shed. In overload time in
-        // flight is a budget, so where answers take ten times as long a tenth is sent, until the jam is gone;
-        // each gateway goes by its own calm figure, so the sum is right however uneven they are. May hurt
-        // where traffic has just moved to this gateway, or where servers hang rather than jam.
+        // Guards against jams that feed themselves: servers that hold too much work worse for it, and many
+        // gateways with an attempt or two each keep them full though most is shed. In overload time in flight
+        // is a budget, so where answers take ten times as long a tenth is sent, until the jam is gone; each
+        // gateway goes by its own calm figure, so the sum is right however uneven they are. May hurt where
+        // traffic has just moved to this gateway, or where servers hang rather than jam.
         if self.overloaded() && self.flight <= 0.0 {
             return None;
         }
