What is shed is told to come back soon, spread by chance, where clients take a retry-after

Cause: a shed told no time to come back, so clients repeated at once or by their own habit. The hint is short (up to 0.3 of the aim) and grows with the part that is shed. May hurt where clients wait by themselves already.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,8 +48,9 @@
 /// What a late answer leaves of the part that passes, what others add.
 const PASS_CUT: f64 = 0.85;
 const PASS_GROW: f64 = 0.01;
-/// Attempts that a gateway with a small part may have out, whatever the bounds: fewer hold what comes by
-/// chance at the same moment.
+/// The longest retry-after of what is shed, as part of the aim.
+const HINT_PART: f64 = 0.3;
+/// Attempts that a gateway with a small part may have out, whatever the bounds: some come at the same moment.
 const FEW_OUT: f64 = 2.0;
 /// In overload (less than this part passes) a gateway with a small part has this part of what it has out in
 /// calm out on average; averaged over this many seconds, with so many attempt seconds saved up at the most.
@@ -149,11 +150,10 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let rng = fastrand::Rng::with_seed(seed);
-        let must_subscribe = set.must_subscribe;
         let mut new = Gateway { set, rng, retries: RETRY_SAVED, ask: 1.0, pass: 1.0, ..Gateway::default() };
         // Goes out with the first event, whichever that is.
         new.timer(Timer::Sweep, FORGET);
-        new.out.extend(must_subscribe.then_some(Action::Subscribe));
+        new.out.extend(new.set.must_subscribe.then_some(Action::Subscribe));
         Ok(new)
     }
 
@@ -179,8 +179,7 @@
     fn pass_time(&mut self, now: Micros) {
         let gone = (now - self.now).secs();
         self.now = self.now.max(now);
-        let earned = (OVERLOAD_OUT * self.calm_out - self.out_now) * gone;
-        self.flight = (self.flight + earned).min(FLIGHT_SAVED);
+        self.flight = (self.flight + (OVERLOAD_OUT * self.calm_out - self.out_now) * gone).min(FLIGHT_SAVED);
         if !self.overloaded() {
             self.calm_out += (1.0 - (-gone / CALM_SPAN).exp()) * (self.out_now - self.calm_out);
             self.flight = self.flight.max(0.0);
@@ -273,7 +272,8 @@
         self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
         self.roll(customer);
         if self.shed(id) {
-            return self.finish(id, Some(Action::Refuse(id, None))); // Not for its quota: no retry-after.
+            let wait = self.soon(a.class);
+            return self.finish(id, Some(Action::Refuse(id, wait)));
         }
         match self.set.plans[plan].rate > 0.0 {
             true => self.ask_window(id),
@@ -295,6 +295,13 @@
         self.sparse() && self.rng.f64() > self.pass.powf(power)
     }
 
+    /// When to come back after a refusal that no window ends: soon, or the answer misses the aim; spread by
+    /// chance and later the more is shed, so that repeats do not arrive as one wave.
+    fn soon(&mut self, class: ClassId) -> Option<Micros> {
+        let wait = self.set.classes[class.0].aim.times(HINT_PART * self.rng.f64() * (1.0 - self.pass));
+        self.set.retry_after.then_some(wait.max(self.set.tick).min(self.set.max_retry_after))
+    }
+
     /// What a customer's quota has room for in this window by a total of the shared count: the window's plain
     /// allowance, or the store as it is with what the last window left, where this gateway knows. Guards
     /// against refusing inside the quota: the plain window forgets what the last one left.
@@ -541,8 +548,7 @@
         let (now, held) = (self.now, self.latency.max(1.0) / 1e6);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
         let rate = PLACES_UNHEARD * self.set.plans[c.plan].open / c.spread / held;
-        let paced = TokenBucket { level: 1.0, depth: 1.0, rate, at: now };
-        let places = c.places.get_or_insert(paced);
+        let places = c.places.get_or_insert(TokenBucket { level: 1.0, depth: 1.0, rate, at: now });
         places.rate = rate;
         places.take(now, 1.0)
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -209,3 +209,29 @@
     // What passes by chance alone has 1.2 out on average, 39 sends; calm and the jam's first moments had a third.
     assert!((1..=20).contains(&sent), "{sent} sent into the jam in fifty seconds");
 }
+
+#[test]
+fn what_is_shed_is_told_to_come_back_soon_and_not_all_at_once_where_settings_allow_it() {
+    for retry_after in [true, false] {
+        let set = Settings { gateways: 200, me: 3, retry_after, ..settings() };
+        let (mut rig, mut hints) = (Rig::seeded(3, set, 50), Vec::new());
+        for _ in 0..300 {
+            rig.pass(700 * MS);
+            let (id, out) = rig.request(0, 3, 1, 1.0);
+            let hint = |a: &Action| if let Action::Refuse(_, hint) = a { Some(*hint) } else { None };
+            hints.extend(out.iter().find_map(hint));
+            for (_, server) in sends(&out) {
+                let (outcome, report, took) = (Outcome::Ok, Report::default(), Micros(700 * MS));
+                let end =
+                    AttemptEnd { id, attempt: 0, server, outcome, took, ended: true, settled: None, report };
+                rig.tell(Event::AttemptEnded(end));
+            }
+        }
+        assert!(hints.len() > 50, "it sheds, and answers in the same event: {}", hints.len());
+        assert!(hints.iter().all(|h| h.is_some() == retry_after));
+        let mut waits: Vec<Micros> = hints.into_iter().flatten().collect();
+        assert!(waits.iter().all(|w| *w > Micros(0) && *w < Micros(240 * MS)), "well within the aim");
+        waits.dedup();
+        assert!(!retry_after || waits.len() > 50, "spread by chance");
+    }
+}
