--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,12 +52,13 @@
 const HINT_PART: f64 = 0.3;
 /// Attempts that a gateway with a small part may have out, whatever the bounds: some come at the same moment.
 const FEW_OUT: f64 = 2.0;
-/// In overload (less than this part passes) a gateway with a small part has this part of what it has out in
-/// calm out on average; averaged over this many seconds, with so many attempt seconds saved up at the most.
+/// In overload (less than this part passes) a gateway with a small part may have out this part of its calm
+/// mean over so many seconds, with so many attempt seconds saved up. An early answer raises that mean.
 const OVERLOAD_PASS: f64 = 0.4;
 const OVERLOAD_OUT: f64 = 0.5;
 const CALM_SPAN: f64 = 10.0;
 const FLIGHT_SAVED: f64 = 0.5;
+const CALM_GROW: f64 = 1.03;
 /// Share of failed or late attempts over all servers below which trouble lies with single servers.
 const CALM_SHARE: f64 = 0.15;
 /// Outlier ejection: smoothed share of failures (four in a row pass it), first time out, its doublings.
@@ -128,7 +129,7 @@
     /// The listed servers, in an order that all gateways share.
     ring: Vec<ServerId>,
     timers: BTreeMap<TimerId, Timer>,
-    /// Attempts out at all servers, their mean in calm, and the attempt seconds left in overload.
+    /// Attempts out at all servers, their mean a server in calm, and the attempt seconds left in overload.
     out_now: f64,
     calm_out: f64,
     flight: f64,
@@ -179,9 +180,11 @@
     fn pass_time(&mut self, now: Micros) {
         let gone = (now - self.now).secs();
         self.now = self.now.max(now);
-        self.flight = (self.flight + (OVERLOAD_OUT * self.calm_out - self.out_now) * gone).min(FLIGHT_SAVED);
+        let servers = self.ring.len().max(1) as f64;
+        let most_out = OVERLOAD_OUT * self.calm_out * servers;
+        self.flight = (self.flight + (most_out - self.out_now) * gone).min(FLIGHT_SAVED);
         if !self.overloaded() {
-            self.calm_out += (1.0 - (-gone / CALM_SPAN).exp()) * (self.out_now - self.calm_out);
+            self.calm_out += (1.0 - (-gone / CALM_SPAN).exp()) * (self.out_now / servers - self.calm_out);
             self.flight = self.flight.max(0.0);
         }
     }
@@ -541,9 +544,8 @@
     }
 
     /// Less than one place for each gateway, unheard: starts are paced so that all gateways together fill a
-    /// part of the places at the present time to answer. Guards against hundreds of gateways that each hold
-    /// one of two places, in jams above all, when each is held long. Starts with one, or customers with few
-    /// requests at a gateway are never let in; may hurt where one sends much through many gateways at first.
+    /// part of the places at the present time to answer, not hundreds of them a place each. Starts with one,
+    /// for customers with few requests at a gateway; may hurt where one sends much through many at first.
     fn unheard_place(&mut self, customer: CustomerId) -> bool {
         let (now, held) = (self.now, self.latency.max(1.0) / 1e6);
         let Some(c) = self.customers.get_mut(&customer) else { return false };
@@ -755,11 +757,9 @@
         if most > 0.0 && self.out_now >= most.max(if self.sparse() { FEW_OUT } else { 1.0 }) {
             return None;
         }
-        // Guards against jams that feed themselves: servers that hold too much work worse for it, and many
-        // gateways with an attempt or two each keep them full though most is shed. In overload time in flight
-        // is a budget, so where answers take ten times as long a tenth is sent, until the jam is gone; each
-        // gateway goes by its own calm figure, so the sum is right however uneven they are. May hurt where
-        // traffic has just moved to this gateway, or where servers hang rather than jam.
+        // Guards against jams that feed themselves: many gateways with an attempt or two each keep servers
+        // full though most is shed. In overload time in flight is a budget by each gateway's own calm mean:
+        // where answers take ten times as long a tenth is sent. May hurt where servers hang, not jam.
         if self.overloaded() && self.flight <= 0.0 {
             return None;
         }
@@ -796,7 +796,7 @@
 
     fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
         let now = self.now;
-        let (jitter, scale) = (0.75 + 0.5 * self.rng.f64(), self.scale());
+        let (jitter, scale, overloaded) = (0.75 + 0.5 * self.rng.f64(), self.scale(), self.overloaded());
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.out = (s.out - 1.0).max(0.0);
         self.out_now = (self.out_now - 1.0).max(0.0);
@@ -813,6 +813,7 @@
             && took < aim.times(GROW_PART)
         {
             s.limit += LIMIT_GROW;
+            self.calm_out *= if overloaded { CALM_GROW } else { 1.0 };
         }
         let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
         self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
