Workspace: policy and drill become packages; event for a body no longer held

Need: the running gateway comes as further packages beside the decisions, and bodies of calls can be too big to keep.

--- a/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,7 +1,7 @@
 //! The text protocol of the drill, to and from the types of `api.rs`. Nothing here decides.
 
-use crate::api::*;
-use crate::rules::Gateway;
+use chalkdeck::api::*;
+use chalkdeck::rules::Gateway;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::{Display, Write};
 use std::str::FromStr;
--- a/tests/wire.rs
+++ b/crates/drill/tests/wire.rs
@@ -1,5 +1,5 @@
 //! The adapter on good and bad text.
-use chalkdeck::wire::Drill;
+use chalkdeck_drill::wire::Drill;
 use std::io::Write;
 use std::process::{Command, Stdio};
 
--- a/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -304,6 +304,8 @@
     StreamStarted(RequestId),
     /// The client is gone.
     ClientGone(RequestId),
+    /// Its body is no longer held and cannot be sent again.
+    BodyGone(RequestId),
     /// A probe ended.
     Probed(ServerId, Outcome, Report),
     /// A count call ended, with the total where it was answered.
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,4 +5,3 @@
 pub mod api;
 pub mod rules;
 mod state;
-pub mod wire;
--- a/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -169,6 +169,7 @@
                 self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
             }
             Event::ClientGone(id) => self.finish(id, None),
+            Event::BodyGone(id) => self.requests.get_mut(&id).into_iter().for_each(|r| r.body_gone = true),
             Event::Probed(..) => {}
             Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total),
             Event::AttemptEnded(end) => self.on_attempt(end),
@@ -938,7 +939,9 @@
             r.done || r.streaming || self.now >= r.a.deadline || r.attempts.len() >= self.set.max_attempts;
         let pushed = s.cold_since.is_some() && s.cold_room.level <= 0.0;
         let second = r.is_out() && !self.set.second_copies;
-        if over || pushed || second || !s.listed {
+        // Half a body must not pass for a whole one: what is no longer held went with the first attempt.
+        let bodiless = r.body_gone && !r.attempts.is_empty();
+        if over || pushed || second || bodiless || !s.listed {
             return false;
         }
         let mut ran = r.attempts.iter().filter(|a| a.out || a.may_have_run);
--- a/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -119,6 +119,8 @@
     pub(crate) asking: u32,
     pub(crate) held_since: Option<Micros>,
     pub(crate) streaming: bool,
+    /// Its body went with the first attempt.
+    pub(crate) body_gone: bool,
     pub(crate) done: bool,
 }
 
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -282,3 +282,17 @@
     }
     assert!(total > 20, "it does get work: {total}");
 }
+
+/// Guards against half a body passing for a whole one.
+#[test]
+fn without_its_body_a_request_is_not_sent_again() {
+    for gone in [false, true] {
+        let mut rig = Rig::new(settings(), 4);
+        let (id, server) = rig.sent(0);
+        if gone {
+            rig.tell(Event::BodyGone(id));
+        }
+        let out = rig.ended(id, 0, server, Outcome::Error);
+        assert_eq!((sends(&out).is_empty(), refused(&out, id)), (gone, gone));
+    }
+}
