Carrying code: HTTP/2 polled by hand on mio, gRPC framing, our messages and settings

Need: the running gateway speaks gRPC without an async runtime. Change: crates/net holds one poll loop with listeners, connections, streams and timers by id; h2 is polled from it with wakers that put keys on a queue. crates/proto compiles our schemas and parts of public ones, with a text form whose errors name the line. Not measured: no program uses it yet.

--- /dev/null
+++ b/crates/net/src/conn.rs
@@ -0,0 +1,170 @@
+//! One connection of either side, from its socket to the `h2` state that runs over it.
+
+use crate::engine::Limits;
+use crate::http1::Http1;
+use crate::io::Io;
+use bytes::Bytes;
+use mio::net::TcpStream;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+type ClientLink = (h2::client::SendRequest<Bytes>, h2::client::Connection<Io, Bytes>);
+type ClientHandshake = Pin<Box<dyn Future<Output = Result<ClientLink, h2::Error>> + Send>>;
+
+pub(crate) enum Link {
+    Connecting(Option<TcpStream>),
+    Greeting(ClientHandshake),
+    Client(h2::client::SendRequest<Bytes>, Box<h2::client::Connection<Io, Bytes>>),
+    Welcome(Box<h2::server::Handshake<Io, Bytes>>),
+    Server(Box<h2::server::Connection<Io, Bytes>>),
+    Http1(Http1),
+    Closed,
+}
+
+pub(crate) struct Conn {
+    pub(crate) link: Link,
+    pub(crate) waker: Waker,
+    pub(crate) limits: Limits,
+    /// The listener that took it in.
+    pub(crate) listener: Option<u64>,
+    /// Streams of it that are open.
+    pub(crate) streams: usize,
+    /// The address was reached at least once.
+    pub(crate) reached: bool,
+}
+
+pub(crate) enum Step {
+    /// Nothing more for now.
+    Wait,
+    /// A connection to a server stands.
+    Connected,
+    /// A client opened a stream.
+    Opened(Box<http::Request<h2::RecvStream>>, h2::server::SendResponse<Bytes>),
+    /// A GET on a side port.
+    Get(String),
+    /// It is over.
+    Closed(String),
+}
+
+impl Conn {
+    pub(crate) fn accepted(
+        stream: TcpStream,
+        limits: Limits,
+        listener: u64,
+        http1: bool,
+        waker: Waker,
+    ) -> Conn {
+        let link = if http1 {
+            Link::Http1(Http1::new(stream))
+        } else {
+            Link::Welcome(Box::new(server_builder(&limits).handshake(Io(stream))))
+        };
+        Conn { link, waker, limits, listener: Some(listener), streams: 0, reached: true }
+    }
+
+    pub(crate) fn connecting(stream: TcpStream, limits: Limits, waker: Waker) -> Conn {
+        let link = Link::Connecting(Some(stream));
+        Conn { link, waker, limits, listener: None, streams: 0, reached: false }
+    }
+
+    /// How many further streams it takes now: by our limit and by what the peer allows.
+    pub(crate) fn room(&self) -> usize {
+        let Link::Client(sender, _) = &self.link else { return 0 };
+        let most = sender.current_max_send_streams().min(self.limits.streams as usize);
+        most.saturating_sub(self.streams)
+    }
+
+    /// Moves on by one step.
+    pub(crate) fn poll(&mut self) -> Step {
+        let waker = self.waker.clone();
+        let mut cx = Context::from_waker(&waker);
+        loop {
+            match &mut self.link {
+                Link::Connecting(stream) => match reached(stream) {
+                    Poll::Pending => return Step::Wait,
+                    Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
+                    Poll::Ready(Ok(stream)) => {
+                        self.reached = true;
+                        let handshake = client_builder(&self.limits).handshake(Io(stream));
+                        self.link = Link::Greeting(Box::pin(handshake));
+                    }
+                },
+                Link::Greeting(handshake) => match handshake.as_mut().poll(&mut cx) {
+                    Poll::Pending => return Step::Wait,
+                    Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
+                    Poll::Ready(Ok((sender, link))) => {
+                        self.link = Link::Client(sender, Box::new(link));
+                        waker.wake_by_ref();
+                        return Step::Connected;
+                    }
+                },
+                Link::Client(_, link) => match Pin::new(link.as_mut()).poll(&mut cx) {
+                    Poll::Pending => return Step::Wait,
+                    Poll::Ready(end) => return Step::Closed(ended(end.err())),
+                },
+                Link::Welcome(handshake) => match Pin::new(handshake.as_mut()).poll(&mut cx) {
+                    Poll::Pending => return Step::Wait,
+                    Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
+                    Poll::Ready(Ok(link)) => self.link = Link::Server(Box::new(link)),
+                },
+                Link::Server(link) => match link.poll_accept(&mut cx) {
+                    Poll::Pending => return Step::Wait,
+                    Poll::Ready(None) => return Step::Closed(ended(None)),
+                    Poll::Ready(Some(Err(e))) => return Step::Closed(ended(Some(e))),
+                    Poll::Ready(Some(Ok((request, respond)))) => {
+                        return Step::Opened(Box::new(request), respond)
+                    }
+                },
+                Link::Http1(http1) => match http1.poll() {
+                    crate::http1::Step::Wait => return Step::Wait,
+                    crate::http1::Step::Get(path) => return Step::Get(path),
+                    crate::http1::Step::Close => return Step::Closed(String::new()),
+                },
+                Link::Closed => return Step::Wait,
+            }
+        }
+    }
+}
+
+fn ended(error: Option<h2::Error>) -> String {
+    error.map_or("closed by the peer".to_string(), |e| e.to_string())
+}
+
+/// Whether a connection under way has come to stand.
+fn reached(slot: &mut Option<TcpStream>) -> Poll<std::io::Result<TcpStream>> {
+    let Some(stream) = slot else { return Poll::Pending };
+    if let Ok(Some(e)) | Err(e) = stream.take_error() {
+        return Poll::Ready(Err(e));
+    }
+    match stream.peer_addr() {
+        Ok(_) => Poll::Ready(slot.take().ok_or_else(|| std::io::ErrorKind::NotConnected.into())),
+        Err(e) if e.kind() == std::io::ErrorKind::NotConnected => Poll::Pending,
+        Err(e) => Poll::Ready(Err(e)),
+    }
+}
+
+fn server_builder(limits: &Limits) -> h2::server::Builder {
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(limits.streams)
+        .initial_window_size(limits.stream_window)
+        .initial_connection_window_size(limits.connection_window)
+        .max_header_list_size(limits.header_bytes)
+        .max_send_buffer_size(limits.stream_window as usize)
+        .max_concurrent_reset_streams(64)
+        .max_pending_accept_reset_streams(64);
+    builder
+}
+
+fn client_builder(limits: &Limits) -> h2::client::Builder {
+    let mut builder = h2::client::Builder::new();
+    builder
+        .enable_push(false)
+        .initial_max_send_streams(limits.streams as usize)
+        .initial_window_size(limits.stream_window)
+        .initial_connection_window_size(limits.connection_window)
+        .max_header_list_size(limits.header_bytes)
+        .max_send_buffer_size(limits.stream_window as usize);
+    builder
+}
--- /dev/null
+++ b/crates/net/src/engine.rs
@@ -0,0 +1,422 @@
+//! The poll loop: listeners, connections, streams and timers by id, and what happens to them as events.
+//!
+//! Bounds: a listener takes `Limits::connections`, a connection `Limits::streams`; of a stream's incoming bytes at most
+//! one window is held until `consume` gives it back; what a caller queues to go out it must pace by `Event::Sent`.
+
+use crate::clock::Clock;
+use crate::conn::{Conn, Link, Step};
+use crate::stream::{Outgoing, Stream};
+use crate::wake::Ready;
+use bytes::Bytes;
+use http::{request, response, HeaderMap, Request, Response};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Poll, Token};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u64);
+    };
+}
+id!(/// A place where connections come in.
+    ListenerId);
+id!(/// A connection of either side.
+    ConnId);
+id!(/// A stream of either side; never used again.
+    StreamId);
+
+/// Bounds of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections that a listener holds; further ones wait in the kernel's queue.
+    pub connections: usize,
+    /// Streams open at once on one connection.
+    pub streams: u32,
+    /// Bytes of one stream, and of one connection, on the way before they are consumed.
+    pub stream_window: u32,
+    /// The same for all streams of a connection together.
+    pub connection_window: u32,
+    /// The longest head or trailers, in bytes.
+    pub header_bytes: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            connections: 16_384,
+            streams: 1_024,
+            stream_window: 65_535,
+            connection_window: 16 << 20,
+            header_bytes: 16 << 10,
+        }
+    }
+}
+
+/// Why a stream broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    /// The peer refused it unseen.
+    Refused,
+    /// The peer went away and says that it did not see it.
+    GoneAway,
+    /// The peer reset it.
+    Reset(h2::Reason),
+    /// The connection is lost.
+    Lost,
+}
+
+/// What happened.
+#[derive(Debug)]
+#[allow(missing_docs)]
+pub enum Event {
+    /// A connection came in.
+    Accepted { listener: ListenerId, conn: ConnId },
+    /// A connection that was asked for stands.
+    Connected { conn: ConnId },
+    /// A connection is over. `reached`: it once stood.
+    Closed { conn: ConnId, reached: bool, why: String },
+    /// A client opened a stream. `ended`: it has no body.
+    Opened { stream: StreamId, conn: ConnId, head: Box<request::Parts>, ended: bool },
+    /// The head of an answer came.
+    Head { stream: StreamId, head: Box<response::Parts>, ended: bool },
+    /// Bytes came; `Engine::consume` lets more come.
+    Data { stream: StreamId, data: Bytes },
+    /// The peer sent its last.
+    End { stream: StreamId, trailers: Option<HeaderMap> },
+    /// So many queued bytes were handed to the connection.
+    Sent { stream: StreamId, bytes: usize },
+    /// The stream broke off; nothing more is heard of it.
+    Broken { stream: StreamId, how: Broken },
+    /// A timer came due.
+    Timer(u64),
+    /// A GET on a side port.
+    Get { conn: ConnId, path: String },
+}
+
+struct Listener {
+    socket: TcpListener,
+    limits: Limits,
+    http1: bool,
+    held: usize,
+    paused: bool,
+}
+
+/// The loop's state. One thread, no locks held between calls.
+pub struct Engine {
+    poll: Poll,
+    readiness: mio::Events,
+    ready: Arc<Ready>,
+    clock: Clock,
+    next: u64,
+    listeners: HashMap<u64, Listener>,
+    conns: HashMap<u64, Conn>,
+    streams: HashMap<u64, Stream>,
+    timers: BinaryHeap<Reverse<(u64, u64)>>,
+    out: VecDeque<Event>,
+}
+
+impl Engine {
+    /// A loop that holds nothing. Errors: the system gives no poll handle.
+    pub fn new() -> io::Result<Engine> {
+        Ok(Engine {
+            poll: Poll::new()?,
+            readiness: mio::Events::with_capacity(1024),
+            ready: Arc::default(),
+            clock: Clock::start(),
+            next: 1,
+            listeners: HashMap::new(),
+            conns: HashMap::new(),
+            streams: HashMap::new(),
+            timers: BinaryHeap::new(),
+            out: VecDeque::new(),
+        })
+    }
+
+    /// Microseconds since the Unix epoch; never steps.
+    pub fn now(&self) -> u64 {
+        self.clock.now()
+    }
+
+    fn id(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Takes connections in at `address`; port 0 takes a free one. `shared`: other threads listen there too.
+    /// `http1`: it is a side port for GETs.
+    pub fn listen(
+        &mut self,
+        address: SocketAddr,
+        limits: Limits,
+        shared: bool,
+        http1: bool,
+    ) -> io::Result<(ListenerId, SocketAddr)> {
+        let socket =
+            socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        if shared {
+            socket.set_reuse_port(true)?;
+        }
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(1024)?;
+        let mut socket = TcpListener::from_std(socket.into());
+        let bound = socket.local_addr()?;
+        let id = self.id();
+        self.poll.registry().register(&mut socket, Token(id as usize), Interest::READABLE)?;
+        self.listeners.insert(id, Listener { socket, limits, http1, held: 0, paused: false });
+        Ok((ListenerId(id), bound))
+    }
+
+    /// Takes no further connections in there; those that stand stay.
+    pub fn unlisten(&mut self, listener: ListenerId) {
+        self.listeners.remove(&listener.0);
+    }
+
+    /// Begins a connection; `Connected` or `Closed` follows. Errors: no socket, or refused at once.
+    pub fn connect(&mut self, address: SocketAddr, limits: Limits) -> io::Result<ConnId> {
+        let mut stream = TcpStream::connect(address)?;
+        let _ = stream.set_nodelay(true);
+        let id = self.id();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(id as usize), interest)?;
+        let waker = self.ready.waker(id);
+        self.conns.insert(id, Conn::connecting(stream, limits, waker));
+        Ok(ConnId(id))
+    }
+
+    /// How many further streams may be opened there now.
+    pub fn room(&self, conn: ConnId) -> usize {
+        self.conns.get(&conn.0).map_or(0, Conn::room)
+    }
+
+    /// Opens a stream. `ended`: it has no body. Nothing when the connection does not stand or takes no more.
+    pub fn open(&mut self, conn: ConnId, head: Request<()>, ended: bool) -> Option<StreamId> {
+        let id = self.next + 1;
+        let waker = self.ready.waker(id);
+        let link = self.conns.get_mut(&conn.0).filter(|c| c.room() > 0)?;
+        let Link::Client(sender, _) = &mut link.link else { return None };
+        let (answer, body) = sender.send_request(head, ended).ok()?;
+        self.next = id;
+        link.streams += 1;
+        let outgoing = if ended { Outgoing::Done } else { Outgoing::Body(body) };
+        waker.wake_by_ref();
+        self.streams.insert(id, Stream::sent(StreamId(id), conn.0, waker, answer, outgoing));
+        Some(StreamId(id))
+    }
+
+    /// Answers with a head. `end`: it is the whole answer.
+    pub fn respond(&mut self, stream: StreamId, head: Response<()>, end: bool) {
+        self.on_stream(stream, |s| s.respond(head, end));
+    }
+    /// Queues bytes.
+    pub fn send(&mut self, stream: StreamId, data: Bytes) {
+        self.on_stream(stream, |s| s.send(data));
+    }
+    /// Ends our direction after what is queued.
+    pub fn finish(&mut self, stream: StreamId, trailers: Option<HeaderMap>) {
+        self.on_stream(stream, |s| s.finish(trailers));
+    }
+    /// Breaks a stream off; nothing more is heard of it.
+    pub fn reset(&mut self, stream: StreamId, reason: h2::Reason) {
+        self.on_stream(stream, |s| s.reset(reason));
+        self.forget(stream.0);
+    }
+    /// Lets the peer send so many bytes more.
+    pub fn consume(&mut self, stream: StreamId, bytes: usize) {
+        self.on_stream(stream, |s| s.consume(bytes));
+    }
+    /// Bytes queued there that the peer's window does not take yet.
+    pub fn queued(&self, stream: StreamId) -> usize {
+        self.streams.get(&stream.0).map_or(0, Stream::queued)
+    }
+    /// Whether the stream can still move.
+    pub fn is_open(&self, stream: StreamId) -> bool {
+        self.streams.contains_key(&stream.0)
+    }
+    /// Connections and streams that are held now.
+    pub fn held(&self) -> (usize, usize) {
+        (self.conns.len(), self.streams.len())
+    }
+
+    fn on_stream(&mut self, stream: StreamId, act: impl FnOnce(&mut Stream)) {
+        if let Some(s) = self.streams.get_mut(&stream.0) {
+            act(s);
+        }
+    }
+
+    /// Asks all clients of a listener's connections to open nothing new (GOAWAY); what is open goes on.
+    pub fn drain(&mut self, listener: ListenerId) {
+        for conn in self.conns.values_mut().filter(|c| c.listener == Some(listener.0)) {
+            if let Link::Server(link) = &mut conn.link {
+                link.graceful_shutdown();
+            }
+            conn.waker.wake_by_ref();
+        }
+    }
+
+    /// Ends a connection at once.
+    pub fn close(&mut self, conn: ConnId) {
+        if let Some(c) = self.conns.get_mut(&conn.0) {
+            match &mut c.link {
+                Link::Server(link) => link.abrupt_shutdown(h2::Reason::NO_ERROR),
+                link => *link = Link::Closed,
+            }
+            c.waker.wake_by_ref();
+            if matches!(c.link, Link::Closed) {
+                self.drop_conn(conn.0, "closed here".to_string());
+            }
+        }
+    }
+
+    /// Answers a GET and closes.
+    pub fn reply(&mut self, conn: ConnId, status: u16, body: &str) {
+        if let Some(Conn { link: Link::Http1(http1), waker, .. }) = self.conns.get_mut(&conn.0) {
+            if matches!(http1.reply(status, body), crate::http1::Step::Close) {
+                self.drop_conn(conn.0, String::new());
+            } else {
+                waker.wake_by_ref();
+            }
+        }
+    }
+
+    /// `Event::Timer(token)` at that time. Timers are not taken back; stale ones are the caller's to ignore.
+    pub fn timer(&mut self, at: u64, token: u64) {
+        self.timers.push(Reverse((at, token)));
+    }
+
+    /// Waits until something happens, at most so many microseconds, and hands over what did.
+    pub fn turn(&mut self, most_wait: u64, events: &mut Vec<Event>) -> io::Result<()> {
+        let idle = self.ready.is_empty() && self.out.is_empty();
+        let due = self.timers.peek().map_or(most_wait, |Reverse((at, _))| at.saturating_sub(self.now()));
+        let wait = if idle { due.min(most_wait) } else { 0 };
+        match self.poll.poll(&mut self.readiness, Some(Duration::from_micros(wait))) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => other?,
+        }
+        let touched: Vec<u64> = self.readiness.iter().map(|e| e.token().0 as u64).collect();
+        for key in touched {
+            if self.listeners.contains_key(&key) {
+                self.accept(key);
+            } else if let Some(conn) = self.conns.get(&key) {
+                conn.waker.wake_by_ref();
+            }
+        }
+        let now = self.now();
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
+            self.timers.pop();
+            self.out.push_back(Event::Timer(token));
+        }
+        // Bounded, so that a busy peer does not keep timers waiting.
+        for _ in 0..8192 {
+            let Some(key) = self.ready.pop() else { break };
+            self.poll_key(key);
+        }
+        events.extend(self.out.drain(..));
+        Ok(())
+    }
+
+    fn poll_key(&mut self, key: u64) {
+        if let Some(stream) = self.streams.get_mut(&key) {
+            stream.poll(&mut self.out);
+            if stream.over() {
+                self.forget(key);
+            }
+        } else if self.conns.contains_key(&key) {
+            self.poll_conn(key);
+        }
+    }
+
+    fn forget(&mut self, key: u64) {
+        let Some(stream) = self.streams.remove(&key) else { return };
+        if let Some(conn) = self.conns.get_mut(&stream.conn) {
+            conn.streams -= 1;
+        }
+    }
+
+    fn poll_conn(&mut self, key: u64) {
+        while let Some(conn) = self.conns.get_mut(&key) {
+            match conn.poll() {
+                Step::Wait => return,
+                Step::Connected => self.out.push_back(Event::Connected { conn: ConnId(key) }),
+                Step::Get(path) => {
+                    self.out.push_back(Event::Get { conn: ConnId(key), path });
+                    return;
+                }
+                Step::Opened(request, respond) => {
+                    conn.streams += 1;
+                    self.opened(key, *request, respond);
+                }
+                Step::Closed(why) => return self.drop_conn(key, why),
+            }
+        }
+    }
+
+    fn opened(
+        &mut self,
+        conn: u64,
+        request: Request<h2::RecvStream>,
+        respond: h2::server::SendResponse<Bytes>,
+    ) {
+        let id = self.id();
+        let (head, body) = request.into_parts();
+        let ended = body.is_end_stream();
+        let waker = self.ready.waker(id);
+        waker.wake_by_ref();
+        let (stream, head) = (StreamId(id), Box::new(head));
+        self.out.push_back(Event::Opened { stream, conn: ConnId(conn), head, ended });
+        self.streams.insert(id, Stream::opened(stream, conn, waker, body, respond));
+    }
+
+    fn drop_conn(&mut self, key: u64, why: String) {
+        let Some(conn) = self.conns.remove(&key) else { return };
+        if let Some(l) = conn.listener.and_then(|l| self.listeners.get_mut(&l)) {
+            l.held -= 1;
+            if std::mem::take(&mut l.paused) {
+                self.accept(conn.listener.unwrap_or(0));
+            }
+        }
+        self.out.push_back(Event::Closed { conn: ConnId(key), reached: conn.reached, why });
+    }
+
+    fn accept(&mut self, key: u64) {
+        loop {
+            let Some(listener) = self.listeners.get_mut(&key) else { return };
+            if listener.held >= listener.limits.connections {
+                listener.paused = true;
+                return;
+            }
+            let mut stream = match listener.socket.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    // Out of descriptors: those that wait are taken when one is free again.
+                    tracing::warn!(error = %e, "a connection could not be taken in");
+                    listener.paused = true;
+                    return;
+                }
+            };
+            let _ = stream.set_nodelay(true);
+            listener.held += 1;
+            let (limits, http1) = (listener.limits, listener.http1);
+            let id = self.id();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if self.poll.registry().register(&mut stream, Token(id as usize), interest).is_err() {
+                self.listeners.get_mut(&key).into_iter().for_each(|l| l.held -= 1);
+                continue;
+            }
+            let waker = self.ready.waker(id);
+            waker.wake_by_ref();
+            self.conns.insert(id, Conn::accepted(stream, limits, key, http1, waker));
+            self.out.push_back(Event::Accepted { listener: ListenerId(key), conn: ConnId(id) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/grpc.rs
@@ -0,0 +1,245 @@
+//! gRPC over HTTP/2 as its public specification has it: framing, time-outs, status and its details.
+
+use base64::engine::{
+    general_purpose::STANDARD_NO_PAD, DecodePaddingMode, GeneralPurpose, GeneralPurposeConfig,
+};
+use base64::{alphabet, Engine as _};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use chalkdeck_proto::google::rpc;
+use http::{header::CONTENT_TYPE, HeaderMap, HeaderValue, Request, Response};
+use percent_encoding::{percent_decode_str, utf8_percent_encode, AsciiSet, CONTROLS};
+use prost::Message;
+
+/// Status codes of gRPC.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[allow(missing_docs)]
+#[repr(i32)]
+pub enum Code {
+    Ok = 0,
+    Cancelled = 1,
+    Unknown = 2,
+    InvalidArgument = 3,
+    DeadlineExceeded = 4,
+    NotFound = 5,
+    AlreadyExists = 6,
+    PermissionDenied = 7,
+    ResourceExhausted = 8,
+    FailedPrecondition = 9,
+    Aborted = 10,
+    OutOfRange = 11,
+    Unimplemented = 12,
+    Internal = 13,
+    Unavailable = 14,
+    DataLoss = 15,
+    Unauthenticated = 16,
+}
+
+const CODES: [Code; 17] = [
+    Code::Ok,
+    Code::Cancelled,
+    Code::Unknown,
+    Code::InvalidArgument,
+    Code::DeadlineExceeded,
+    Code::NotFound,
+    Code::AlreadyExists,
+    Code::PermissionDenied,
+    Code::ResourceExhausted,
+    Code::FailedPrecondition,
+    Code::Aborted,
+    Code::OutOfRange,
+    Code::Unimplemented,
+    Code::Internal,
+    Code::Unavailable,
+    Code::DataLoss,
+    Code::Unauthenticated,
+];
+
+/// Metadata of a status.
+pub const STATUS: &str = "grpc-status";
+/// The message of a status, percent-encoded.
+pub const MESSAGE: &str = "grpc-message";
+/// `google.rpc.Status` in base64.
+pub const DETAILS: &str = "grpc-status-details-bin";
+/// Milliseconds until a client may come back; negative: not at all.
+pub const PUSHBACK: &str = "grpc-retry-pushback-ms";
+/// How many tries of this call a client made before.
+pub const ATTEMPTS: &str = "grpc-previous-rpc-attempts";
+/// What is left of a call's deadline.
+pub const TIMEOUT: &str = "grpc-timeout";
+
+const RETRY_INFO: &str = "google.rpc.RetryInfo";
+const GRPC: HeaderValue = HeaderValue::from_static("application/grpc");
+const ESCAPED: &AsciiSet = &CONTROLS.add(b'%');
+
+impl Code {
+    /// The code of a number; numbers that the specification does not know are UNKNOWN.
+    pub fn of(number: i32) -> Code {
+        usize::try_from(number).ok().and_then(|i| CODES.get(i).copied()).unwrap_or(Code::Unknown)
+    }
+    /// The status in trailers (or in the head of a trailers-only answer), where there is one.
+    pub fn read(trailers: &HeaderMap) -> Option<Code> {
+        let text = trailers.get(STATUS)?.to_str().ok()?;
+        Some(text.parse().map_or(Code::Unknown, Code::of))
+    }
+}
+
+/// A content type of gRPC (`application/grpc`, also with a `+` or `;` part).
+pub fn is_grpc(headers: &HeaderMap) -> bool {
+    let Some(Ok(kind)) = headers.get(CONTENT_TYPE).map(HeaderValue::to_str) else { return false };
+    kind.strip_prefix("application/grpc").is_some_and(|rest| rest.is_empty() || rest.starts_with(['+', ';']))
+}
+
+/// A `grpc-timeout` in microseconds, rounded up. At most eight digits and a unit, else nothing.
+pub fn parse_timeout(text: &str) -> Option<u64> {
+    let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    if digits.is_empty() || digits.len() > 8 || !digits.bytes().all(|b| b.is_ascii_digit()) {
+        return None;
+    }
+    let value: u64 = digits.parse().ok()?;
+    Some(match unit {
+        "H" => value * 3_600_000_000,
+        "M" => value * 60_000_000,
+        "S" => value * 1_000_000,
+        "m" => value * 1_000,
+        "u" => value,
+        "n" => value.div_ceil(1_000),
+        _ => return None,
+    })
+}
+
+/// A span in microseconds as `grpc-timeout`, in the finest unit that eight digits hold.
+pub fn timeout(micros: u64) -> HeaderValue {
+    let units = [("u", 1), ("m", 1_000), ("S", 1_000_000), ("M", 60_000_000), ("H", 3_600_000_000)];
+    let fits = units.iter().find(|(_, size)| micros / size <= 99_999_999);
+    let text = fits.map_or("99999999H".to_string(), |(unit, size)| format!("{}{unit}", micros / size));
+    HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1H"))
+}
+
+/// The message of a status as metadata.
+pub fn encode_message(text: &str) -> HeaderValue {
+    HeaderValue::from_str(&utf8_percent_encode(text, ESCAPED).to_string())
+        .unwrap_or(HeaderValue::from_static("-"))
+}
+
+/// The message of a status in trailers.
+pub fn message_of(trailers: &HeaderMap) -> String {
+    let text = trailers.get(MESSAGE).and_then(|v| v.to_str().ok()).unwrap_or("");
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
+
+/// Trailers with a status and its message.
+pub fn trailers(code: Code, message: &str) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    map.insert(STATUS, HeaderValue::from(code as i32));
+    if !message.is_empty() {
+        map.insert(MESSAGE, encode_message(message));
+    }
+    map
+}
+
+/// A whole answer that is nothing but a status.
+pub fn trailers_only(mut trailers: HeaderMap) -> Response<()> {
+    let mut response = Response::new(());
+    trailers.insert(CONTENT_TYPE, GRPC);
+    *response.headers_mut() = trailers;
+    response
+}
+
+/// The head of an answer whose messages follow.
+pub fn head() -> Response<()> {
+    let mut response = Response::new(());
+    response.headers_mut().insert(CONTENT_TYPE, GRPC);
+    response
+}
+
+/// A call's head.
+pub fn request(authority: &str, path: &str) -> Option<Request<()>> {
+    let uri = format!("http://{authority}{path}");
+    let request = Request::post(uri).header(CONTENT_TYPE, GRPC).header("te", "trailers");
+    request.body(()).ok()
+}
+
+/// Adds what a refused client should know: when to come back (microseconds), or that it should not.
+pub fn advise(map: &mut HeaderMap, code: Code, message: &str, back_in: Option<u64>) {
+    let Some(micros) = back_in else {
+        map.insert(PUSHBACK, HeaderValue::from_static("-1"));
+        return;
+    };
+    map.insert(PUSHBACK, HeaderValue::from(micros.div_ceil(1_000)));
+    let delay = prost_types::Duration {
+        seconds: (micros / 1_000_000) as i64,
+        nanos: (micros % 1_000_000 * 1_000) as i32,
+    };
+    let info = rpc::RetryInfo { retry_delay: Some(delay) };
+    let detail = prost_types::Any {
+        type_url: format!("type.googleapis.com/{RETRY_INFO}"),
+        value: info.encode_to_vec(),
+    };
+    let status = rpc::Status { code: code as i32, message: message.to_string(), details: vec![detail] };
+    if let Ok(value) = HeaderValue::from_str(&STANDARD_NO_PAD.encode(status.encode_to_vec())) {
+        map.insert(DETAILS, value);
+    }
+}
+
+/// The come-back time in status details, in microseconds.
+pub fn retry_info(trailers: &HeaderMap) -> Option<u64> {
+    let lenient = GeneralPurposeConfig::new().with_decode_padding_mode(DecodePaddingMode::Indifferent);
+    let base64 = GeneralPurpose::new(&alphabet::STANDARD, lenient);
+    let bytes = base64.decode(trailers.get(DETAILS)?.as_bytes()).ok()?;
+    let status = rpc::Status::decode(&bytes[..]).ok()?;
+    let any = status.details.iter().find(|any| any.type_url.ends_with(RETRY_INFO))?;
+    let delay = rpc::RetryInfo::decode(&any.value[..]).ok()?.retry_delay?;
+    let seconds = u64::try_from(delay.seconds).ok()?;
+    Some(seconds.saturating_mul(1_000_000).saturating_add(u64::try_from(delay.nanos).ok()? / 1_000))
+}
+
+/// One message with its five bytes before it, uncompressed.
+pub fn frame(message: &[u8]) -> Bytes {
+    let mut out = BytesMut::with_capacity(5 + message.len());
+    out.put_u8(0);
+    out.put_u32(message.len() as u32);
+    out.put_slice(message);
+    out.freeze()
+}
+
+/// Why bytes are no messages.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// The message is longer than allowed.
+    #[error("message of {0} bytes, expected at most {1}")]
+    TooLong(usize, usize),
+    /// The message is compressed, which was not agreed.
+    #[error("a compressed message, expected none")]
+    Compressed,
+}
+
+/// Takes bytes as they come and gives messages.
+#[derive(Debug, Default)]
+pub struct Deframer {
+    bytes: BytesMut,
+}
+
+impl Deframer {
+    /// Takes bytes.
+    pub fn push(&mut self, data: &[u8]) {
+        self.bytes.extend_from_slice(data);
+    }
+    /// The next whole message of at most `most` bytes.
+    pub fn next(&mut self, most: usize) -> Result<Option<Bytes>, FrameError> {
+        if self.bytes.len() < 5 {
+            return Ok(None);
+        }
+        if self.bytes[0] != 0 {
+            return Err(FrameError::Compressed);
+        }
+        let length = (&self.bytes[1..5]).get_u32() as usize;
+        if length > most {
+            return Err(FrameError::TooLong(length, most));
+        }
+        if self.bytes.len() < 5 + length {
+            return Ok(None);
+        }
+        self.bytes.advance(5);
+        Ok(Some(self.bytes.split_to(length).freeze()))
+    }
+}
--- /dev/null
+++ b/crates/proto/build.rs
@@ -0,0 +1,19 @@
+//! Compiles the schemas without an outside compiler and keeps their descriptors for the text form.
+use prost::Message;
+
+const FILES: [&str; 5] = [
+    "chalkdeck/config/v1/config.proto",
+    "chalkdeck/counter/v1/counter.proto",
+    "envoy/config/endpoint/v3/endpoint.proto",
+    "google/rpc/error_details.proto",
+    "google/rpc/status.proto",
+];
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=proto");
+    let set = protox::compile(FILES, ["proto"])?;
+    let out = std::path::PathBuf::from(std::env::var("OUT_DIR")?);
+    std::fs::write(out.join("descriptors.bin"), set.encode_to_vec())?;
+    prost_build::Config::new().include_file("all.rs").compile_fds(set)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,10 @@
+//! Messages of chalkdeck's programs, and the parts of public ones that they speak, with a text form that names the
+//! line of an error.
+#![forbid(unsafe_code)]
+
+#[allow(clippy::all, missing_docs)]
+mod generated {
+    include!(concat!(env!("OUT_DIR"), "/all.rs"));
+}
+pub use generated::*;
+pub mod text;
