Gateway library: settings, routes, calls, counter client, pool and server list

Need: the decisions are to run on real sockets, speaking gRPC. Change: crates/gateway raises the module's events from streams, timers and files and carries out its actions; bodies and unary answers are kept up to a bound for repeats, answers of the counter are told in the order of each name's calls.

--- /dev/null
+++ b/crates/gateway/src/endpoints.rs
@@ -0,0 +1,174 @@
+//! The server list out of Envoy's `ClusterLoadAssignment`.
+//!
+//! Metadata under the key `chalkdeck`: `cell` (text; none: the locality's) and `started_ms` (Unix time in milliseconds
+//! at which the server last started; none: long ago).
+
+use crate::settings::zone_of;
+use chalkdeck::api::{CellId, Listed, Micros, ServerEntry, ServerId};
+use chalkdeck_proto::envoy::config::core::v3::{address, socket_address, HealthStatus};
+use chalkdeck_proto::envoy::config::endpoint::v3::{
+    lb_endpoint, ClusterLoadAssignment, LbEndpoint, LocalityLbEndpoints,
+};
+use chalkdeck_proto::text;
+use prost::Message;
+use prost_types::value::Kind;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The message's full name.
+pub const MESSAGE: &str = "envoy.config.endpoint.v3.ClusterLoadAssignment";
+/// The most servers that a list may hold.
+pub const MOST: usize = 10_000;
+
+/// One server: where it is, and what the decisions are told of it.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its line of the list.
+    pub entry: ServerEntry,
+}
+
+/// Why a file is no server list.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct ListError(String);
+
+fn bad<T>(what: impl Into<String>) -> Result<T, ListError> {
+    Err(ListError(what.into()))
+}
+
+/// Reads a list; the name's ending tells text (`txtpb`, `textproto`, `pb_text`) from binary.
+pub fn read(path: &Path, bytes: &[u8]) -> Result<Vec<Server>, ListError> {
+    let ending = path.extension().and_then(|e| e.to_str()).unwrap_or("");
+    let list = if ["txtpb", "textproto", "pb_text"].contains(&ending) {
+        let Ok(text) = std::str::from_utf8(bytes) else { return bad("expected UTF-8 text") };
+        text::parse(MESSAGE, text).map_err(|e| ListError(e.to_string()))?
+    } else {
+        ClusterLoadAssignment::decode(bytes).map_err(|e| ListError(format!("expected {MESSAGE}: {e}")))?
+    };
+    servers(&list)
+}
+
+/// The servers of a list.
+pub fn servers(list: &ClusterLoadAssignment) -> Result<Vec<Server>, ListError> {
+    let mut out = Vec::new();
+    let mut known = HashSet::new();
+    for (i, locality) in list.endpoints.iter().enumerate() {
+        for (k, endpoint) in locality.lb_endpoints.iter().enumerate() {
+            let server = server(locality, endpoint)
+                .map_err(|e| ListError(format!("endpoints[{i}].lb_endpoints[{k}]: {e}")))?;
+            if !known.insert(server.entry.server) {
+                return bad(format!("endpoints[{i}].lb_endpoints[{k}]: {} is listed twice", server.address));
+            }
+            out.push(server);
+        }
+    }
+    if out.len() > MOST {
+        return bad(format!("expected at most {MOST} endpoints, found {}", out.len()));
+    }
+    Ok(out)
+}
+
+fn server(locality: &LocalityLbEndpoints, endpoint: &LbEndpoint) -> Result<Server, ListError> {
+    let address = address_of(endpoint)?;
+    let zone = locality.locality.as_ref().map_or("", |l| l.zone.as_str());
+    let listed = match HealthStatus::try_from(endpoint.health_status) {
+        Ok(HealthStatus::Unknown | HealthStatus::Healthy | HealthStatus::Degraded) => Listed::InService,
+        Ok(HealthStatus::Draining | HealthStatus::Unhealthy | HealthStatus::Timeout) => Listed::Draining,
+        Err(_) => return bad(format!("health_status: {} is not known", endpoint.health_status)),
+    };
+    let weight = endpoint.load_balancing_weight.unwrap_or(1);
+    let cell = match field(endpoint, "cell") {
+        None => zone.to_string(),
+        Some(Kind::StringValue(cell)) => cell.clone(),
+        Some(Kind::NumberValue(cell)) => cell.to_string(),
+        Some(_) => return bad("metadata chalkdeck.cell: expected a text"),
+    };
+    let started = match field(endpoint, "started_ms") {
+        None => None,
+        Some(Kind::NumberValue(ms)) if *ms >= 0.0 && *ms < 1e15 => Some(Micros((ms * 1e3) as u64)),
+        Some(_) => return bad("metadata chalkdeck.started_ms: expected Unix milliseconds"),
+    };
+    let entry = ServerEntry {
+        server: ServerId(crate::number_of(&address.to_string())),
+        zone: zone_of(zone),
+        cell: CellId(crate::number_of(&cell)),
+        listed,
+        weight: f64::from(weight),
+        started,
+    };
+    Ok(Server { address, entry })
+}
+
+fn address_of(endpoint: &LbEndpoint) -> Result<SocketAddr, ListError> {
+    let Some(lb_endpoint::HostIdentifier::Endpoint(host)) = &endpoint.host_identifier else {
+        return bad("expected an endpoint with an address");
+    };
+    let Some(address::Address::SocketAddress(socket)) =
+        host.address.as_ref().and_then(|a| a.address.as_ref())
+    else {
+        return bad("endpoint.address: expected a socket_address");
+    };
+    let Some(socket_address::PortSpecifier::PortValue(port)) = socket.port_specifier else {
+        return bad("socket_address: expected a port_value");
+    };
+    let (Ok(ip), Ok(port)) = (socket.address.parse(), u16::try_from(port)) else {
+        return bad(format!("socket_address: expected an IP and a port, found {}:{port}", socket.address));
+    };
+    Ok(SocketAddr::new(ip, port))
+}
+
+fn field<'a>(endpoint: &'a LbEndpoint, name: &str) -> Option<&'a Kind> {
+    endpoint.metadata.as_ref()?.filter_metadata.get("chalkdeck")?.fields.get(name)?.kind.as_ref()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = r#"
+        cluster_name: "farm"
+        endpoints {
+          locality { zone: "north" }
+          lb_endpoints {
+            endpoint { address { socket_address { address: "127.0.0.1" port_value: 8001 } } }
+            health_status: DRAINING
+            metadata { filter_metadata { key: "chalkdeck" value {
+              fields { key: "cell" value { string_value: "a" } }
+              fields { key: "started_ms" value { number_value: 1764590000000 } }
+            } } }
+          }
+        }"#;
+
+    #[test]
+    fn text_and_binary_say_the_same() {
+        let from_text = read(Path::new("a.txtpb"), TEXT.as_bytes()).expect("it is sound");
+        let list: ClusterLoadAssignment = text::parse(MESSAGE, TEXT).expect("it is sound");
+        let binary = read(Path::new("a.pb"), &list.encode_to_vec()).expect("it is sound");
+        for servers in [from_text, binary] {
+            assert_eq!(servers.len(), 1);
+            let entry = &servers[0].entry;
+            assert_eq!(
+                (entry.listed, entry.started),
+                (Listed::Draining, Some(Micros(1_764_590_000_000_000)))
+            );
+        }
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        let wrong = [
+            (TEXT.replace("8001", "80010"), "80010"),
+            (TEXT.replace("127.0.0.1", "farm.example"), "farm.example"),
+            (TEXT.replace("number_value: 1764590000000", "string_value: \"now\""), "started_ms"),
+            (TEXT.replace("DRAINING", "TIRED"), "TIRED"),
+        ];
+        for (text, place) in wrong {
+            let error = read(Path::new("a.txtpb"), text.as_bytes()).expect_err("it is wrong").to_string();
+            assert!(error.contains(place), "{error} names {place}");
+        }
+        assert!(read(Path::new("a.pb"), b"\xff\xff\xff").is_err());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,119 @@
+//! What a call's head says: its route, customer, deadline and units; or why it is no call that can be taken.
+
+use crate::settings::Settings;
+use chalkdeck::api::{Arrival, ClassId, CustomerId, Micros, PlanId, RequestId};
+use chalkdeck_net::grpc::{self, Code};
+use http::{request, HeaderMap, HeaderName};
+
+/// The key of a keyed call.
+pub(crate) const KEY: &str = "x-idempotency-key";
+/// The units of a call.
+pub(crate) const UNITS: &str = "x-units";
+
+/// A call that can be taken.
+pub(crate) struct Asked {
+    pub(crate) arrival: Arrival,
+    /// The client's own deadline, where it gave one.
+    pub(crate) client_deadline: Option<u64>,
+    pub(crate) path: String,
+    /// Metadata for the server.
+    pub(crate) headers: HeaderMap,
+    /// Tries that the client made before.
+    pub(crate) tries_before: u32,
+}
+
+/// Why a call is not taken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Rejected {
+    /// The answer; none: HTTP 415.
+    pub(crate) code: Option<Code>,
+    /// For the client and the log.
+    pub(crate) what: String,
+    /// For the metrics.
+    pub(crate) kind: &'static str,
+}
+
+fn reject<T>(code: Code, kind: &'static str, what: impl Into<String>) -> Result<T, Rejected> {
+    Err(Rejected { code: Some(code), what: what.into(), kind })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).map(|v| v.to_str().unwrap_or("\u{fffd}"))
+}
+
+/// Reads a head that came at `now`.
+pub(crate) fn read(
+    set: &Settings,
+    id: RequestId,
+    now: u64,
+    head: &request::Parts,
+) -> Result<Asked, Rejected> {
+    let headers = &head.headers;
+    if head.method != http::Method::POST || !grpc::is_grpc(headers) {
+        return Err(Rejected { code: None, what: "expected a gRPC call".into(), kind: "not_grpc" });
+    }
+    let path = head.uri.path();
+    let matches =
+        |r: &&crate::settings::Route| if r.prefix { path.starts_with(&r.path) } else { path == r.path };
+    let Some(route) = set.routes.iter().find(matches) else {
+        return reject(Code::Unimplemented, "no_route", format!("no route for {path}"));
+    };
+    let name = set.customer_metadata.as_str();
+    let Some(customer) = text(headers, name).filter(|c| !c.is_empty() && *c != "\u{fffd}") else {
+        return reject(Code::Unauthenticated, "no_customer", format!("expected metadata {name}"));
+    };
+    let Some(plan) = set.plan_of.get(customer).copied().or(set.default_plan) else {
+        return reject(Code::Unauthenticated, "no_customer", format!("{name}: customer without a plan"));
+    };
+    let timeout = match text(headers, grpc::TIMEOUT) {
+        None => None,
+        Some(value) => match grpc::parse_timeout(value) {
+            Some(micros) => Some(micros),
+            None => {
+                let what =
+                    format!("grpc-timeout: expected up to 8 digits and one of HMSmun, found '{value}'");
+                return reject(Code::InvalidArgument, "bad_timeout", what);
+            }
+        },
+    };
+    let units = match text(headers, UNITS).filter(|_| route.client_units) {
+        None => route.units,
+        Some(value) => match value.parse::<f64>() {
+            Ok(units) if units > 0.0 && units <= set.policy.most_units => units,
+            _ => {
+                let what =
+                    format!("x-units: expected above 0, at most {}, found '{value}'", set.policy.most_units);
+                return reject(Code::InvalidArgument, "bad_units", what);
+            }
+        },
+    };
+    let keyed = headers.get(KEY).is_some_and(|k| !k.is_empty());
+    let class = if keyed { route.class } else { set.unkeyed[route.class] };
+    let longest = set.policy.classes[class].deadline.0;
+    let tries_before = text(headers, grpc::ATTEMPTS).and_then(|v| v.parse().ok()).unwrap_or(0);
+    let arrival = Arrival {
+        id,
+        class: ClassId(class),
+        plan: PlanId(plan),
+        customer: CustomerId(crate::number_of(customer)),
+        spread: set.spread,
+        deadline: Micros(now + timeout.unwrap_or(longest).min(longest)),
+        units,
+        resent: tries_before > 0,
+    };
+    Ok(Asked {
+        arrival,
+        client_deadline: timeout.map(|t| now.saturating_add(t)),
+        path: path.to_string(),
+        headers: for_server(headers),
+        tries_before,
+    })
+}
+
+/// Metadata that goes on; what belongs to the connection or is set anew for each attempt stays behind.
+fn for_server(headers: &HeaderMap) -> HeaderMap {
+    let mut out = headers.clone();
+    let own = [grpc::TIMEOUT, grpc::ATTEMPTS, "host", "connection", "te", "content-length"];
+    own.into_iter().for_each(|name| drop(out.remove(HeaderName::from_static(name))));
+    out
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The gateway as a library: settings, routes, the shell that carries calls, and what it needs.
+//!
+//! The decisions are those of the package `chalkdeck`; this package raises its events from what happens on sockets and
+//! carries out its actions.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod body;
+mod calls;
+mod carry;
+mod counter;
+pub mod endpoints;
+mod front;
+pub mod logs;
+mod metrics;
+mod outcome;
+mod pool;
+pub mod relay;
+pub mod settings;
+pub mod shell;
+mod watch;
+
+pub use settings::{Settings, SettingsError};
+pub use shell::Shell;
+
+/// The stable number of a name, equal at every gateway.
+pub(crate) fn number_of(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,119 @@
+//! Connections to the servers. It chooses no server; it finds a connection to the one that was chosen.
+//!
+//! Bounds: `server_connections` for a server, `server_streams` calls on each, as many again waiting for one to stand.
+
+use crate::endpoints::Server;
+use chalkdeck::api::{RequestId, ServerId};
+use chalkdeck_net::{ConnId, Engine, Limits};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// An attempt by its call and number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct AttemptId {
+    pub(crate) call: RequestId,
+    pub(crate) number: usize,
+}
+
+struct Link {
+    conn: ConnId,
+    up: bool,
+    waiting: Vec<AttemptId>,
+}
+
+struct Place {
+    address: SocketAddr,
+    links: Vec<Link>,
+}
+
+/// Where an attempt can go.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Found {
+    /// On this connection, now.
+    Ready(ConnId),
+    /// When a connection under way stands. `fresh`: it was begun for this one.
+    Waits { fresh: Option<ConnId> },
+    /// All its connections are full.
+    Full,
+    /// The server is not known or no connection can be begun.
+    Unreachable,
+}
+
+pub(crate) struct Pool {
+    limits: Limits,
+    most: usize,
+    places: HashMap<ServerId, Place>,
+    server_of: HashMap<ConnId, ServerId>,
+}
+
+impl Pool {
+    pub(crate) fn new(most: usize, streams: u32) -> Pool {
+        let limits = Limits { streams, ..Limits::default() };
+        Pool { limits, most, places: HashMap::new(), server_of: HashMap::new() }
+    }
+
+    /// Takes a new list; connections to servers that are no longer on it end when their last call has.
+    pub(crate) fn update(&mut self, engine: &mut Engine, servers: &[Server]) {
+        let mut old = std::mem::take(&mut self.places);
+        for server in servers {
+            let links = old.remove(&server.entry.server).map(|p| p.links).unwrap_or_default();
+            self.places.insert(server.entry.server, Place { address: server.address, links });
+        }
+        for link in old.into_values().flat_map(|p| p.links).filter(|l| l.up) {
+            self.server_of.remove(&link.conn);
+            if engine.room(link.conn) >= self.limits.streams as usize {
+                engine.close(link.conn);
+            }
+        }
+    }
+
+    pub(crate) fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.places.get(&server).map(|p| p.address)
+    }
+
+    /// A connection for an attempt; where it must wait it is noted.
+    pub(crate) fn find(&mut self, engine: &mut Engine, server: ServerId, attempt: AttemptId) -> Found {
+        let Some(place) = self.places.get_mut(&server) else { return Found::Unreachable };
+        let up = place.links.iter().filter(|l| l.up).max_by_key(|l| engine.room(l.conn));
+        if let Some(link) = up.filter(|l| engine.room(l.conn) > 0) {
+            return Found::Ready(link.conn);
+        }
+        let streams = self.limits.streams as usize;
+        if let Some(link) = place.links.iter_mut().find(|l| !l.up && l.waiting.len() < streams) {
+            link.waiting.push(attempt);
+            return Found::Waits { fresh: None };
+        }
+        if place.links.len() >= self.most {
+            return Found::Full;
+        }
+        let Ok(conn) = engine.connect(place.address, self.limits) else { return Found::Unreachable };
+        place.links.push(Link { conn, up: false, waiting: vec![attempt] });
+        self.server_of.insert(conn, server);
+        Found::Waits { fresh: Some(conn) }
+    }
+
+    /// A connection stands: the attempts that waited for it.
+    pub(crate) fn connected(&mut self, conn: ConnId) -> Option<Vec<AttemptId>> {
+        let link = self.link(conn)?;
+        link.up = true;
+        Some(std::mem::take(&mut link.waiting))
+    }
+
+    /// A connection is over, or takes nothing new: it is forgotten; the attempts that waited for it.
+    pub(crate) fn forget(&mut self, conn: ConnId) -> Option<Vec<AttemptId>> {
+        let server = self.server_of.remove(&conn)?;
+        let place = self.places.get_mut(&server)?;
+        let at = place.links.iter().position(|l| l.conn == conn)?;
+        Some(place.links.swap_remove(at).waiting)
+    }
+
+    /// Whether a connection is still being made.
+    pub(crate) fn is_connecting(&mut self, conn: ConnId) -> bool {
+        self.link(conn).is_some_and(|l| !l.up)
+    }
+
+    fn link(&mut self, conn: ConnId) -> Option<&mut Link> {
+        let server = self.server_of.get(&conn)?;
+        self.places.get_mut(server)?.links.iter_mut().find(|l| l.conn == conn)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,364 @@
+//! Settings of a gateway: read from protobuf text, checked, and turned into what the decisions take.
+
+use chalkdeck::api::{self, Effect, Group, Micros, ZoneId};
+use chalkdeck_net::Limits;
+use chalkdeck_proto::chalkdeck::config::v1 as wire;
+use chalkdeck_proto::text;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// The name of the settings' message.
+pub const MESSAGE: &str = "chalkdeck.config.v1.Gateway";
+
+/// What is wrong with settings, and where.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{file}:{line}: {what}")]
+pub struct SettingsError {
+    /// The file as it was given.
+    pub file: String,
+    /// Its line, from 1; 1 also where something is missing.
+    pub line: usize,
+    /// The field, what was found there and what was expected.
+    pub what: String,
+}
+
+/// A path, and what a call there is.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Path, or its beginning.
+    pub path: String,
+    /// Whether `path` is a beginning.
+    pub prefix: bool,
+    /// Place in the classes.
+    pub class: usize,
+    /// Units of a call.
+    pub units: f64,
+    /// Whether a client may say its units.
+    pub client_units: bool,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// What the decisions take.
+    pub policy: api::Settings,
+    /// Where calls come in.
+    pub listen: SocketAddr,
+    /// Where health and metrics are served.
+    pub admin: Option<SocketAddr>,
+    /// Names of classes and plans, in their order.
+    pub class_names: Vec<String>,
+    /// See `class_names`.
+    pub plan_names: Vec<String>,
+    /// For each class the place of the one that its calls without a key belong to: they count as unsafe.
+    pub unkeyed: Vec<usize>,
+    /// Routes; the first match wins.
+    pub routes: Vec<Route>,
+    /// The metadata that names the customer.
+    pub customer_metadata: http::HeaderName,
+    /// Place of the plan of customers that are not listed.
+    pub default_plan: Option<usize>,
+    /// Plans of listed customers.
+    pub plan_of: HashMap<String, usize>,
+    /// Through how many gateways a customer's calls come.
+    pub spread: u32,
+    /// The counter.
+    pub counter: Option<SocketAddr>,
+    /// The file with the server list.
+    pub endpoints: PathBuf,
+    /// How often it is looked at, in microseconds.
+    pub poll: u64,
+    /// A connection not made by then has failed, in microseconds.
+    pub connect_timeout: u64,
+    /// Connections to one server.
+    pub server_connections: usize,
+    /// Calls on one of them.
+    pub server_streams: u32,
+    /// Bytes of a request kept for a repeat, and of a unary answer kept back.
+    pub keep_bytes: usize,
+    /// Bounds of the clients' side.
+    pub front: Limits,
+    /// Log level and form.
+    pub log_level: String,
+    /// Logs as JSON lines.
+    pub log_json: bool,
+}
+
+/// A text with the file it came from, for errors.
+struct Source<'a> {
+    file: String,
+    text: &'a str,
+}
+
+type Result<T> = std::result::Result<T, SettingsError>;
+
+impl Source<'_> {
+    fn fail<T>(&self, what: impl Into<String>) -> Result<T> {
+        Err(SettingsError { file: self.file.clone(), line: 1, what: what.into() })
+    }
+    /// The line that holds the value, as far as the text tells.
+    fn fail_at<T>(&self, value: &str, what: String) -> Result<T> {
+        let line = self.text.lines().position(|l| l.contains(value)).map_or(1, |i| i + 1);
+        Err(SettingsError { file: self.file.clone(), line, what })
+    }
+    fn address(&self, field: &str, value: &str) -> Result<SocketAddr> {
+        match value.parse() {
+            Ok(address) => Ok(address),
+            Err(_) => self.fail_at(value, format!("{field}: expected ip:port, found '{value}'")),
+        }
+    }
+    fn known(&self, field: &str, value: &str, names: &[String]) -> Result<usize> {
+        match names.iter().position(|n| n == value) {
+            Some(place) => Ok(place),
+            None => self.fail_at(
+                &format!("\"{value}\""),
+                format!("{field}: expected one of {}, found '{value}'", names.join(", ")),
+            ),
+        }
+    }
+    fn named(&self, field: &str, names: &[String]) -> Result<()> {
+        for (i, name) in names.iter().enumerate() {
+            if name.is_empty() || names[..i].contains(name) {
+                let what = format!("{field}[{i}].name: expected a name of its own, found '{name}'");
+                return self.fail_at(&format!("\"{name}\""), what);
+            }
+        }
+        Ok(())
+    }
+    fn class(&self, i: usize, c: &wire::Class) -> Result<api::Class> {
+        let at = |what: String| self.fail_at(&format!("\"{}\"", c.name), format!("classes[{i}].{what}"));
+        if c.deadline_ms == 0 {
+            return at("deadline_ms: expected milliseconds above 0".to_string());
+        }
+        let effect = match c.effect() {
+            wire::class::Effect::Safe => Effect::Safe,
+            wire::class::Effect::Keyed => Effect::Keyed,
+            wire::class::Effect::Unsafe => Effect::Unsafe,
+            wire::class::Effect::Unspecified => {
+                return at("effect: expected SAFE, KEYED or UNSAFE, found none".to_string())
+            }
+        };
+        if effect == Effect::Keyed && c.window_ms == 0 {
+            return at("window_ms: expected milliseconds above 0 for a KEYED class".to_string());
+        }
+        if c.aim_ms > c.deadline_ms {
+            return at(format!(
+                "aim_ms: expected at most deadline_ms ({}), found {}",
+                c.deadline_ms, c.aim_ms
+            ));
+        }
+        Ok(api::Class {
+            aim: millis(if c.aim_ms == 0 { c.deadline_ms } else { c.aim_ms }),
+            deadline: millis(c.deadline_ms),
+            worth: if c.worth == 0.0 { 1.0 } else { c.worth },
+            late_worth: c.late_worth,
+            effect,
+            group: match c.group() {
+                wire::class::Group::All => Group::All,
+                wire::class::Group::Zone => Group::Zone,
+                wire::class::Group::Cell | wire::class::Group::Unspecified => Group::Cell,
+            },
+            window: millis(c.window_ms),
+            stream: c.stream,
+        })
+    }
+}
+
+fn millis(ms: u32) -> Micros {
+    Micros(u64::from(ms) * 1_000)
+}
+
+/// Zero means that nothing was said.
+fn or(value: u32, default: u32) -> u32 {
+    if value == 0 {
+        default
+    } else {
+        value
+    }
+}
+
+fn plan(p: &wire::Plan) -> api::Plan {
+    api::Plan {
+        rate: p.rate,
+        burst: p.burst,
+        open: p.open,
+        price: if p.price == 0.0 { 1.0 } else { p.price },
+        over_worth: p.over_worth,
+        over_cost: p.over_cost,
+        ceiling_rate: p.ceiling_rate,
+        ceiling_burst: p.ceiling_burst,
+        ceiling_slack: p.ceiling_slack,
+    }
+}
+
+impl Settings {
+    /// Reads and checks a file. A path inside it that is not absolute starts at the file's folder.
+    pub fn load(path: &Path) -> Result<Settings> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| SettingsError {
+            file: file.clone(),
+            line: 1,
+            what: format!("expected a readable settings file: {e}"),
+        })?;
+        let mut settings = Settings::parse(&file, &text)?;
+        if let Some(folder) = path.parent() {
+            settings.endpoints = folder.join(&settings.endpoints);
+        }
+        Ok(settings)
+    }
+
+    /// Checks settings given as text; `file` stands in errors.
+    pub fn parse(file: &str, text: &str) -> Result<Settings> {
+        let source = Source { file: file.to_string(), text };
+        let wire: wire::Gateway = text::parse(MESSAGE, text).map_err(|e| SettingsError {
+            file: file.to_string(),
+            line: e.line,
+            what: e.what,
+        })?;
+        check(&source, &wire)
+    }
+}
+
+fn routes(source: &Source, wire: &wire::Gateway, classes: &[String]) -> Result<Vec<Route>> {
+    let mut routes = Vec::new();
+    for (i, r) in wire.routes.iter().enumerate() {
+        let at = |what: String| source.fail_at(&format!("\"{}\"", r.path), format!("routes[{i}].{what}"));
+        if !r.path.starts_with('/') {
+            return at(format!("path: expected a path like /package.Service/Method, found '{}'", r.path));
+        }
+        if !r.units.is_finite() || r.units < 0.0 {
+            return at(format!("units: expected a number of 0 or more, found {}", r.units));
+        }
+        routes.push(Route {
+            path: r.path.trim_end_matches('*').to_string(),
+            prefix: r.path.ends_with('*'),
+            class: source.known(&format!("routes[{i}].class"), &r.class, classes)?,
+            units: if r.units == 0.0 { 1.0 } else { r.units },
+            client_units: r.client_units,
+        });
+    }
+    Ok(routes)
+}
+
+fn check(source: &Source, wire: &wire::Gateway) -> Result<Settings> {
+    let mut class_names: Vec<String> = wire.classes.iter().map(|c| c.name.clone()).collect();
+    let plan_names: Vec<String> = wire.plans.iter().map(|p| p.name.clone()).collect();
+    source.named("classes", &class_names)?;
+    source.named("plans", &plan_names)?;
+    for (what, empty) in [
+        ("classes", wire.classes.is_empty()),
+        ("plans", wire.plans.is_empty()),
+        ("routes", wire.routes.is_empty()),
+    ] {
+        if empty {
+            return source.fail(format!("{what}: expected at least one"));
+        }
+    }
+    let mut classes = Vec::new();
+    for (i, c) in wire.classes.iter().enumerate() {
+        classes.push(source.class(i, c)?);
+    }
+    let routes = routes(source, wire, &class_names)?;
+    let mut unkeyed: Vec<usize> = (0..classes.len()).collect();
+    for i in 0..unkeyed.len() {
+        if classes[i].effect == Effect::Keyed {
+            unkeyed[i] = classes.len();
+            classes.push(api::Class { effect: Effect::Unsafe, ..classes[i].clone() });
+            class_names.push(class_names[i].clone());
+        }
+    }
+    unkeyed.extend(unkeyed.len()..classes.len());
+    let customers = wire.customers.clone().unwrap_or_default();
+    let mut plan_of = HashMap::new();
+    for (name, plan) in &customers.plan_of {
+        plan_of.insert(name.clone(), source.known("customers.plan_of", plan, &plan_names)?);
+    }
+    let default_plan = match customers.default_plan.as_str() {
+        "" => None,
+        name => Some(source.known("customers.default_plan", name, &plan_names)?),
+    };
+    let metadata = if customers.metadata.is_empty() { "x-customer" } else { &customers.metadata };
+    let Ok(customer_metadata) = metadata.parse() else {
+        return source
+            .fail_at(metadata, format!("customers.metadata: expected a metadata name, found '{metadata}'"));
+    };
+    let counter = wire.counter.clone().unwrap_or_default();
+    let endpoints = wire.endpoints.clone().unwrap_or_default();
+    if endpoints.file.is_empty() {
+        return source.fail("endpoints.file: expected the file with the server list");
+    }
+    let limits = wire.limits.unwrap_or_default();
+    let start = wire.start.unwrap_or_default();
+    let logs = wire.logs.clone().unwrap_or_default();
+    let log_level = if logs.level.is_empty() { "info".to_string() } else { logs.level };
+    let levels = ["error", "warn", "info", "debug", "trace"].map(String::from);
+    source.known("logs.level", &log_level, &levels)?;
+    let fleet = or(wire.fleet, 1);
+    let address = match counter.address.as_str() {
+        "" => None,
+        text => Some(source.address("counter.address", text)?),
+    };
+    let policy = api::Settings {
+        gateways: fleet,
+        me: wire.number,
+        zone: zone_of(&wire.zone),
+        classes,
+        plans: wire.plans.iter().map(plan).collect(),
+        max_attempts: or(limits.attempts, 3) as usize,
+        second_copies: false,
+        may_cancel: true,
+        probes: false,
+        retry_after: limits.retry_after_ms > 0,
+        max_retry_after: millis(limits.retry_after_ms),
+        counter: address.is_some(),
+        count_timeout: millis(or(counter.timeout_ms, 80)),
+        most_units: if limits.most_units == 0.0 { 1.0 } else { limits.most_units },
+        must_subscribe: false,
+        answer_slack: Micros(0),
+        cold_from: if start.cold_ms == 0 { 1.0 } else { start.cold_from },
+        cold: millis(start.cold_ms),
+        fall_multiple: if start.fall_multiple == 0.0 { 2.0 } else { start.fall_multiple },
+        tip_after: millis(start.tip_after_ms),
+        tick: Micros(1_000),
+    };
+    if let Err(e) = policy.check() {
+        return source.fail(e.to_string());
+    }
+    Ok(Settings {
+        listen: source.address("listen", &wire.listen)?,
+        admin: match wire.admin.as_str() {
+            "" => None,
+            text => Some(source.address("admin", text)?),
+        },
+        routes,
+        unkeyed,
+        class_names,
+        plan_names,
+        customer_metadata,
+        default_plan,
+        plan_of,
+        spread: or(customers.spread, fleet).min(fleet),
+        counter: address,
+        endpoints: PathBuf::from(endpoints.file),
+        poll: u64::from(or(endpoints.poll_ms, 200)) * 1_000,
+        connect_timeout: u64::from(or(endpoints.connect_timeout_ms, 250)) * 1_000,
+        server_connections: or(endpoints.connections, 2) as usize,
+        server_streams: or(endpoints.streams, 100),
+        keep_bytes: or(limits.keep_bytes, 65_536) as usize,
+        front: Limits {
+            connections: or(limits.connections, 16_384) as usize,
+            streams: or(limits.streams_per_connection, 1_024),
+            header_bytes: or(limits.header_bytes, 16_384),
+            ..Limits::default()
+        },
+        log_level,
+        log_json: logs.json,
+        policy,
+    })
+}
+
+/// The number of a zone's name, equal at every gateway.
+pub(crate) fn zone_of(name: &str) -> ZoneId {
+    ZoneId(crate::number_of(name) as u32)
+}
--- /dev/null
+++ b/crates/gateway/src/shell.rs
@@ -0,0 +1,304 @@
+//! One gateway on real sockets: events of the decisions are raised from what happens there, and each action that
+//! comes back is carried out. Nothing is sent, refused, failed, repeated or called off here that was not decided there;
+//! a client's own deadline on an answer that has started is the client's going away.
+
+use crate::calls::Calls;
+use crate::counter::{Counter, Told};
+use crate::endpoints;
+use crate::metrics::{self, Metrics};
+use crate::pool::{AttemptId, Pool};
+use crate::settings::Settings;
+use crate::watch::Watch;
+use chalkdeck::api::{Action, CountName, Event, ListScope, Micros, Outcome, RequestId, TimerId};
+use chalkdeck::rules::Gateway;
+use chalkdeck_net::grpc::Code;
+use chalkdeck_net::signals::Signals;
+use chalkdeck_net::{ConnId, Engine, Event as NetEvent, ListenerId};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The longest sleep of the loop; signals are looked at that often.
+const LONGEST_WAIT: u64 = 100_000;
+
+/// What a timer of the loop is for.
+#[derive(Clone, Copy)]
+pub(crate) enum Due {
+    Policy(TimerId),
+    GiveUp(AttemptId),
+    Deadline(RequestId),
+    Count(CountName, u64),
+    Connect(ConnId),
+    Look,
+}
+
+/// A running gateway.
+pub struct Shell {
+    pub(crate) engine: Engine,
+    policy: Gateway,
+    pub(crate) set: Settings,
+    file: Option<PathBuf>,
+    listener: ListenerId,
+    listen: SocketAddr,
+    admin: Option<SocketAddr>,
+    pub(crate) calls: Calls,
+    pub(crate) counter: Option<Counter>,
+    pub(crate) pool: Pool,
+    watch: Watch,
+    pub(crate) metrics: Metrics,
+    due: HashMap<u64, Due>,
+    next_due: u64,
+    pub(crate) todo: VecDeque<Event>,
+    actions: Vec<Action>,
+    events: Vec<NetEvent>,
+    stop_by: Option<u64>,
+}
+
+impl Shell {
+    /// Binds the sockets and reads the server list. `shared`: other instances listen at the same address.
+    /// `file`: where settings are read again from. Errors: an address that cannot be bound.
+    pub fn start(set: Settings, file: Option<PathBuf>, seed: u64, shared: bool) -> io::Result<Shell> {
+        let mut engine = Engine::new()?;
+        let (listener, listen) = engine.listen(set.listen, set.front, shared, false)?;
+        let admin = match set.admin {
+            Some(address) => Some(engine.listen(address, set.front, shared, true)?.1),
+            None => None,
+        };
+        let policy = Gateway::new(seed, set.policy.clone()).map_err(io::Error::other)?;
+        let mut shell = Shell {
+            engine,
+            policy,
+            file,
+            listener,
+            listen,
+            admin,
+            calls: Calls::default(),
+            counter: set.counter.map(Counter::new),
+            pool: Pool::new(set.server_connections, set.server_streams),
+            watch: Watch::new(set.endpoints.clone()),
+            metrics: Metrics::new(),
+            due: HashMap::new(),
+            next_due: 0,
+            todo: VecDeque::new(),
+            actions: Vec::new(),
+            events: Vec::new(),
+            stop_by: None,
+            set,
+        };
+        shell.look();
+        Ok(shell)
+    }
+
+    /// Where calls come in.
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+    /// Where health and metrics are served.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin
+    }
+
+    /// Carries calls until it is asked to stop and what it holds has ended, at the latest by the longest deadline.
+    pub fn run(&mut self, signals: &Signals) -> io::Result<()> {
+        loop {
+            self.turn(LONGEST_WAIT)?;
+            if signals.reload() {
+                self.reload();
+            }
+            if signals.stop() && self.stop_by.is_none() {
+                self.begin_stop();
+            }
+            let Some(by) = self.stop_by else { continue };
+            if self.calls.open == 0 || self.engine.now() >= by {
+                return self.end_stop();
+            }
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        let longest = self.set.policy.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
+        self.stop_by = Some(self.engine.now() + longest);
+        self.engine.unlisten(self.listener);
+        self.engine.drain(self.listener);
+        tracing::info!(open = self.calls.open, "stopping: takes no calls, finishes what it holds");
+    }
+
+    /// What is still open are streams without an end of their own: they are told.
+    fn end_stop(&mut self) -> io::Result<()> {
+        for id in self.calls.open_ids() {
+            self.break_off(id, Code::Unavailable, "the gateway stops");
+        }
+        self.settle();
+        let flush_by = self.engine.now() + LONGEST_WAIT;
+        while self.engine.held().1 > 0 && self.engine.now() < flush_by {
+            self.turn(1_000)?;
+        }
+        for _ in 0..3 {
+            self.turn(1_000)?;
+        }
+        tracing::info!("stopped");
+        Ok(())
+    }
+
+    /// Waits for what happens, at most so many microseconds, and deals with it.
+    pub fn turn(&mut self, most_wait: u64) -> io::Result<()> {
+        let mut events = std::mem::take(&mut self.events);
+        self.engine.turn(most_wait, &mut events)?;
+        for event in events.drain(..) {
+            self.on_event(event);
+            self.settle();
+        }
+        self.events = events;
+        Ok(())
+    }
+
+    fn on_event(&mut self, event: NetEvent) {
+        match event {
+            NetEvent::Accepted { .. } => {}
+            NetEvent::Opened { stream, head, ended, .. } => self.on_call(stream, &head, ended),
+            NetEvent::Connected { conn } => self.on_connected(conn),
+            NetEvent::Closed { conn, why, .. } => self.on_closed(conn, &why),
+            NetEvent::Head { stream, head, ended } => self.on_head(stream, head, ended),
+            NetEvent::Data { stream, data } => self.on_data(stream, data),
+            NetEvent::End { stream, trailers } => self.on_end(stream, trailers),
+            NetEvent::Sent { stream, bytes } => self.on_sent(stream, bytes),
+            NetEvent::Broken { stream, how } => self.on_broken(stream, how),
+            NetEvent::Timer(token) => self.on_due(token),
+            NetEvent::Get { conn, path } => self.on_get(conn, &path),
+        }
+    }
+
+    // ---- between the decisions and the sockets ----
+
+    /// Tells the decisions what happened and carries out what follows, until nothing follows.
+    fn settle(&mut self) {
+        while let Some(event) = self.todo.pop_front() {
+            let now = Micros(self.engine.now());
+            let mut actions = std::mem::take(&mut self.actions);
+            self.policy.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send(id, server, until) => self.send(id, server, until.0),
+            Action::Refuse(id, back_in) => self.refuse(id, back_in.map(|m| m.0)),
+            Action::Fail(id) => self.fail(id),
+            Action::Cancel(call, number) => self.call_off(AttemptId { call, number }, Outcome::Cancelled),
+            Action::Count(name, amount, life) => self.count(name, amount, life.0),
+            Action::SetTimer(timer, after) => self.due_in(after.0, Due::Policy(timer)),
+            Action::FetchList => self.look(),
+            // The settings allow neither probes nor subscriptions: the list is watched.
+            Action::Probe(_) | Action::Subscribe => {}
+        }
+    }
+
+    pub(crate) fn due_in(&mut self, after: u64, due: Due) {
+        self.next_due += 1;
+        self.due.insert(self.next_due, due);
+        self.engine.timer(self.engine.now().saturating_add(after), self.next_due);
+    }
+
+    fn on_due(&mut self, token: u64) {
+        match self.due.remove(&token) {
+            Some(Due::Policy(timer)) => self.todo.push_back(Event::Timer(timer)),
+            Some(Due::GiveUp(attempt)) => self.give_up(attempt),
+            Some(Due::Deadline(id)) => self.client_deadline(id),
+            Some(Due::Count(name, call)) => {
+                let Shell { counter: Some(counter), engine, .. } = self else { return };
+                let told = counter.timed_out(engine, name, call);
+                self.counted(told);
+            }
+            Some(Due::Connect(conn)) if !self.pool.is_connecting(conn) => {}
+            Some(Due::Connect(conn)) => {
+                self.engine.close(conn);
+                self.on_closed(conn, "not made in time");
+            }
+            Some(Due::Look) => self.look(),
+            None => {}
+        }
+    }
+
+    fn count(&mut self, name: CountName, amount: f64, life: u64) {
+        let Shell { counter: Some(counter), engine, .. } = self else { return };
+        let (call, told) = counter.add(engine, name, amount, life);
+        if told.is_empty() {
+            self.due_in(self.set.policy.count_timeout.0, Due::Count(name, call));
+        }
+        self.counted(told);
+    }
+
+    pub(crate) fn counted(&mut self, told: Vec<Told>) {
+        for Told { name, outcome, total } in told {
+            self.metrics.counts.get_or_create(&kind(outcome)).inc();
+            self.todo.push_back(Event::Counted(name, outcome, total));
+        }
+    }
+
+    // ---- lists, settings, side port ----
+
+    /// Reads the server list again if it changed. A broken one leaves the last good list in force.
+    fn look(&mut self) {
+        self.due_in(self.set.poll, Due::Look);
+        let Some(bytes) = self.watch.look() else { return };
+        let list = bytes.and_then(|b| endpoints::read(self.watch.path(), &b).map_err(|e| e.to_string()));
+        match list {
+            Ok(servers) => {
+                tracing::info!(servers = servers.len(), "server list read");
+                self.metrics.servers.set(servers.len() as i64);
+                self.pool.update(&mut self.engine, &servers);
+                let entries = servers.into_iter().map(|s| s.entry).collect();
+                self.todo.push_back(Event::Servers(ListScope::Whole, entries));
+            }
+            Err(why) => {
+                self.metrics.list_failures.inc();
+                tracing::error!(file = %self.watch.path().display(), "the last good server list stays: {why}");
+            }
+        }
+        self.settle();
+    }
+
+    /// Takes over what can change in service; the decisions' own settings need a new start.
+    fn reload(&mut self) {
+        let Some(file) = &self.file else { return };
+        let new = match Settings::load(file) {
+            Ok(new) => new,
+            Err(e) => return tracing::error!("the earlier settings stay: {e}"),
+        };
+        let fixed = |s: &Settings| (format!("{:?}", s.policy), s.listen, s.admin, s.counter);
+        if fixed(&new) != fixed(&self.set) {
+            tracing::error!(
+                "the earlier settings stay: classes, plans, fleet, limits and addresses need a new start"
+            );
+            return;
+        }
+        if new.endpoints != self.set.endpoints {
+            self.watch = Watch::new(new.endpoints.clone());
+        }
+        self.set = new;
+        tracing::info!("settings read again");
+    }
+
+    fn on_get(&mut self, conn: ConnId, path: &str) {
+        let (connections, _) = self.engine.held();
+        self.metrics.connections.set(connections as i64);
+        match path {
+            "/healthz" if self.stop_by.is_some() => self.engine.reply(conn, 503, "stopping\n"),
+            "/healthz" => self.engine.reply(conn, 200, "ok\n"),
+            "/metrics" => {
+                let text = self.metrics.text();
+                self.engine.reply(conn, 200, &text);
+            }
+            _ => self.engine.reply(conn, 404, "expected /healthz or /metrics\n"),
+        }
+    }
+}
+
+pub(crate) fn kind(outcome: Outcome) -> metrics::Kind {
+    metrics::Kind { kind: format!("{outcome:?}").to_lowercase() }
+}
