--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -1,6 +1,7 @@
 //! How a shell carries calls: between a client's stream, the attempts at servers and the decisions.
 
 use crate::calls::{Answer, Attempt, Call};
+use crate::fault::Fault;
 use crate::front;
 use crate::metrics;
 use crate::outcome::{self, Ended};
@@ -108,12 +109,34 @@
         if ended {
             self.engine.finish(stream, None);
         }
+        if self.fault == Some(Fault::Repeat) {
+            self.send_twin(conn, attempt);
+        }
         if replay.gone {
             self.todo.push_back(Event::BodyGone(attempt.call));
         }
         true
     }
 
+    /// The fault that breaks the second rule.
+    fn send_twin(&mut self, conn: ConnId, attempt: AttemptId) {
+        let Some(call) = self.calls.get(attempt.call) else { return };
+        let Some(mut head) = grpc::request("twin", &call.path) else { return };
+        head.headers_mut().extend(call.headers.clone());
+        if let Some(stream) = self.engine.open(conn, head, false) {
+            self.engine.finish(stream, None);
+        }
+    }
+
+    /// The fault that breaks the fifth rule. The decisions have let the call go; whatever comes back is passed on.
+    fn send_refused(&mut self, id: RequestId) -> bool {
+        let server = self.pool.any();
+        let attempts = self.calls.get(id).map_or(1, |c| c.attempts.len());
+        let Some(server) = server.filter(|_| attempts == 0) else { return false };
+        self.send(id, server, u64::MAX);
+        true
+    }
+
     /// An attempt ended; `answered`: with it the call has its final answer.
     fn ended(&mut self, id: AttemptId, outcome: Outcome, answered: bool) {
         let now = self.engine.now();
@@ -161,6 +184,9 @@
     }
 
     pub(crate) fn refuse(&mut self, id: RequestId, back_in: Option<u64>) {
+        if self.fault == Some(Fault::Ceiling) && self.send_refused(id) {
+            return;
+        }
         let Some(call) = self.calls.get(id) else { return };
         let message = call.server_said.clone().unwrap_or("over the quota or no room to serve it".to_string());
         let mut trailers = grpc::trailers(Code::ResourceExhausted, &message);
@@ -178,9 +204,12 @@
     }
 
     fn answer(&mut self, id: RequestId, response: http::Response<()>, end: End) {
+        let fault = self.fault;
         let Some(call) = self.calls.get(id).filter(|c| !c.is_done()) else { return };
         let front = call.front;
-        self.engine.respond(front, response, true);
+        if fault != Some(Fault::Lose) {
+            self.engine.respond(front, response, true);
+        }
         self.close_call(id, end);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod carry;
 mod counter;
 pub mod endpoints;
+pub mod fault;
 mod front;
 pub mod logs;
 mod metrics;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Some server of the list.
+    pub(crate) fn any(&self) -> Option<ServerId> {
+        self.places.keys().min().copied()
+    }
+
     pub(crate) fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.places.get(&server).map(|p| p.address)
     }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -5,11 +5,12 @@
 use crate::calls::Calls;
 use crate::counter::{Counter, Told};
 use crate::endpoints;
+use crate::fault::Fault;
 use crate::metrics::{self, Metrics};
 use crate::pool::{AttemptId, Pool};
 use crate::settings::Settings;
 use crate::watch::Watch;
-use chalkdeck::api::{Action, CountName, Event, ListScope, Micros, Outcome, RequestId, TimerId};
+use chalkdeck::api::{Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, TimerId};
 use chalkdeck::rules::Gateway;
 use chalkdeck_net::grpc::Code;
 use chalkdeck_net::signals::Signals;
@@ -53,6 +54,7 @@
     actions: Vec<Action>,
     events: Vec<NetEvent>,
     stop_by: Option<u64>,
+    pub(crate) fault: Option<Fault>,
 }
 
 impl Shell {
@@ -84,12 +86,18 @@
             actions: Vec::new(),
             events: Vec::new(),
             stop_by: None,
+            fault: None,
             set,
         };
         shell.look();
         Ok(shell)
     }
 
+    /// Puts a fault into the carrying code, for audits.
+    pub fn inject(&mut self, fault: Fault) {
+        tracing::warn!(?fault, "a fault was asked for: rules will be broken");
+        self.fault = Some(fault);
+    }
     /// Where calls come in.
     pub fn listen(&self) -> SocketAddr {
         self.listen
@@ -252,7 +260,15 @@
                 tracing::info!(servers = servers.len(), "server list read");
                 self.metrics.servers.set(servers.len() as i64);
                 self.pool.update(&mut self.engine, &servers);
-                let entries = servers.into_iter().map(|s| s.entry).collect();
+                let mut entries: Vec<_> = servers.into_iter().map(|s| s.entry).collect();
+                for entry in &mut entries {
+                    if self.fault == Some(Fault::Drains) {
+                        entry.listed = Listed::InService;
+                    }
+                    if self.fault == Some(Fault::Cold) {
+                        entry.started = None;
+                    }
+                }
                 self.todo.push_back(Event::Servers(ListScope::Whole, entries));
             }
             Err(why) => {
--- /dev/null
+++ b/crates/lab/src/cli.rs
@@ -0,0 +1,355 @@
+//! Commands of the laboratory.
+
+use crate::farm::{Cell, Farm};
+use crate::load::{Load, Plan};
+use crate::log::Log;
+use crate::model::Build;
+use crate::process::{end_with_parent, Program};
+use crate::{audit, counter, day, demo, replay};
+use anyhow::{bail, Context};
+use chalkdeck_gateway::relay::Relay;
+use chalkdeck_gateway::{logs, Settings, Shell};
+use chalkdeck_net::signals::Signals;
+use chalkdeck_proto::chalkdeck::lab::v1::Day;
+use clap::{Args, Parser, Subcommand};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Stand-ins, load, days and audits for chalkdeck.
+#[derive(Parser)]
+#[command(name = "chalkdeck-lab", version)]
+pub struct Lab {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// What the laboratory does.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Stand-in for the counter
+    Counter(CounterArgs),
+    /// Stand-ins for the servers of one cell
+    Farm(FarmArgs),
+    /// Open-loop gRPC load
+    Load(LoadArgs),
+    /// A gateway, as `chalkdeck serve` starts it
+    Serve(ServeArgs),
+    /// A relay on the gateway's sockets without its decisions
+    Relay(RelayArgs),
+    /// Play a day and audit it
+    Run(RunArgs),
+    /// Audit the logs of a run
+    Audit { dir: PathBuf },
+    /// Play the troubles of a bench day and audit the run
+    Replay(ReplayArgs),
+    /// Gateways, counter, servers and a small load with no settings
+    Demo(DemoArgs),
+}
+
+#[derive(Args)]
+pub struct CounterArgs {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+#[derive(Args)]
+pub struct FarmArgs {
+    /// A day: its farm, work and cold start
+    #[arg(long)]
+    pub day: PathBuf,
+    /// One address for each server
+    #[arg(long, value_delimiter = ',', default_value = "127.0.0.1:0")]
+    pub listen: Vec<SocketAddr>,
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    #[arg(long)]
+    pub log: Option<PathBuf>,
+    /// The servers have been up for long
+    #[arg(long)]
+    pub warm: bool,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+#[derive(Args)]
+pub struct LoadArgs {
+    /// A day: its load
+    #[arg(long)]
+    pub day: PathBuf,
+    /// Gateways, or whatever takes the calls
+    #[arg(long, value_delimiter = ',', required = true)]
+    pub gateways: Vec<SocketAddr>,
+    #[arg(long, default_value_t = 10.0)]
+    pub seconds: f64,
+    /// Calls a second, instead of the day's
+    #[arg(long)]
+    pub rate: Option<f64>,
+    /// Keep so many calls out instead of a rate
+    #[arg(long)]
+    pub outstanding: Option<usize>,
+    #[arg(long, default_value_t = 2)]
+    pub connections: usize,
+    #[arg(long)]
+    pub control: Option<SocketAddr>,
+    #[arg(long)]
+    pub log: Option<PathBuf>,
+    /// Where the figures go as JSON
+    #[arg(long)]
+    pub out: Option<PathBuf>,
+    /// The first part of every call's id
+    #[arg(long, default_value = "c")]
+    pub prefix: String,
+    /// Print figures each second
+    #[arg(long)]
+    pub lines: bool,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+#[derive(Args)]
+pub struct ServeArgs {
+    /// Settings, protobuf text of chalkdeck.config.v1.Gateway
+    pub config: PathBuf,
+    /// A fault in the carrying code, to see an audit fail: lose, repeat, drains, cold, ceiling
+    #[arg(long, hide = true)]
+    pub fault: Option<String>,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+#[derive(Args)]
+pub struct RelayArgs {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    #[arg(long, value_delimiter = ',', required = true)]
+    pub servers: Vec<SocketAddr>,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+#[derive(Args)]
+pub struct RunArgs {
+    pub day: PathBuf,
+    /// Where logs go; made, and emptied of an earlier run's logs
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+    #[arg(long, hide = true)]
+    pub fault: Option<String>,
+    /// Print figures each second
+    #[arg(long)]
+    pub lines: bool,
+}
+
+#[derive(Args)]
+pub struct ReplayArgs {
+    /// A bench day, JSON
+    pub day: PathBuf,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+    /// The longest that it may last; longer days are played faster
+    #[arg(long, default_value_t = 60)]
+    pub seconds: u32,
+    #[arg(long)]
+    pub lines: bool,
+}
+
+#[derive(Args)]
+pub struct DemoArgs {
+    /// Port of the first gateway; 0: a free one
+    #[arg(long, default_value_t = 0)]
+    pub port: u16,
+    /// End after so many seconds
+    #[arg(long)]
+    pub seconds: Option<u64>,
+    /// Only the fleet, no calls
+    #[arg(long)]
+    pub no_load: bool,
+}
+
+/// Turns a command's end into the program's.
+pub fn exit(result: anyhow::Result<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+impl Command {
+    /// Does it. `before`: the arguments that lead this program to these commands.
+    pub fn run_as(self, before: &[&str]) -> anyhow::Result<()> {
+        match self {
+            Command::Counter(args) => run_counter(&args),
+            Command::Farm(args) => run_farm(&args),
+            Command::Load(args) => run_load(args),
+            Command::Serve(args) => serve(&args),
+            Command::Relay(args) => run_relay(args),
+            Command::Run(args) => {
+                let day = day::read(&args.day)?;
+                play(before, day, &args.dir, args.fault, args.lines)
+            }
+            Command::Audit { dir } => report(&dir),
+            Command::Replay(args) => {
+                let replay = replay::read(&args.day, demo::fleet()?, args.seconds)?;
+                for kind in &replay.unplayed {
+                    println!("not played: {kind}");
+                }
+                for t in &replay.day.troubles {
+                    println!("plays {} at {} ms for {} ms", t.kind, t.at_ms, t.for_ms);
+                }
+                play(before, replay.day, &args.dir, None, args.lines)
+            }
+            Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
+        }
+    }
+    /// Does it in the laboratory's own program.
+    pub fn run(self) -> anyhow::Result<()> {
+        self.run_as(&[])
+    }
+}
+
+fn begin(with_parent: bool) {
+    logs::start("info", false);
+    if with_parent {
+        end_with_parent();
+    }
+}
+
+fn run_counter(args: &CounterArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let mut counter = counter::Counter::start(args.listen, args.control)?;
+    println!("ready grpc={} control={}", counter.listen(), counter.control());
+    Ok(counter.run(&signals)?)
+}
+
+/// The servers' side of a day.
+pub fn farm_of(day: &Day, warm: bool) -> Farm {
+    let farm = day.farm.unwrap_or_default();
+    let gateway = day.gateway.clone().unwrap_or_default();
+    let start = gateway.start.unwrap_or_default();
+    let window = gateway.classes.iter().map(|c| c.window_ms).max().unwrap_or(0);
+    let build = Build {
+        cores: farm.cores.max(1) as usize,
+        room: farm.room as usize,
+        cold_from: start.cold_from,
+        cold: if warm { 0 } else { u64::from(start.cold_ms) * 1_000 },
+        fall_multiple: start.fall_multiple,
+        tip_after: u64::from(start.tip_after_ms) * 1_000,
+        runs_on: farm.runs_on,
+    };
+    let connections = if farm.connections == 0 { 1024 } else { farm.connections as usize };
+    Farm { build, work: day.work.clone(), connections, window: u64::from(window) * 1_000, seed: day.seed }
+}
+
+fn run_farm(args: &FarmArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let day = day::read(&args.day)?;
+    let log = Log::create(args.log.as_deref())?;
+    let mut cell = Cell::start(farm_of(&day, args.warm), &args.listen, args.control, log)?;
+    let addresses: Vec<String> = cell.addresses().iter().map(ToString::to_string).collect();
+    println!("ready servers={} control={}", addresses.join(","), cell.control());
+    Ok(cell.run(&signals)?)
+}
+
+fn run_load(args: LoadArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let day = day::read(&args.day)?;
+    let mut shape = day.load.context("expected a load in the day")?;
+    if let Some(rate) = args.rate {
+        shape.rate = rate;
+    }
+    if shape.customers.is_empty() || shape.mix.is_empty() || shape.rate <= 0.0 {
+        bail!("{}: expected load.customers, load.mix and a rate above 0", args.day.display());
+    }
+    let plan = Plan {
+        gateways: args.gateways,
+        shape,
+        seconds: args.seconds,
+        seed: day.seed,
+        outstanding: args.outstanding,
+        connections: args.connections,
+        prefix: args.prefix,
+        control: args.control,
+        lines: args.lines,
+    };
+    let mut load = Load::start(plan, Log::create(args.log.as_deref())?)?;
+    let control = load.control().map_or(String::new(), |c| format!(" control={c}"));
+    println!("ready{control}");
+    load.run(&signals)?;
+    let summary = serde_json::to_string(&load.figures.summary())?;
+    match &args.out {
+        Some(path) => std::fs::write(path, summary)?,
+        None => println!("{summary}"),
+    }
+    Ok(())
+}
+
+/// Runs a gateway until it is stopped.
+pub fn serve(args: &ServeArgs) -> anyhow::Result<()> {
+    let set = Settings::load(&args.config)?;
+    logs::start(&set.log_level, set.log_json);
+    if args.with_parent {
+        end_with_parent();
+    }
+    let signals = Signals::take()?;
+    let mut shell = Shell::start(set, Some(args.config.clone()), fastrand::u64(..), false)?;
+    if let Some(fault) = &args.fault {
+        shell.inject(fault.parse().map_err(anyhow::Error::msg)?);
+    }
+    let admin = shell.admin().map_or("-".to_string(), |a| a.to_string());
+    println!("ready grpc={} admin={admin}", shell.listen());
+    Ok(shell.run(&signals)?)
+}
+
+fn run_relay(args: RelayArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let mut relay = Relay::start(args.listen, args.servers)?;
+    println!("ready grpc={}", relay.listen());
+    Ok(relay.run(&signals)?)
+}
+
+fn play(before: &[&str], day: Day, dir: &Path, fault: Option<String>, lines: bool) -> anyhow::Result<()> {
+    clear(dir)?;
+    let summary = day::run(Program::this(before)?, day, dir, fault, lines)?;
+    println!("{}", serde_json::to_string(&summary)?);
+    report(dir)
+}
+
+/// Removes an earlier run's logs, and nothing else.
+fn clear(dir: &Path) -> anyhow::Result<()> {
+    let Ok(entries) = std::fs::read_dir(dir) else { return Ok(()) };
+    for entry in entries {
+        let path = entry?.path();
+        if path.extension().is_some_and(|e| e == "jsonl" || e == "log") {
+            std::fs::remove_file(path)?;
+        }
+    }
+    Ok(())
+}
+
+fn report(dir: &Path) -> anyhow::Result<()> {
+    let verdict = audit::audit(&audit::Record::read(dir)?);
+    println!(
+        "calls {} ends {:?} attempts {} work done {}",
+        verdict.calls, verdict.ends, verdict.attempts, verdict.effects
+    );
+    for breach in verdict.breaches.iter().take(20) {
+        println!("rule {}: {}", breach.rule, breach.what);
+    }
+    if !verdict.breaches.is_empty() {
+        bail!("{} breaches of the rules", verdict.breaches.len());
+    }
+    println!("no rule broken");
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! The laboratory: stand-ins for the counter and the servers, a load tool, scripted days and their audit.
+#![forbid(unsafe_code)]
+
+pub mod audit;
+pub mod cli;
+pub mod control;
+pub mod counter;
+pub mod day;
+pub mod demo;
+pub mod farm;
+pub mod load;
+pub mod log;
+pub mod model;
+pub mod process;
+pub mod replay;
+pub mod report;
