--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -350,6 +350,7 @@
             connections: or(limits.connections, 16_384) as usize,
             streams: or(limits.streams_per_connection, 1_024),
             header_bytes: or(limits.header_bytes, 16_384),
+            resets: or(limits.resets_per_second, 1_000),
             ..Limits::default()
         },
         log_level,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -107,6 +107,15 @@
         self.admin
     }
 
+    /// Calls without their final answer.
+    pub fn open_calls(&self) -> usize {
+        self.calls.open
+    }
+    /// The metrics as the admin port serves them.
+    pub fn metrics(&self) -> String {
+        self.metrics.text()
+    }
+
     /// Carries calls until it is asked to stop and what it holds has ended, at the latest by the longest deadline.
     pub fn run(&mut self, signals: &Signals) -> io::Result<()> {
         loop {
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -32,6 +32,9 @@
     pub(crate) streams: usize,
     /// The address was reached at least once.
     pub(crate) reached: bool,
+    /// Streams that the client reset in that second.
+    pub(crate) resets: u32,
+    pub(crate) reset_second: u64,
 }
 
 pub(crate) enum Step {
@@ -60,12 +63,21 @@
         } else {
             Link::Welcome(Box::new(server_builder(&limits).handshake(Io(stream))))
         };
-        Conn { link, waker, limits, listener: Some(listener), streams: 0, reached: true }
+        Conn {
+            link,
+            waker,
+            limits,
+            listener: Some(listener),
+            streams: 0,
+            reached: true,
+            resets: 0,
+            reset_second: 0,
+        }
     }
 
     pub(crate) fn connecting(stream: TcpStream, limits: Limits, waker: Waker) -> Conn {
         let link = Link::Connecting(Some(stream));
-        Conn { link, waker, limits, listener: None, streams: 0, reached: false }
+        Conn { link, waker, limits, listener: None, streams: 0, reached: false, resets: 0, reset_second: 0 }
     }
 
     /// How many further streams it takes now: by our limit and by what the peer allows.
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -45,6 +45,8 @@
     pub connection_window: u32,
     /// The longest head or trailers, in bytes.
     pub header_bytes: u32,
+    /// Streams that a client may reset on one connection within a second; beyond that it is closed.
+    pub resets: u32,
 }
 
 impl Default for Limits {
@@ -55,6 +57,7 @@
             stream_window: 65_535,
             connection_window: 16 << 20,
             header_bytes: 16 << 10,
+            resets: 1_000,
         }
     }
 }
@@ -264,9 +267,13 @@
 
     /// Ends a connection at once.
     pub fn close(&mut self, conn: ConnId) {
+        self.close_for(conn, h2::Reason::NO_ERROR);
+    }
+
+    fn close_for(&mut self, conn: ConnId, reason: h2::Reason) {
         if let Some(c) = self.conns.get_mut(&conn.0) {
             match &mut c.link {
-                Link::Server(link) => link.abrupt_shutdown(h2::Reason::NO_ERROR),
+                Link::Server(link) => link.abrupt_shutdown(reason),
                 link => *link = Link::Closed,
             }
             c.waker.wake_by_ref();
@@ -325,15 +332,37 @@
 
     fn poll_key(&mut self, key: u64) {
         if let Some(stream) = self.streams.get_mut(&key) {
+            let conn = stream.conn;
             stream.poll(&mut self.out);
+            let reset = stream.was_reset();
             if stream.over() {
                 self.forget(key);
             }
+            if reset {
+                self.count_reset(conn);
+            }
         } else if self.conns.contains_key(&key) {
             self.poll_conn(key);
         }
     }
 
+    /// Guards against clients that open and reset without end: each such stream costs work that nobody waits for.
+    fn count_reset(&mut self, key: u64) {
+        let second = self.now() / 1_000_000;
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        if conn.reset_second != second {
+            (conn.reset_second, conn.resets) = (second, 0);
+        }
+        conn.resets += 1;
+        if conn.resets > conn.limits.resets && conn.listener.is_some() {
+            tracing::warn!(
+                resets = conn.resets,
+                "a client resets too many streams: its connection is closed"
+            );
+            self.close_for(ConnId(key), h2::Reason::ENHANCE_YOUR_CALM);
+        }
+    }
+
     fn forget(&mut self, key: u64) {
         let Some(stream) = self.streams.remove(&key) else { return };
         if let Some(conn) = self.conns.get_mut(&stream.conn) {
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -43,6 +43,7 @@
     queued: usize,
     end: End,
     broken: bool,
+    taken_back: bool,
 }
 
 fn why(error: &h2::Error) -> Broken {
@@ -92,6 +93,7 @@
             queued: 0,
             end: End::Open,
             broken: false,
+            taken_back: false,
         }
     }
 
@@ -102,6 +104,11 @@
         self.broken || if self.server_side { sent } else { heard }
     }
 
+    /// A client took its call back.
+    pub(crate) fn was_reset(&self) -> bool {
+        self.server_side && self.taken_back
+    }
+
     /// Sends the answer's head. Nothing happens when it was sent before.
     pub(crate) fn respond(&mut self, head: Response<()>, end: bool) {
         if let Outgoing::Head(out) = &mut self.outgoing {
@@ -150,6 +157,7 @@
         let result = self.poll_in(&mut cx, out).and_then(|()| self.poll_out(&mut cx, out));
         if let Err(how) = result {
             self.broken = true;
+            self.taken_back = matches!(how, Broken::Reset(_));
             out.push_back(Event::Broken { stream: self.id, how });
         }
     }
