--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -65,6 +65,7 @@
 
     /// Finds a connection for an attempt. Connections that take nothing new are dropped on the way.
     fn place(&mut self, attempt: AttemptId, server: ServerId) {
+        let server = self.freshest.unwrap_or(server);
         for _ in 0..=self.set.server_connections {
             match self.pool.find(&mut self.engine, server, attempt) {
                 Found::Ready(conn) => {
--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -11,7 +11,7 @@
     Repeat,
     /// Drains on the list are not told.
     Drains,
-    /// Starts of servers are not told.
+    /// All calls go to the server that started last.
     Cold,
     /// What is refused is sent on all the same.
     Ceiling,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -10,7 +10,9 @@
 use crate::pool::{AttemptId, Pool};
 use crate::settings::Settings;
 use crate::watch::Watch;
-use chalkdeck::api::{Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, TimerId};
+use chalkdeck::api::{
+    Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, ServerId, TimerId,
+};
 use chalkdeck::rules::Gateway;
 use chalkdeck_net::grpc::Code;
 use chalkdeck_net::signals::Signals;
@@ -55,6 +57,8 @@
     events: Vec<NetEvent>,
     stop_by: Option<u64>,
     pub(crate) fault: Option<Fault>,
+    /// Where the fault of cold servers sends all.
+    pub(crate) freshest: Option<ServerId>,
 }
 
 impl Shell {
@@ -87,6 +91,7 @@
             events: Vec::new(),
             stop_by: None,
             fault: None,
+            freshest: None,
             set,
         };
         shell.look();
@@ -274,8 +279,8 @@
                     if self.fault == Some(Fault::Drains) {
                         entry.listed = Listed::InService;
                     }
-                    if self.fault == Some(Fault::Cold) {
-                        entry.started = None;
+                    if self.fault == Some(Fault::Cold) && entry.started.is_some() {
+                        self.freshest = Some(entry.server);
                     }
                 }
                 self.todo.push_back(Event::Servers(ListScope::Whole, entries));
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -138,7 +138,8 @@
 #[test]
 fn what_is_no_call_is_told_so() {
     let mut rig = Rig::new(1);
-    let cases: [(&str, &[(&str, &str)], Code); 7] = [
+    type Metadata<'a> = &'a [(&'a str, &'a str)];
+    let cases: [(&str, Metadata, Code); 7] = [
         ("/farm.v1.Farm/Nothing", &[], Code::Unimplemented),
         (VIEW, &[("x-customer", "")], Code::Unauthenticated),
         (VIEW, &[("grpc-timeout", "5x")], Code::InvalidArgument),
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -5,7 +5,7 @@
 use crate::log::Log;
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
-use crate::{audit, counter, day, demo, replay};
+use crate::{audit, counter, day, demo, measure, replay};
 use anyhow::{bail, Context};
 use chalkdeck_gateway::relay::Relay;
 use chalkdeck_gateway::{logs, Settings, Shell};
@@ -45,6 +45,23 @@
     Replay(ReplayArgs),
     /// Gateways, counter, servers and a small load with no settings
     Demo(DemoArgs),
+    /// Calls a second and core, and added latency: straight, through a bare relay, through a gateway
+    Measure(MeasureArgs),
+}
+
+#[derive(Args)]
+pub struct MeasureArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 5.0)]
+    pub seconds: f64,
+    /// How often the ways take turns
+    #[arg(long, default_value_t = 3)]
+    pub rounds: u32,
+    /// Idle connections and open calls for the memory figures; 0: none
+    #[arg(long, default_value_t = 10_000)]
+    pub held: usize,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
 }
 
 #[derive(Args)]
@@ -107,6 +124,9 @@
     /// Print figures each second
     #[arg(long)]
     pub lines: bool,
+    /// Only connect, and hold the connections for the whole time
+    #[arg(long)]
+    pub idle: bool,
     #[arg(long, hide = true)]
     pub with_parent: bool,
 }
@@ -206,6 +226,7 @@
                 }
                 play(before, replay.day, &args.dir, None, args.lines)
             }
+            Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
         }
     }
@@ -285,7 +306,11 @@
     let mut load = Load::start(plan, Log::create(args.log.as_deref())?)?;
     let control = load.control().map_or(String::new(), |c| format!(" control={c}"));
     println!("ready{control}");
-    load.run(&signals)?;
+    if args.idle {
+        load.idle(&signals)?;
+    } else {
+        load.run(&signals)?;
+    }
     let summary = serde_json::to_string(&load.figures.summary())?;
     match &args.out {
         Some(path) => std::fs::write(path, summary)?,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod farm;
 pub mod load;
 pub mod log;
+pub mod measure;
 pub mod model;
 pub mod process;
 pub mod replay;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -165,6 +165,16 @@
         Ok(())
     }
 
+    /// Holds its connections for the planned time and sends nothing.
+    pub fn idle(&mut self, signals: &Signals) -> std::io::Result<()> {
+        let mut events = Vec::new();
+        let until = self.engine.now() + (self.plan.seconds * 1e6) as u64;
+        while !signals.stop() && self.engine.now() < until {
+            self.turn(&mut events)?;
+        }
+        Ok(())
+    }
+
     fn turn(&mut self, events: &mut Vec<Event>) -> std::io::Result<()> {
         self.engine.turn(20_000, events)?;
         for event in events.drain(..) {
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,86 @@
+//! Days played by real processes, and audits that must fail when a fault is put into the carrying code.
+use chalkdeck_lab::audit::{audit, Record, Verdict};
+use chalkdeck_lab::process::Program;
+use chalkdeck_lab::report::Summary;
+use chalkdeck_lab::{day, demo};
+use chalkdeck_proto::chalkdeck::lab::v1::{Day, Trouble};
+use std::path::{Path, PathBuf};
+
+fn program() -> Program {
+    Program { exe: PathBuf::from(env!("CARGO_BIN_EXE_chalkdeck-lab")), before: Vec::new() }
+}
+
+struct Played {
+    summary: Summary,
+    verdict: Verdict,
+}
+
+fn play(name: &str, day: Day, fault: Option<&str>) -> Played {
+    let dir = std::env::temp_dir().join(format!("chalkdeck-day-{}-{name}", std::process::id()));
+    let summary = day::run(program(), day, &dir, fault.map(String::from), false).expect("the day is played");
+    let verdict = audit(&Record::read(&dir).expect("its logs are read"));
+    if fault.is_some() || verdict.breaches.is_empty() {
+        let _ = std::fs::remove_dir_all(&dir);
+    }
+    Played { summary, verdict }
+}
+
+fn demo_day(seconds: u32, rate: f64, trouble: Trouble) -> Day {
+    let mut day = demo::fleet().expect("the demo's day");
+    day.seconds = seconds;
+    day.load.as_mut().expect("a load").rate = rate;
+    day.troubles = if trouble.kind.is_empty() { Vec::new() } else { vec![trouble] };
+    day
+}
+
+fn trouble(kind: &str, target: &str, factor: f64, at_ms: u32, for_ms: u32) -> Trouble {
+    Trouble { kind: kind.into(), at_ms, for_ms, target: target.into(), factor }
+}
+
+#[test]
+fn a_short_bad_day_breaks_no_rule() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("days/short.txtpb");
+    let played = play("short", day::read(&path).expect("a sound day"), None);
+    assert_eq!(played.verdict.breaches, []);
+    let s = &played.summary;
+    assert_eq!(
+        s.sent,
+        s.served + s.refused + s.failed + s.lost + s.silent + s.other,
+        "every call has one end"
+    );
+    assert_eq!((s.silent, s.other, s.late), (0, 0, 0));
+    assert!(s.served > s.sent / 3, "most that is inside the quotas is served: {s:?}");
+}
+
+/// The same day keeps the rule without the fault and breaks it with it.
+fn is_caught(rule: u8, fault: &str, day: Day) {
+    let sound = play(&format!("{fault}-sound"), day.clone(), None);
+    assert_eq!(sound.verdict.breaches, []);
+    let faulty = play(&format!("{fault}-faulty"), day, Some(fault));
+    assert!(faulty.verdict.broke(rule), "rule {rule}: {:?}", faulty.verdict.breaches);
+}
+
+#[test]
+fn lost_answers_are_caught() {
+    is_caught(1, "lose", demo_day(3, 120.0, trouble("tenant_burst", "seed", 200.0, 200, 2_000)));
+}
+
+#[test]
+fn repeated_effects_are_caught() {
+    is_caught(2, "repeat", demo_day(3, 150.0, Trouble::default()));
+}
+
+#[test]
+fn broken_drains_are_caught() {
+    is_caught(3, "drains", demo_day(5, 120.0, trouble("drain", "4", 0.0, 200, 4_700)));
+}
+
+#[test]
+fn cold_servers_pushed_over_are_caught() {
+    is_caught(4, "cold", demo_day(7, 230.0, trouble("zone_loss", "north", 0.0, 300, 1_000)));
+}
+
+#[test]
+fn ceilings_passed_are_caught() {
+    is_caught(5, "ceiling", demo_day(4, 100.0, trouble("hot_caller", "estate", 300.0, 200, 3_500)));
+}
