--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use chalkdeck::api::{Arrival, RequestId, ServerId};
 use chalkdeck_net::StreamId;
+use http::uri::PathAndQuery;
 use http::{response, HeaderMap};
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 use crate::pool::AttemptId;
 
@@ -38,7 +39,7 @@
     pub(crate) arrival: Arrival,
     pub(crate) arrived: u64,
     pub(crate) client_deadline: Option<u64>,
-    pub(crate) path: String,
+    pub(crate) path: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) tries_before: u32,
     pub(crate) kept: Kept,
@@ -82,9 +83,9 @@
 /// All calls of a gateway. Bounded by the streams that its clients may open.
 #[derive(Default)]
 pub(crate) struct Calls {
-    by_id: HashMap<RequestId, Call>,
-    by_front: HashMap<StreamId, RequestId>,
-    by_back: HashMap<StreamId, AttemptId>,
+    by_id: FxHashMap<RequestId, Box<Call>>,
+    by_front: FxHashMap<StreamId, RequestId>,
+    by_back: FxHashMap<StreamId, AttemptId>,
     next: u64,
     /// Calls without their final answer.
     pub(crate) open: usize,
@@ -97,11 +98,11 @@
     }
     pub(crate) fn insert(&mut self, call: Call) {
         self.by_front.insert(call.front, call.arrival.id);
-        self.by_id.insert(call.arrival.id, call);
+        self.by_id.insert(call.arrival.id, Box::new(call));
         self.open += 1;
     }
     pub(crate) fn get(&mut self, id: RequestId) -> Option<&mut Call> {
-        self.by_id.get_mut(&id)
+        self.by_id.get_mut(&id).map(Box::as_mut)
     }
     pub(crate) fn of_front(&self, stream: StreamId) -> Option<RequestId> {
         self.by_front.get(&stream).copied()
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -3,25 +3,18 @@
 use crate::calls::{Answer, Attempt, Call};
 use crate::fault::Fault;
 use crate::front;
-use crate::metrics;
+use crate::metrics::{self, End};
 use crate::outcome::{self, Ended};
 use crate::pool::{AttemptId, Found};
-use crate::shell::{kind, Due, Shell};
+use crate::shell::{Due, Shell};
 use bytes::Bytes;
 use chalkdeck::api::{AttemptEnd, Event, Micros, Outcome, Report, RequestId, ServerId};
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::{Broken, ConnId, StreamId};
+use http::header::TE;
+use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{request, response, HeaderMap, HeaderName, HeaderValue};
 
-/// How a call ended, for the figures.
-#[derive(Clone, Copy, PartialEq)]
-enum End {
-    Served,
-    Refused,
-    Failed,
-    Gone,
-}
-
 impl Shell {
     // ---- calls ----
 
@@ -31,13 +24,12 @@
             Ok(asked) => asked,
             Err(why) => return self.reject(front, id, why),
         };
-        tracing::debug!(call = id.0, path = asked.path, units = asked.arrival.units, "taken");
+        tracing::debug!(call = id.0, path = asked.path.as_str(), units = asked.arrival.units, "taken");
         let arrival = asked.arrival.clone();
         let call = Call::new(asked, front, now, self.set.keep_bytes, ended);
         self.calls.insert(call);
         self.metrics.taken.inc();
         self.metrics.open.inc();
-        self.due_in(arrival.deadline.0.saturating_sub(now), Due::Deadline(id));
         self.todo.push_back(Event::Request(arrival));
     }
 
@@ -58,8 +50,12 @@
         let attempt = AttemptId { call: id, number: call.attempts.len() };
         call.attempts.push(Attempt { server, stream: None, sent: now, out: true, skip: 0 });
         call.answer = Answer::None;
+        let call_deadline = call.arrival.deadline.0;
         tracing::debug!(call = id.0, attempt = attempt.number, server = ?self.pool.address(server), "sent on");
-        self.due_in(until.saturating_sub(now), Due::GiveUp(attempt));
+        // At the deadline itself the decisions end the call, and with it what is out.
+        if until < call_deadline {
+            self.due_in(until.saturating_sub(now), Due::GiveUp(attempt));
+        }
         self.place(attempt, server);
     }
 
@@ -88,10 +84,12 @@
     fn open_on(&mut self, conn: ConnId, attempt: AttemptId) -> bool {
         let now = self.engine.now();
         let Some(call) = self.calls.get(attempt.call) else { return true };
-        let Some(address) = self.pool.address(call.attempts[attempt.number].server) else { return false };
-        let Some(mut head) = grpc::request(&address.to_string(), &call.path) else { return false };
-        head.headers_mut().extend(call.headers.clone());
-        head.headers_mut().insert("te", HeaderValue::from_static("trailers"));
+        let Some(authority) = self.pool.authority(call.attempts[attempt.number].server) else { return false };
+        let mut head = http::Request::new(());
+        *head.method_mut() = http::Method::POST;
+        *head.uri_mut() = uri(authority, call.path.clone());
+        *head.headers_mut() = call.headers.clone();
+        head.headers_mut().insert(TE, HeaderValue::from_static("trailers"));
         let stream = self.set.policy.classes[call.arrival.class.0].stream;
         if let Some(left) = timeout_left(call, stream, now) {
             head.headers_mut().insert(grpc::TIMEOUT, grpc::timeout(left));
@@ -122,7 +120,7 @@
     /// The fault that breaks the second rule.
     fn send_twin(&mut self, conn: ConnId, attempt: AttemptId) {
         let Some(call) = self.calls.get(attempt.call) else { return };
-        let Some(mut head) = grpc::request("twin", &call.path) else { return };
+        let Some(mut head) = grpc::request("twin", call.path.as_str()) else { return };
         head.headers_mut().extend(call.headers.clone());
         if let Some(stream) = self.engine.open(conn, head, false) {
             self.engine.finish(stream, None);
@@ -146,7 +144,7 @@
         let (server, took, stream) = (attempt.server, now.saturating_sub(attempt.sent), attempt.stream);
         stream.into_iter().for_each(|s| self.calls.unbind(s));
         tracing::debug!(call = id.call.0, attempt = id.number, ?outcome, took, "attempt ended");
-        self.metrics.attempts.get_or_create(&kind(outcome)).inc();
+        self.metrics.attempt(outcome);
         let done = self.calls.get(id.call).is_some_and(|c| c.is_done());
         self.todo.push_back(Event::AttemptEnded(AttemptEnd {
             id: id.call,
@@ -223,19 +221,8 @@
         let (front, took) = (call.front, now.saturating_sub(call.arrived));
         let (class, plan) = (call.arrival.class.0, call.arrival.plan.0);
         self.calls.unbind_front(front);
-        let end = match end {
-            End::Served => "served",
-            End::Refused => "refused",
-            End::Failed => "failed",
-            End::Gone => "gone",
-        };
-        tracing::debug!(call = id.0, end, took, "ended");
-        let labels = metrics::Call {
-            class: self.set.class_names[class].clone(),
-            plan: self.set.plan_names[plan].clone(),
-            end,
-        };
-        self.metrics.ended.get_or_create(&labels).inc();
+        tracing::debug!(call = id.0, ?end, took, "ended");
+        self.metrics.ended(class, plan, end);
         self.metrics.took.observe(took as f64 / 1e6);
         self.metrics.open.dec();
         self.calls.forget_if_over(id);
@@ -244,15 +231,13 @@
     pub(crate) fn client_deadline(&mut self, id: RequestId) {
         let now = self.engine.now();
         let Some(call) = self.calls.get(id).filter(|c| !c.is_done()) else { return };
-        let started = matches!(call.answer, Answer::Started);
         let stream = self.set.policy.classes[call.arrival.class.0].stream;
         match call.client_deadline {
             // A stream without a deadline of its client's has none once it has started.
-            None if started && stream => {}
+            None if stream => {}
             // It is later than the longest first answer that its class allows.
-            Some(at) if started && stream && at > now => self.due_in(at - now, Due::Deadline(id)),
-            _ if started => self.break_off(id, Code::DeadlineExceeded, "the deadline passed on the way"),
-            _ => self.break_off(id, Code::DeadlineExceeded, "no answer in time; it may have run"),
+            Some(at) if stream && at > now => self.due_in(at - now, Due::Deadline(id)),
+            _ => self.break_off(id, Code::DeadlineExceeded, "the deadline passed on the way"),
         }
     }
 
@@ -330,10 +315,13 @@
             return;
         };
         call.answer_skip = bytes;
-        let front = call.front;
+        let (front, call_deadline) = (call.front, call.arrival.deadline.0);
         self.engine.respond(front, http::Response::from_parts(*head, ()), false);
         chunks.into_iter().for_each(|chunk| self.engine.send(front, chunk));
         self.todo.push_back(Event::StreamStarted(id));
+        // From here on the decisions keep no deadline for it; the client's own stays.
+        let left = call_deadline.saturating_sub(self.engine.now());
+        self.due_in(left, Due::Deadline(id));
     }
 
     pub(crate) fn on_data(&mut self, stream: StreamId, data: Bytes) {
@@ -479,6 +467,13 @@
     }
 }
 
+fn uri(authority: Authority, path: PathAndQuery) -> http::Uri {
+    let mut parts = http::uri::Parts::default();
+    (parts.scheme, parts.authority, parts.path_and_query) = (Some(Scheme::HTTP), Some(authority), Some(path));
+    // All three parts are there, so it cannot fail.
+    http::Uri::from_parts(parts).unwrap_or_default()
+}
+
 /// What is left for a server: up to the call's deadline; for a stream, which may outlive it, up to the client's own.
 fn timeout_left(call: &Call, stream: bool, now: u64) -> Option<u64> {
     let until = if stream { call.client_deadline? } else { call.arrival.deadline.0 };
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -8,7 +8,8 @@
 use chalkdeck_net::{Broken, ConnId, Engine, Limits, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
 use prost::Message;
-use std::collections::{HashMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 /// Calls under way at once; further ones end as never sent.
@@ -28,7 +29,7 @@
 /// Answers of each name in the order of its calls, whatever the order in which they come.
 #[derive(Debug, Default)]
 pub(crate) struct InOrder {
-    names: HashMap<CountName, VecDeque<(u64, Option<Told>)>>,
+    names: FxHashMap<CountName, VecDeque<(u64, Option<Told>)>>,
     open: usize,
 }
 
@@ -82,42 +83,64 @@
 pub(crate) struct Counter {
     address: SocketAddr,
     link: Link,
-    open: HashMap<StreamId, Open>,
-    stream_of: HashMap<u64, StreamId>,
+    open: FxHashMap<StreamId, Open>,
+    stream_of: FxHashMap<u64, StreamId>,
     order: InOrder,
+    /// Times out in the order of the calls; those that ended are dropped when they come first.
+    until: VecDeque<Until>,
     next: u64,
+    head: http::Request<()>,
+}
+
+struct Until {
+    at: u64,
+    name: CountName,
+    call: u64,
 }
 
 impl Counter {
     pub(crate) fn new(address: SocketAddr) -> Counter {
-        let (open, stream_of) = (HashMap::new(), HashMap::new());
-        Counter { address, link: Link::None, open, stream_of, order: InOrder::default(), next: 0 }
+        let head =
+            grpc::request(&address.to_string(), PATH).expect("an address and a fixed path make a sound head");
+        let (open, stream_of) = (FxHashMap::default(), FxHashMap::default());
+        Counter {
+            address,
+            link: Link::None,
+            open,
+            stream_of,
+            order: InOrder::default(),
+            until: VecDeque::new(),
+            next: 0,
+            head,
+        }
     }
 
     fn limits() -> Limits {
         Limits { streams: MOST_OPEN as u32, ..Limits::default() }
     }
 
-    /// Asks; returns the call's number for its time-out, and what can be told at once.
+    /// Asks, until that time; returns what can be told at once.
     pub(crate) fn add(
         &mut self,
         engine: &mut Engine,
         name: CountName,
         amount: f64,
         life: u64,
-    ) -> (u64, Vec<Told>) {
+        until: u64,
+    ) -> Vec<Told> {
         self.next += 1;
         let call = self.next;
         let full = self.order.open >= MOST_OPEN;
         self.order.asked(name, call);
         let add = Add { call, request: AddRequest { name: name.0, amount, lifetime_us: life } };
         if full {
-            return (call, self.end(call, name, Outcome::Moot, 0.0));
+            return self.end(call, name, Outcome::Moot, 0.0);
         }
+        self.until.push_back(Until { at: until, name, call });
         if let Link::None = self.link {
             self.link = match engine.connect(self.address, Counter::limits()) {
                 Ok(conn) => Link::Connecting(conn, Vec::new()),
-                Err(_) => return (call, self.end(call, name, Outcome::ConnectFailed, 0.0)),
+                Err(_) => return self.end(call, name, Outcome::ConnectFailed, 0.0),
             };
         }
         match &mut self.link {
@@ -127,17 +150,35 @@
                 if !self.send(engine, conn, add) {
                     // The peer is going away or takes no more; the next call connects anew.
                     self.link = Link::None;
-                    return (call, self.end(call, name, Outcome::Moot, 0.0));
+                    return self.end(call, name, Outcome::Moot, 0.0);
                 }
             }
             Link::None => {}
         }
-        (call, Vec::new())
+        Vec::new()
+    }
+
+    /// When the first call that is still waited for times out.
+    pub(crate) fn next_timeout(&mut self) -> Option<u64> {
+        while self.until.front().is_some_and(|u| !self.order.is_waiting(u.name, u.call)) {
+            self.until.pop_front();
+        }
+        self.until.front().map(|u| u.at)
+    }
+
+    /// Ends all calls whose time is up.
+    pub(crate) fn timed_out(&mut self, engine: &mut Engine) -> Vec<Told> {
+        let now = engine.now();
+        let mut told = Vec::new();
+        while self.next_timeout().is_some_and(|at| at <= now) {
+            let Some(Until { name, call, .. }) = self.until.pop_front() else { break };
+            told.extend(self.time_out(engine, name, call));
+        }
+        told
     }
 
     fn send(&mut self, engine: &mut Engine, conn: ConnId, add: Add) -> bool {
-        let Some(head) = grpc::request(&self.address.to_string(), PATH) else { return false };
-        let Some(stream) = engine.open(conn, head, false) else { return false };
+        let Some(stream) = engine.open(conn, self.head.clone(), false) else { return false };
         engine.send(stream, grpc::frame(&add.request.encode_to_vec()));
         engine.finish(stream, None);
         let name = CountName(add.request.name);
@@ -154,10 +195,7 @@
     }
 
     /// Its time is up. Waiting for a connection proves that it was never sent.
-    pub(crate) fn timed_out(&mut self, engine: &mut Engine, name: CountName, call: u64) -> Vec<Told> {
-        if !self.order.is_waiting(name, call) {
-            return Vec::new();
-        }
+    fn time_out(&mut self, engine: &mut Engine, name: CountName, call: u64) -> Vec<Told> {
         let stream = self.stream_of.get(&call).copied();
         if let Some(stream) = stream {
             engine.reset(stream, h2::Reason::CANCEL);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,6 +3,7 @@
 use crate::settings::Settings;
 use chalkdeck::api::{Arrival, ClassId, CustomerId, Micros, PlanId, RequestId};
 use chalkdeck_net::grpc::{self, Code};
+use http::uri::PathAndQuery;
 use http::{request, HeaderMap, HeaderName};
 
 /// The key of a keyed call.
@@ -15,7 +16,7 @@
     pub(crate) arrival: Arrival,
     /// The client's own deadline, where it gave one.
     pub(crate) client_deadline: Option<u64>,
-    pub(crate) path: String,
+    pub(crate) path: PathAndQuery,
     /// Metadata for the server.
     pub(crate) headers: HeaderMap,
     /// Tries that the client made before.
@@ -104,7 +105,7 @@
     Ok(Asked {
         arrival,
         client_deadline: timeout.map(|t| now.saturating_add(t)),
-        path: path.to_string(),
+        path: head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/")),
         headers: for_server(headers),
         tries_before,
     })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Plain metrics of one gateway.
 
+use chalkdeck::api::Outcome;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -21,12 +22,25 @@
     pub(crate) kind: String,
 }
 
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum End {
+    Served,
+    Refused,
+    Failed,
+    Gone,
+}
+
+/// Counters by outcome, found without a look-up.
+type ByOutcome = Vec<(Outcome, Counter)>;
+
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) taken: Counter,
-    pub(crate) ended: Family<Call, Counter>,
-    pub(crate) attempts: Family<Kind, Counter>,
-    pub(crate) counts: Family<Kind, Counter>,
+    /// By class, then plan, then end.
+    ended: Vec<Vec<[Counter; 4]>>,
+    attempts: ByOutcome,
+    counts: ByOutcome,
     pub(crate) rejected: Family<Kind, Counter>,
     pub(crate) open: Gauge,
     pub(crate) connections: Gauge,
@@ -36,13 +50,15 @@
 }
 
 impl Metrics {
-    pub(crate) fn new() -> Metrics {
+    pub(crate) fn new(classes: &[String], plans: &[String]) -> Metrics {
+        let (ended, attempts, counts) = (Family::default(), Family::default(), Family::default());
+        let by_plan = |class: &String| plans.iter().map(|plan| by_end(&ended, class, plan)).collect();
         let mut m = Metrics {
             registry: Registry::with_prefix("chalkdeck"),
             taken: Counter::default(),
-            ended: Family::default(),
-            attempts: Family::default(),
-            counts: Family::default(),
+            ended: classes.iter().map(by_plan).collect(),
+            attempts: by_outcome(&attempts),
+            counts: by_outcome(&counts),
             rejected: Family::default(),
             open: Gauge::default(),
             connections: Gauge::default(),
@@ -52,9 +68,9 @@
         };
         let r = &mut m.registry;
         r.register("calls_taken", "Calls taken", m.taken.clone());
-        r.register("calls_ended", "Calls by class, plan and end", m.ended.clone());
-        r.register("attempts", "Attempts by how they ended", m.attempts.clone());
-        r.register("counter_calls", "Calls to the counter by how they ended", m.counts.clone());
+        r.register("calls_ended", "Calls by class, plan and end", ended);
+        r.register("attempts", "Attempts by how they ended", attempts);
+        r.register("counter_calls", "Calls to the counter by how they ended", counts);
         r.register("calls_rejected", "Input that is no call, by what was wrong", m.rejected.clone());
         r.register("calls_open", "Calls without their answer", m.open.clone());
         r.register("connections", "Connections of all kinds", m.connections.clone());
@@ -64,6 +80,16 @@
         m
     }
 
+    pub(crate) fn ended(&self, class: usize, plan: usize, end: End) {
+        self.ended[class][plan][end as usize].inc();
+    }
+    pub(crate) fn attempt(&self, outcome: Outcome) {
+        inc(&self.attempts, outcome);
+    }
+    pub(crate) fn count(&self, outcome: Outcome) {
+        inc(&self.counts, outcome);
+    }
+
     pub(crate) fn text(&self) -> String {
         let mut out = String::new();
         match text::encode(&mut out, &self.registry) {
@@ -72,3 +98,23 @@
         }
     }
 }
+
+fn by_end(family: &Family<Call, Counter>, class: &str, plan: &str) -> [Counter; 4] {
+    ["served", "refused", "failed", "gone"].map(|end| {
+        let labels = Call { class: class.to_string(), plan: plan.to_string(), end };
+        family.get_or_create(&labels).clone()
+    })
+}
+
+fn by_outcome(family: &Family<Kind, Counter>) -> ByOutcome {
+    use Outcome::{Cancelled, ConnectFailed, Error, Full, Moot, Ok, Reset, Timeout};
+    let all = [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot];
+    let counter = |o: Outcome| family.get_or_create(&Kind { kind: format!("{o:?}").to_lowercase() }).clone();
+    all.into_iter().map(|o| (o, counter(o))).collect()
+}
+
+fn inc(counters: &ByOutcome, outcome: Outcome) {
+    if let Some((_, counter)) = counters.iter().find(|c| c.0 == outcome) {
+        counter.inc();
+    }
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,7 +5,8 @@
 use crate::endpoints::Server;
 use chalkdeck::api::{RequestId, ServerId};
 use chalkdeck_net::{ConnId, Engine, Limits};
-use std::collections::HashMap;
+use http::uri::Authority;
+use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 
 /// An attempt by its call and number.
@@ -23,6 +24,7 @@
 
 struct Place {
     address: SocketAddr,
+    authority: Authority,
     links: Vec<Link>,
 }
 
@@ -39,17 +41,22 @@
     Unreachable,
 }
 
+fn authority(address: SocketAddr) -> Authority {
+    // An address is always a sound authority.
+    address.to_string().parse().unwrap_or(Authority::from_static("server"))
+}
+
 pub(crate) struct Pool {
     limits: Limits,
     most: usize,
-    places: HashMap<ServerId, Place>,
-    server_of: HashMap<ConnId, ServerId>,
+    places: FxHashMap<ServerId, Place>,
+    server_of: FxHashMap<ConnId, ServerId>,
 }
 
 impl Pool {
     pub(crate) fn new(most: usize, streams: u32) -> Pool {
         let limits = Limits { streams, ..Limits::default() };
-        Pool { limits, most, places: HashMap::new(), server_of: HashMap::new() }
+        Pool { limits, most, places: FxHashMap::default(), server_of: FxHashMap::default() }
     }
 
     /// Takes a new list; connections to servers that are no longer on it end when their last call has.
@@ -57,7 +64,10 @@
         let mut old = std::mem::take(&mut self.places);
         for server in servers {
             let links = old.remove(&server.entry.server).map(|p| p.links).unwrap_or_default();
-            self.places.insert(server.entry.server, Place { address: server.address, links });
+            self.places.insert(
+                server.entry.server,
+                Place { address: server.address, authority: authority(server.address), links },
+            );
         }
         for link in old.into_values().flat_map(|p| p.links).filter(|l| l.up) {
             self.server_of.remove(&link.conn);
@@ -67,6 +77,11 @@
         }
     }
 
+    /// The server's name in the heads of calls.
+    pub(crate) fn authority(&self, server: ServerId) -> Option<Authority> {
+        self.places.get(&server).map(|p| p.authority.clone())
+    }
+
     /// Some server of the list.
     pub(crate) fn any(&self) -> Option<ServerId> {
         self.places.keys().min().copied()
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -6,7 +6,7 @@
 use crate::counter::{Counter, Told};
 use crate::endpoints;
 use crate::fault::Fault;
-use crate::metrics::{self, Metrics};
+use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
 use crate::settings::Settings;
 use crate::watch::Watch;
@@ -17,7 +17,8 @@
 use chalkdeck_net::grpc::Code;
 use chalkdeck_net::signals::Signals;
 use chalkdeck_net::{ConnId, Engine, Event as NetEvent, ListenerId};
-use std::collections::{HashMap, VecDeque};
+use slab::Slab;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -31,7 +32,7 @@
     Policy(TimerId),
     GiveUp(AttemptId),
     Deadline(RequestId),
-    Count(CountName, u64),
+    Count,
     Connect(ConnId),
     Look,
 }
@@ -50,13 +51,14 @@
     pub(crate) pool: Pool,
     watch: Watch,
     pub(crate) metrics: Metrics,
-    due: HashMap<u64, Due>,
-    next_due: u64,
+    /// Each timer comes due once, so its place is free again after.
+    due: Slab<Due>,
     pub(crate) todo: VecDeque<Event>,
     actions: Vec<Action>,
     events: Vec<NetEvent>,
     stop_by: Option<u64>,
     pub(crate) fault: Option<Fault>,
+    counts_watched: bool,
     /// Where the fault of cold servers sends all.
     pub(crate) freshest: Option<ServerId>,
 }
@@ -83,14 +85,14 @@
             counter: set.counter.map(Counter::new),
             pool: Pool::new(set.server_connections, set.server_streams),
             watch: Watch::new(set.endpoints.clone()),
-            metrics: Metrics::new(),
-            due: HashMap::new(),
-            next_due: 0,
+            metrics: Metrics::new(&set.class_names, &set.plan_names),
+            due: Slab::new(),
             todo: VecDeque::new(),
             actions: Vec::new(),
             events: Vec::new(),
             stop_by: None,
             fault: None,
+            counts_watched: false,
             freshest: None,
             set,
         };
@@ -221,21 +223,16 @@
     }
 
     pub(crate) fn due_in(&mut self, after: u64, due: Due) {
-        self.next_due += 1;
-        self.due.insert(self.next_due, due);
-        self.engine.timer(self.engine.now().saturating_add(after), self.next_due);
+        let token = self.due.insert(due) as u64;
+        self.engine.timer(self.engine.now().saturating_add(after), token);
     }
 
     fn on_due(&mut self, token: u64) {
-        match self.due.remove(&token) {
+        match self.due.try_remove(token as usize) {
             Some(Due::Policy(timer)) => self.todo.push_back(Event::Timer(timer)),
             Some(Due::GiveUp(attempt)) => self.give_up(attempt),
             Some(Due::Deadline(id)) => self.client_deadline(id),
-            Some(Due::Count(name, call)) => {
-                let Shell { counter: Some(counter), engine, .. } = self else { return };
-                let told = counter.timed_out(engine, name, call);
-                self.counted(told);
-            }
+            Some(Due::Count) => self.count_times_out(),
             Some(Due::Connect(conn)) if !self.pool.is_connecting(conn) => {}
             Some(Due::Connect(conn)) => {
                 self.engine.close(conn);
@@ -248,16 +245,31 @@
 
     fn count(&mut self, name: CountName, amount: f64, life: u64) {
         let Shell { counter: Some(counter), engine, .. } = self else { return };
-        let (call, told) = counter.add(engine, name, amount, life);
-        if told.is_empty() {
-            self.due_in(self.set.policy.count_timeout.0, Due::Count(name, call));
+        let until = engine.now() + self.set.policy.count_timeout.0;
+        let told = counter.add(engine, name, amount, life, until);
+        self.watch_counts();
+        self.counted(told);
+    }
+
+    /// All calls have the same time, so the first of them times out first and one timer serves all.
+    fn watch_counts(&mut self) {
+        let Some(until) = self.counter.as_mut().and_then(Counter::next_timeout) else { return };
+        if !std::mem::replace(&mut self.counts_watched, true) {
+            self.due_in(until.saturating_sub(self.engine.now()), Due::Count);
         }
+    }
+
+    fn count_times_out(&mut self) {
+        self.counts_watched = false;
+        let Shell { counter: Some(counter), engine, .. } = self else { return };
+        let told = counter.timed_out(engine);
+        self.watch_counts();
         self.counted(told);
     }
 
     pub(crate) fn counted(&mut self, told: Vec<Told>) {
         for Told { name, outcome, total } in told {
-            self.metrics.counts.get_or_create(&kind(outcome)).inc();
+            self.metrics.count(outcome);
             self.todo.push_back(Event::Counted(name, outcome, total));
         }
     }
@@ -328,7 +340,3 @@
         }
     }
 }
-
-pub(crate) fn kind(outcome: Outcome) -> metrics::Kind {
-    metrics::Kind { kind: format!("{outcome:?}").to_lowercase() }
-}
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -11,8 +11,9 @@
 use http::{request, response, HeaderMap, Request, Response};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Poll, Token};
+use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -118,9 +119,9 @@
     ready: Arc<Ready>,
     clock: Clock,
     next: u64,
-    listeners: HashMap<u64, Listener>,
-    conns: HashMap<u64, Conn>,
-    streams: HashMap<u64, Stream>,
+    listeners: FxHashMap<u64, Listener>,
+    conns: FxHashMap<u64, Conn>,
+    streams: FxHashMap<u64, Box<Stream>>,
     timers: BinaryHeap<Reverse<(u64, u64)>>,
     out: VecDeque<Event>,
 }
@@ -134,9 +135,9 @@
             ready: Arc::default(),
             clock: Clock::start(),
             next: 1,
-            listeners: HashMap::new(),
-            conns: HashMap::new(),
-            streams: HashMap::new(),
+            listeners: FxHashMap::default(),
+            conns: FxHashMap::default(),
+            streams: FxHashMap::default(),
             timers: BinaryHeap::new(),
             out: VecDeque::new(),
         })
@@ -211,7 +212,8 @@
         link.streams += 1;
         let outgoing = if ended { Outgoing::Done } else { Outgoing::Body(body) };
         waker.wake_by_ref();
-        self.streams.insert(id, Stream::sent(StreamId(id), conn.0, waker, answer, outgoing));
+        let stream = Stream::sent(StreamId(id), conn.0, waker, answer, outgoing);
+        self.streams.insert(id, Box::new(stream));
         Some(StreamId(id))
     }
 
@@ -238,7 +240,7 @@
     }
     /// Bytes queued there that the peer's window does not take yet.
     pub fn queued(&self, stream: StreamId) -> usize {
-        self.streams.get(&stream.0).map_or(0, Stream::queued)
+        self.streams.get(&stream.0).map_or(0, |s| s.queued())
     }
     /// Whether the stream can still move.
     pub fn is_open(&self, stream: StreamId) -> bool {
@@ -401,7 +403,7 @@
         waker.wake_by_ref();
         let (stream, head) = (StreamId(id), Box::new(head));
         self.out.push_back(Event::Opened { stream, conn: ConnId(conn), head, ended });
-        self.streams.insert(id, Stream::opened(stream, conn, waker, body, respond));
+        self.streams.insert(id, Box::new(Stream::opened(stream, conn, waker, body, respond)));
     }
 
     fn drop_conn(&mut self, key: u64, why: String) {
