--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -287,7 +287,7 @@
 
     pub(crate) fn on_head(&mut self, stream: StreamId, head: Box<response::Parts>, ended: bool) {
         if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
-            let told = counter.on_head(stream, &head, ended);
+            let told = if ended { counter.on_over(&mut self.engine) } else { Vec::new() };
             return self.counted(told);
         }
         let Some(id) = self.calls.of_back(stream) else { return };
@@ -386,7 +386,7 @@
 
     pub(crate) fn on_end(&mut self, stream: StreamId, trailers: Option<HeaderMap>) {
         if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
-            let told = counter.on_end(stream, trailers.as_ref());
+            let told = counter.on_over(&mut self.engine);
             return self.counted(told);
         }
         if let Some(call) = self.calls.of_front(stream).and_then(|id| self.calls.get(id)) {
@@ -437,7 +437,7 @@
 
     pub(crate) fn on_broken(&mut self, stream: StreamId, how: Broken) {
         if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
-            let told = counter.on_broken(stream, how);
+            let told = counter.on_over(&mut self.engine);
             return self.counted(told);
         }
         if let Some(id) = self.calls.of_front(stream) {
