--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -2,6 +2,7 @@
 //! sockets, and through a gateway that asks the counter for each call.
 
 use crate::cli::MeasureArgs;
+use crate::control;
 use crate::day::{self, Fleet};
 use crate::process::{cpu_seconds, memory_kib, Process, Program};
 use crate::report::Summary;
@@ -15,6 +16,9 @@
 /// Calls out at once where the most is looked for.
 const OUTSTANDING: &str = "64";
 
+/// How long memory may take to settle.
+const SETTLE: Duration = Duration::from_secs(6);
+
 struct Way {
     name: &'static str,
     targets: Vec<SocketAddr>,
@@ -47,7 +51,7 @@
     let source = include_str!("../days/measure.txtpb");
     let day: Day = text::parse(day::MESSAGE, source).map_err(|e| anyhow::anyhow!("measure day: {e}"))?;
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(program.clone(), day, &args.dir, any, None)?;
+    let fleet = Fleet::start(program.clone(), day.clone(), &args.dir, any, None)?;
     let servers = fleet.servers();
     let list: Vec<String> = servers.iter().map(ToString::to_string).collect();
     let relay_args = ["relay".to_string(), "--servers".to_string(), list.join(",")];
@@ -66,11 +70,33 @@
     let most = lab.most(&ways, args.rounds)?;
     lab.latencies(&ways, most, args.rounds)?;
     if args.held > 0 {
-        lab.memory(&ways[2], args.held)?;
+        lab.idle(&ways[2], args.held)?;
+        drop(fleet);
+        open_calls(&program, day, &args.dir.join("open"), args.held)?;
     }
     Ok(())
 }
 
+/// Memory of a gateway that holds many calls: servers work for long, the others wait at the gateway for their turn.
+fn open_calls(program: &Program, mut day: Day, dir: &Path, held: usize) -> anyhow::Result<()> {
+    day.work.iter_mut().for_each(|w| (w.min_ms, w.max_ms) = (60_000.0, 60_000.0));
+    day.load.iter_mut().flat_map(|l| &mut l.mix).for_each(|m| m.timeout_ms = 90_000);
+    let classes = day.gateway.iter_mut().flat_map(|g| &mut g.classes);
+    classes.for_each(|c| (c.aim_ms, c.deadline_ms) = (60_000, 90_000));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let fleet = Fleet::start(program.clone(), day, dir, any, None)?;
+    let id = fleet.gateway_process(0).context("expected a gateway")?.id();
+    let before = memory_kib(id)?;
+    let held_text = held.to_string();
+    let _load = fleet.load(30.0, &["--outstanding", &held_text, "--connections", "16"])?;
+    std::thread::sleep(SETTLE);
+    let open = control::get(fleet.admin(0), "/metrics")?;
+    let open = open.lines().find_map(|l| l.strip_prefix("chalkdeck_calls_open ")).unwrap_or("?").to_string();
+    let each = memory_kib(id)?.saturating_sub(before) as f64 / held as f64;
+    println!("memory: {open} open calls, {each:.1} KiB each");
+    Ok(())
+}
+
 impl Lab<'_> {
     fn load(&self, way: &Way, more: &[&str]) -> anyhow::Result<Sample> {
         let out = self.dir.join("measure.json");
@@ -160,7 +186,7 @@
     }
 
     /// Memory of the gateway with many idle connections.
-    fn memory(&self, gateway: &Way, held: usize) -> anyhow::Result<()> {
+    fn idle(&self, gateway: &Way, held: usize) -> anyhow::Result<()> {
         let id = gateway.process.context("expected a gateway")?;
         let before = memory_kib(id)?;
         let targets = gateway.targets[0].to_string();
@@ -169,7 +195,7 @@
         let day = ["--day".to_string(), self.dir.join("day.txtpb").display().to_string()];
         let args: Vec<String> = args.into_iter().chain([held.to_string()]).chain(day).collect();
         let idle = Process::start(self.program, &args, &self.dir.join("idle.log"))?;
-        std::thread::sleep(Duration::from_secs(6));
+        std::thread::sleep(SETTLE);
         let with = memory_kib(id)?;
         drop(idle);
         println!(
--- /dev/null
+++ b/crates/policy/benches/request.rs
@@ -0,0 +1,126 @@
+//! What one request costs the module: add, answer, send, end; 5,000 requests a second from 5,000 customers.
+use chalkdeck::api::*;
+use chalkdeck::rules::Gateway;
+use std::collections::{BinaryHeap, HashMap};
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: Micros(500_000),
+        deadline: Micros(2_000_000),
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: Micros(0),
+        stream: false,
+    };
+    let plan = Plan {
+        rate: 10.0,
+        burst: 20.0,
+        open: 0.0,
+        price: 1.0,
+        over_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    };
+    Settings {
+        gateways: 3,
+        classes: vec![class],
+        plans: vec![plan],
+        max_attempts: 3,
+        may_cancel: true,
+        counter: true,
+        count_timeout: Micros(80_000),
+        most_units: 1.0,
+        tick: Micros(1_000),
+        ..Settings::default()
+    }
+}
+
+struct Rig {
+    gateway: Gateway,
+    now: u64,
+    next: u64,
+    out: Vec<Action>,
+    timers: BinaryHeap<std::cmp::Reverse<(u64, u64)>>,
+    totals: HashMap<CountName, f64>,
+}
+
+impl Rig {
+    fn new(servers: u64) -> Rig {
+        let gateway = Gateway::new(1, settings()).expect("sound settings");
+        let timers = BinaryHeap::new();
+        let mut rig =
+            Rig { gateway, now: 1_000_000, next: 0, out: Vec::new(), timers, totals: HashMap::new() };
+        let entry = |i: u64| ServerEntry {
+            server: ServerId(i.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            zone: ZoneId((i % 3) as u32),
+            cell: CellId(i % 3),
+            listed: Listed::InService,
+            weight: 1.0,
+            started: None,
+        };
+        rig.tell(Event::Servers(ListScope::Whole, (0..servers).map(entry).collect()));
+        (0..20_000).for_each(|_| rig.request());
+        rig
+    }
+    fn tell(&mut self, event: Event) {
+        self.gateway.handle(Micros(self.now), event, &mut self.out);
+    }
+    fn request(&mut self) {
+        self.now += 200;
+        while self.timers.peek().is_some_and(|t| t.0 .0 <= self.now) {
+            let Some(std::cmp::Reverse((_, id))) = self.timers.pop() else { break };
+            self.tell(Event::Timer(TimerId(id)));
+        }
+        self.next += 1;
+        let arrival = Arrival {
+            id: RequestId(self.next),
+            customer: CustomerId((self.next % 5_000).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            spread: 3,
+            deadline: Micros(self.now + 2_000_000),
+            units: 1.0,
+            ..Arrival::default()
+        };
+        self.tell(Event::Request(arrival));
+        while let Some(action) = self.out.pop() {
+            match action {
+                Action::Count(name, amount, _) => {
+                    let total = self.totals.entry(name).or_default();
+                    *total += amount;
+                    let total = *total;
+                    self.tell(Event::Counted(name, Outcome::Ok, total));
+                }
+                Action::Send(id, server, _) => {
+                    let end = AttemptEnd {
+                        id,
+                        attempt: 0,
+                        server,
+                        outcome: Outcome::Ok,
+                        took: Micros(20_000),
+                        ended: true,
+                        settled: None,
+                        report: Report::default(),
+                    };
+                    self.tell(Event::AttemptEnded(end));
+                }
+                Action::SetTimer(id, after) => {
+                    self.timers.push(std::cmp::Reverse((self.now + after.0, id.0)))
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+#[divan::bench(args = [12, 120, 1000], sample_size = 1000, sample_count = 50)]
+fn request(bencher: divan::Bencher, servers: u64) {
+    let mut rig = Rig::new(servers);
+    bencher.bench_local(move || rig.request());
+}
+
+fn main() {
+    divan::main();
+}
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -4,7 +4,8 @@
 
 use crate::api::*;
 use crate::state::*;
-use std::collections::{BTreeMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 
 /// The source's breaker: failures in a row that open it, and its cooldown.
 const FAILURES_TO_OPEN: f64 = 3.0;
@@ -122,13 +123,13 @@
     /// Share of requests that ask the counter.
     ask: f64,
     last_failed: Option<CustomerId>,
-    calls: BTreeMap<CountName, VecDeque<Call>>,
-    customers: BTreeMap<CustomerId, Customer>,
-    requests: BTreeMap<RequestId, Request>,
-    servers: BTreeMap<ServerId, Server>,
-    /// The listed servers, in an order that all gateways share.
-    ring: Vec<ServerId>,
-    timers: BTreeMap<TimerId, Timer>,
+    calls: FxHashMap<CountName, VecDeque<Call>>,
+    customers: FxHashMap<CustomerId, Customer>,
+    requests: FxHashMap<RequestId, Request>,
+    servers: Servers,
+    /// Places of the listed servers, in an order that all gateways share.
+    ring: Vec<usize>,
+    timers: FxHashMap<TimerId, Timer>,
     /// Attempts out at all servers, their mean a server in calm, and the attempt seconds left in overload.
     out_now: f64,
     calm_out: f64,
@@ -610,7 +611,7 @@
             && r.attempts.len() + 1 < self.set.max_attempts
             && (class.effect == Effect::Safe || class.group == Group::All)
             && self.fail_share < CALM_SHARE
-            && self.servers.get(&server).is_some_and(|s| s.trial || s.fail_share > 2.0 * self.fail_share);
+            && self.servers.get(server).is_some_and(|s| s.trial || s.fail_share > 2.0 * self.fail_share);
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
         r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
@@ -619,7 +620,7 @@
         let (units, until) = (r.a.units, until.min(r.a.deadline));
         self.flow.level = self.flow_rate() * FLOW_SPAN + units;
         self.flow.at = now;
-        if let Some(s) = self.servers.get_mut(&server) {
+        if let Some(s) = self.servers.get_mut(server) {
             s.out += 1.0;
             self.out_now += 1.0;
             s.cold_room.level -= units;
@@ -739,9 +740,10 @@
     /// The listed servers, this gateway's own part of the fleet first. Guards against learning nothing of any
     /// server where each gateway sees few requests. The golden ratio spreads the parts evenly, also those of
     /// gateways in a row, through which one customer comes.
-    fn own_part_first(&self) -> impl Iterator<Item = ServerId> + '_ {
+    fn own_part_first(&self) -> impl Iterator<Item = &(ServerId, Server)> + '_ {
         let start = (f64::from(self.set.me) * 0.618_033_988_749_895).fract() * self.ring.len() as f64;
-        self.ring.iter().cycle().skip(start as usize).take(self.ring.len()).copied()
+        let (before, own) = self.ring.split_at((start as usize).min(self.ring.len()));
+        own.iter().chain(before).map(|&place| self.servers.at(place))
     }
 
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
@@ -751,8 +753,7 @@
         let (reach, scale) = (self.reach(), self.scale());
         let r = self.requests.get(&id)?;
         // Bounds may fall below one (many gateways): what is out in all stays within their sum.
-        let fit =
-            self.own_part_first().take(reach).map(|sid| &self.servers[&sid]).filter(|s| self.healthy(s));
+        let fit = self.own_part_first().take(reach).map(|(_, s)| s).filter(|s| self.healthy(s));
         let most: f64 = fit.map(|s| s.limit * scale).sum();
         let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.healthy(s));
         if most > 0.0 && self.out_now >= most.max(if self.sparse() { FEW_OUT } else { 1.0 }) {
@@ -765,25 +766,24 @@
             return None;
         }
         let mut best: Option<(f64, ServerId)> = None;
-        for (i, sid) in self.own_part_first().enumerate() {
+        for (i, (sid, s)) in self.own_part_first().enumerate() {
             if i >= reach && best.is_some() {
                 break;
             }
-            let s = &self.servers[&sid];
             // With nothing healthy left, one at a time to whatever is listed.
             let most = if any_healthy { (s.limit * scale).floor().max(1.0) } else { 1.0 };
             if s.out >= most || any_healthy && !self.healthy(s) || !self.may_send(r, s) {
                 continue;
             }
             let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
-            let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
+            let tried = r.attempts.iter().filter(|a| a.server == *sid).count() as f64;
             let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
             let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
             score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
             // A server on trial is asked sooner, or one that failed would never be tried again.
             score *= if s.trial && r.attempts.is_empty() { 0.3 } else { 1.0 };
             if best.is_none_or(|(b, _)| score < b) {
-                best = Some((score, sid));
+                best = Some((score, *sid));
             }
         }
         best.map(|(_, sid)| sid)
@@ -798,7 +798,7 @@
     fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
         let now = self.now;
         let (jitter, scale, overloaded) = (0.75 + 0.5 * self.rng.f64(), self.scale(), self.overloaded());
-        let Some(s) = self.servers.get_mut(&server) else { return };
+        let Some(s) = self.servers.get_mut(server) else { return };
         s.out = (s.out - 1.0).max(0.0);
         self.out_now = (self.out_now - 1.0).max(0.0);
         // Guards against servers that hold too much and work worse for it, by overload or by a trouble of
@@ -910,7 +910,7 @@
         let (now, cold, units) = (self.now, self.set.cold, self.set.most_units);
         for e in entries {
             let new = || Server { limit: LIMIT_START, ..Server::default() };
-            let s = self.servers.entry(e.server).or_insert_with(new);
+            let s = self.servers.get_or_insert(e.server, new);
             let started = e.started.filter(|&at| now < at + cold);
             if started.is_some_and(|started| s.cold_since.is_none_or(|at| at < started)) {
                 // A new life: nothing held against the old one counts, and it starts slowly.
@@ -922,7 +922,7 @@
             (s.zone, s.cell, s.weight) = (e.zone, e.cell, if e.weight > 0.0 { e.weight } else { 1.0 });
             s.listed = e.listed == Listed::InService;
         }
-        self.ring = self.servers.iter().filter(|(_, s)| s.listed).map(|(&id, _)| id).collect();
+        self.ring = self.servers.listed();
         self.serve_held();
     }
 
@@ -951,7 +951,7 @@
             // The window counts from the first send that may have run, less a tick on the way.
             Effect::Keyed => ran.all(|a| {
                 self.now + self.set.tick + self.set.tick < a.sent + class.window
-                    && self.servers.get(&a.server).is_some_and(|first| match class.group {
+                    && self.servers.get(a.server).is_some_and(|first| match class.group {
                         Group::All => true,
                         Group::Zone => first.zone == s.zone,
                         Group::Cell => first.cell == s.cell,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -151,6 +151,42 @@
     pub(crate) cold_room: TokenBucket,
 }
 
+/// The servers in the order of their ids. A place holds until a server is added.
+#[derive(Default)]
+pub(crate) struct Servers(Vec<(ServerId, Server)>);
+
+impl Servers {
+    fn place(&self, id: ServerId) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&id, |s| s.0)
+    }
+    pub(crate) fn get(&self, id: ServerId) -> Option<&Server> {
+        self.place(id).ok().map(|i| &self.0[i].1)
+    }
+    pub(crate) fn get_mut(&mut self, id: ServerId) -> Option<&mut Server> {
+        self.place(id).ok().map(|i| &mut self.0[i].1)
+    }
+    pub(crate) fn get_or_insert(&mut self, id: ServerId, new: impl FnOnce() -> Server) -> &mut Server {
+        let place = self.place(id).unwrap_or_else(|place| {
+            self.0.insert(place, (id, new()));
+            place
+        });
+        &mut self.0[place].1
+    }
+    pub(crate) fn at(&self, place: usize) -> &(ServerId, Server) {
+        &self.0[place]
+    }
+    pub(crate) fn values(&self) -> impl Iterator<Item = &Server> {
+        self.0.iter().map(|s| &s.1)
+    }
+    pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.0.iter_mut().map(|s| &mut s.1)
+    }
+    /// Places of the listed servers.
+    pub(crate) fn listed(&self) -> Vec<usize> {
+        (0..self.0.len()).filter(|&i| self.0[i].1.listed).collect()
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Timer {
     Deadline(RequestId),
