Client library: core without I/O, blocking and callback drivers over one loop

Need: partner studios' own retry loops hurt; the library keeps one deadline over all tries, repeats only where that is harmless, honours come-back times with spread, pays further tries from a budget and spreads reconnects.

--- /dev/null
+++ b/crates/client/src/driver.rs
@@ -0,0 +1,424 @@
+//! The core over sockets: one thread with a poll loop, calls from any thread, blocking or with a callback.
+
+use crate::core::{Action, CallId, Core, Event, Outcome, Repeat, Settings, SettingsError, TryEnd};
+use bytes::Bytes;
+use chalkdeck_net::grpc::{self, Code};
+use chalkdeck_net::unary::Gather;
+use chalkdeck_net::{engine::LoopWaker, Broken, ConnId, Engine, Event as NetEvent, Limits, StreamId};
+use http::{HeaderMap, HeaderName, HeaderValue};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, sync_channel, Receiver, Sender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// The longest answer that is read.
+const ANSWER_BYTES: usize = 4 << 20;
+const KEY: &str = "x-idempotency-key";
+const UNPROCESSED: &str = "x-chalkdeck-unprocessed";
+/// The loop looks at the time at least this often, in microseconds.
+const LONGEST_WAIT: u64 = 1_000_000;
+
+/// A unary call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// `/package.Service/Method`.
+    pub path: String,
+    /// The message, without its frame.
+    pub message: Bytes,
+    /// Further metadata, such as the customer.
+    pub metadata: Vec<(String, String)>,
+    /// Whether it may go again.
+    pub repeat: Repeat,
+    /// The key of a keyed call; without one the library makes one of 128 bits.
+    pub key: Option<String>,
+    /// One deadline for all tries.
+    pub timeout: Duration,
+}
+
+/// The one end of a call.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The status of the last try that had one.
+    pub code: Option<Code>,
+    /// Its text.
+    pub text: String,
+    /// The message of an answer.
+    pub message: Option<Bytes>,
+    /// Tries that were sent.
+    pub tries: u32,
+}
+
+/// Why a client did not start, or has stopped.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// Senseless settings.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// No poll handle or thread.
+    #[error("the client's loop: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+type Done = Box<dyn FnOnce(Reply) + Send>;
+
+enum Command {
+    Start(CallId, Call, Done),
+    Cancel(CallId),
+    Gateways(Vec<SocketAddr>),
+    Stop,
+}
+
+struct Door {
+    commands: Sender<Command>,
+    waker: LoopWaker,
+}
+
+impl Door {
+    fn tell(&self, command: Command) {
+        // A loop that has ended has answered all its calls.
+        if self.commands.send(command).is_ok() {
+            let _ = self.waker.wake();
+        }
+    }
+}
+
+/// A client of a fleet. Cheap to share; its loop ends when the last handle to it is dropped.
+pub struct Client {
+    door: Arc<Door>,
+    next: AtomicU64,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// A call under way. Dropping it leaves the call alone.
+#[derive(Clone)]
+pub struct Handle {
+    door: Arc<Door>,
+    call: CallId,
+}
+
+impl Handle {
+    /// Calls it off: its callback hears `Cancelled`, unless it has ended.
+    pub fn cancel(&self) {
+        self.door.tell(Command::Cancel(self.call));
+    }
+}
+
+impl Client {
+    /// Starts the loop. Errors: senseless settings, no thread.
+    pub fn start(settings: Settings, gateways: Vec<SocketAddr>) -> Result<Client, StartError> {
+        let connect_timeout = settings.connect_timeout;
+        let seed = settings.seed;
+        let core = Core::new(settings)?;
+        let engine = Engine::new()?;
+        let waker = engine.waker()?;
+        let (commands, inbox) = channel();
+        let mut carrier = Carrier::new(core, engine, inbox, connect_timeout, seed);
+        let thread =
+            std::thread::Builder::new().name("chalkdeck-client".into()).spawn(move || carrier.run())?;
+        let client = Client {
+            door: Arc::new(Door { commands, waker }),
+            next: AtomicU64::new(1),
+            thread: Some(thread),
+        };
+        client.set_gateways(gateways);
+        Ok(client)
+    }
+
+    /// Replaces the list of gateways.
+    pub fn set_gateways(&self, gateways: Vec<SocketAddr>) {
+        self.door.tell(Command::Gateways(gateways));
+    }
+
+    /// Starts a call; `done` runs once, on the client's thread, and must not block.
+    pub fn begin(&self, call: Call, done: impl FnOnce(Reply) + Send + 'static) -> Handle {
+        let id = CallId(self.next.fetch_add(1, Ordering::Relaxed));
+        self.door.tell(Command::Start(id, call, Box::new(done)));
+        Handle { door: self.door.clone(), call: id }
+    }
+
+    /// Calls and waits, for the call's timeout at the longest.
+    pub fn call(&self, call: Call) -> Reply {
+        let (done, wait) = sync_channel(1);
+        self.begin(call, move |reply| drop(done.send(reply)));
+        let gone = Reply {
+            outcome: Outcome::Cancelled,
+            code: None,
+            text: "the client ended".into(),
+            message: None,
+            tries: 0,
+        };
+        wait.recv().unwrap_or(gone)
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.door.tell(Command::Stop);
+        self.thread.take().into_iter().for_each(|t| drop(t.join()));
+    }
+}
+
+struct Open {
+    call: Call,
+    done: Done,
+    stream: Option<StreamId>,
+    code: Option<Code>,
+    text: String,
+    gather: Gather,
+    tries: u32,
+}
+
+struct Carrier {
+    core: Core,
+    engine: Engine,
+    inbox: Receiver<Command>,
+    connect_timeout: u64,
+    rng: fastrand::Rng,
+    addresses: Vec<SocketAddr>,
+    conns: Vec<Option<ConnId>>,
+    open: HashMap<CallId, Open>,
+    tries: HashMap<StreamId, (CallId, u32)>,
+    connects: HashMap<u64, ConnId>,
+    next: u64,
+    todo: Vec<Event>,
+    stopped: bool,
+}
+
+impl Carrier {
+    fn new(core: Core, engine: Engine, inbox: Receiver<Command>, connect_timeout: u64, seed: u64) -> Carrier {
+        Carrier {
+            core,
+            engine,
+            inbox,
+            connect_timeout,
+            rng: fastrand::Rng::with_seed(seed ^ fastrand::u64(..)),
+            addresses: Vec::new(),
+            conns: Vec::new(),
+            open: HashMap::new(),
+            tries: HashMap::new(),
+            connects: HashMap::new(),
+            next: 0,
+            todo: Vec::new(),
+            stopped: false,
+        }
+    }
+
+    fn run(&mut self) {
+        let mut events = Vec::new();
+        while !self.stopped {
+            let now = self.engine.now();
+            let wait =
+                self.core.next_wake().map_or(LONGEST_WAIT, |at| at.saturating_sub(now).min(LONGEST_WAIT));
+            if let Err(e) = self.engine.turn(wait, &mut events) {
+                tracing::error!("the client's loop ends: {e}");
+                break;
+            }
+            while let Ok(command) = self.inbox.try_recv() {
+                self.on_command(command);
+            }
+            for event in events.drain(..) {
+                self.on_event(event);
+                self.settle();
+            }
+            self.todo.push(Event::Tick);
+            self.settle();
+        }
+        let left: Vec<CallId> = self.open.keys().copied().collect();
+        left.into_iter().for_each(|id| self.finish(id, Outcome::Cancelled));
+    }
+
+    fn settle(&mut self) {
+        while !self.todo.is_empty() {
+            let mut actions = Vec::new();
+            for event in std::mem::take(&mut self.todo) {
+                self.core.handle(self.engine.now(), event, &mut actions);
+            }
+            actions.into_iter().for_each(|a| self.act(a));
+        }
+    }
+
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Start(id, mut call, done) => {
+                let now = self.engine.now();
+                if matches!(call.repeat, Repeat::Keyed { .. }) {
+                    call.key.get_or_insert_with(|| format!("{:032x}", self.rng.u128(..)));
+                }
+                let deadline = now + call.timeout.as_micros() as u64;
+                self.todo.push(Event::Call(id, call.repeat, deadline));
+                let (stream, code, text, gather, tries) = (None, None, String::new(), Gather::default(), 0);
+                self.open.insert(id, Open { call, done, stream, code, text, gather, tries });
+            }
+            Command::Cancel(id) => self.todo.push(Event::Cancel(id)),
+            Command::Gateways(addresses) => self.relist(addresses),
+            Command::Stop => self.stopped = true,
+        }
+        self.settle();
+    }
+
+    /// Places keep their address as long as it is on the list; a place whose address changed is connected anew.
+    fn relist(&mut self, addresses: Vec<SocketAddr>) {
+        for (place, conn) in self.conns.iter_mut().enumerate() {
+            if addresses.get(place) != self.addresses.get(place) {
+                if let Some(conn) = conn.take() {
+                    self.engine.close(conn);
+                    self.todo.push(Event::Lost(place));
+                }
+            }
+        }
+        self.conns.resize(addresses.len().max(self.conns.len()), None);
+        self.todo.push(Event::Gateways(addresses.len()));
+        self.addresses = addresses;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Connect(place) => self.connect(place),
+            Action::Send { call, number, gateway, left } => self.send(call, number, gateway, left),
+            Action::CallOff(call, _) => {
+                if let Some(stream) = self.open.get_mut(&call).and_then(|o| o.stream.take()) {
+                    self.tries.remove(&stream);
+                    self.engine.reset(stream, h2::Reason::CANCEL);
+                }
+            }
+            Action::Finish(call, outcome) => self.finish(call, outcome),
+        }
+    }
+
+    fn finish(&mut self, id: CallId, outcome: Outcome) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let answered = outcome == Outcome::Answered;
+        let message = open.gather.message().filter(|_| answered).cloned();
+        (open.done)(Reply { outcome, code: open.code, text: open.text, message, tries: open.tries });
+    }
+
+    fn connect(&mut self, place: usize) {
+        let Some(address) = self.addresses.get(place) else { return };
+        match self.engine.connect(*address, Limits { streams: 10_000, ..Limits::default() }) {
+            Ok(conn) => {
+                self.conns[place] = Some(conn);
+                self.next += 1;
+                self.connects.insert(self.next, conn);
+                self.engine.timer(self.engine.now() + self.connect_timeout, self.next);
+            }
+            Err(_) => self.todo.push(Event::Lost(place)),
+        }
+    }
+
+    fn place_of(&self, conn: ConnId) -> Option<usize> {
+        self.conns.iter().position(|c| *c == Some(conn))
+    }
+
+    fn send(&mut self, id: CallId, number: u32, place: usize, left: u64) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        (open.code, open.gather, open.text) = (None, Gather::default(), String::new());
+        let head = head(&open.call, self.addresses[place], number, left);
+        let stream = head.zip(self.conns[place]).and_then(|(head, conn)| self.engine.open(conn, head, false));
+        let Some(stream) = stream else {
+            // It never left: the gateway is going away or takes no more.
+            self.todo.push(Event::Ended(id, number, TryEnd::NeverRan));
+            if let Some(conn) = self.conns[place].take() {
+                tracing::debug!(?conn, "takes nothing new");
+                self.todo.push(Event::Lost(place));
+            }
+            return;
+        };
+        open.tries = number + 1;
+        open.stream = Some(stream);
+        self.engine.send(stream, grpc::frame(&open.call.message));
+        self.engine.finish(stream, None);
+        self.tries.insert(stream, (id, number));
+    }
+
+    fn on_event(&mut self, event: NetEvent) {
+        match event {
+            NetEvent::Connected { conn } => {
+                if let Some(place) = self.place_of(conn) {
+                    self.connects.retain(|_, c| *c != conn);
+                    self.todo.push(Event::Connected(place));
+                }
+            }
+            NetEvent::Closed { conn, .. } => {
+                if let Some(place) = self.place_of(conn) {
+                    self.conns[place] = None;
+                    self.todo.push(Event::Lost(place));
+                }
+            }
+            NetEvent::Timer(token) => {
+                if let Some(conn) = self.connects.remove(&token) {
+                    self.engine.close(conn);
+                }
+            }
+            NetEvent::Head { stream, head, ended: true } => self.on_end(stream, &head.headers),
+            NetEvent::Data { stream, data } => {
+                self.engine.consume(stream, data.len());
+                let Some(open) = self.tries.get(&stream).and_then(|t| self.open.get_mut(&t.0)) else {
+                    return;
+                };
+                if let Err(e) = open.gather.push(&data, ANSWER_BYTES) {
+                    open.text = e.to_string();
+                    self.engine.reset(stream, h2::Reason::CANCEL);
+                    self.ended(stream, TryEnd::MayHaveRun);
+                }
+            }
+            NetEvent::End { stream, trailers } => self.on_end(stream, &trailers.unwrap_or_default()),
+            NetEvent::Broken { stream, how } => self.ended(
+                stream,
+                match how {
+                    Broken::Refused | Broken::GoneAway => TryEnd::NeverRan,
+                    Broken::Reset(_) | Broken::Lost => TryEnd::MayHaveRun,
+                },
+            ),
+            _ => {}
+        }
+    }
+
+    fn on_end(&mut self, stream: StreamId, trailers: &HeaderMap) {
+        if let Some(open) = self.tries.get(&stream).and_then(|t| self.open.get_mut(&t.0)) {
+            open.code = Code::read(trailers);
+            open.text = grpc::message_of(trailers);
+        }
+        self.ended(stream, end_of(trailers));
+    }
+
+    fn ended(&mut self, stream: StreamId, end: TryEnd) {
+        let Some((id, number)) = self.tries.remove(&stream) else { return };
+        self.open.get_mut(&id).into_iter().for_each(|o| o.stream = None);
+        self.todo.push(Event::Ended(id, number, end));
+    }
+}
+
+fn head(call: &Call, address: SocketAddr, number: u32, left: u64) -> Option<http::Request<()>> {
+    let mut head = grpc::request(&address.to_string(), &call.path)?;
+    let headers = head.headers_mut();
+    for (name, value) in &call.metadata {
+        headers.insert(HeaderName::from_bytes(name.as_bytes()).ok()?, HeaderValue::from_str(value).ok()?);
+    }
+    if let Some(key) = &call.key {
+        headers.insert(HeaderName::from_static(KEY), HeaderValue::from_str(key).ok()?);
+    }
+    if number > 0 {
+        headers.insert(HeaderName::from_static(grpc::ATTEMPTS), HeaderValue::from(number));
+    }
+    headers.insert(HeaderName::from_static(grpc::TIMEOUT), grpc::timeout(left));
+    Some(head)
+}
+
+/// What an answer's end says. A refusal is marked by its pushback; one that cannot be read gives no time.
+fn end_of(trailers: &HeaderMap) -> TryEnd {
+    let pushback = trailers.get(grpc::PUSHBACK);
+    match Code::read(trailers) {
+        Some(Code::ResourceExhausted) if pushback.is_some() => {
+            let ms = pushback.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
+            TryEnd::Refused(ms.map(|ms| ms.saturating_mul(1_000)))
+        }
+        Some(Code::Unavailable) if trailers.get(UNPROCESSED).is_some_and(|v| v == "1") => TryEnd::NeverRan,
+        Some(Code::Unavailable | Code::DeadlineExceeded) | None => TryEnd::MayHaveRun,
+        Some(_) => TryEnd::Answered,
+    }
+}
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,14 @@
+//! A client of a gateway fleet that keeps deadlines, repeats a call only where that is harmless, honours refusals with
+//! their time to come back, and spreads its reconnects.
+//!
+//! [`core::Core`] decides all of it and does no I/O; [`Client`] carries it over sockets from a thread of its own.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod budget;
+pub mod core;
+mod driver;
+mod gateways;
+
+pub use crate::core::{Outcome, Repeat, Settings, SettingsError};
+pub use driver::{Call, Client, Handle, Reply, StartError};
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -112,6 +112,9 @@
     paused: bool,
 }
 
+/// Wakes a loop from another thread.
+pub type LoopWaker = mio::Waker;
+
 /// The loop's state. One thread, no locks held between calls.
 pub struct Engine {
     poll: Poll,
@@ -153,6 +156,11 @@
         self.next
     }
 
+    /// Wakes the loop from another thread. One loop has one of them.
+    pub fn waker(&self) -> io::Result<LoopWaker> {
+        mio::Waker::new(self.poll.registry(), Token(usize::MAX))
+    }
+
     /// Takes connections in at `address`; port 0 takes a free one. `shared`: other threads listen there too.
     /// `http1`: it is a side port for GETs.
     pub fn listen(
