--- a/crates/client/src/core.rs
+++ b/crates/client/src/core.rs
@@ -11,7 +11,8 @@
 pub enum Repeat {
     /// Always.
     Safe,
-    /// Under the key of its first try, for this long after the first try that may have run (microseconds).
+    /// Only where every server that a repeat can reach drops it, as a client does not choose the cell: under the key of
+    /// its first try, for this long after the first try that may have run (microseconds).
     Keyed {
         /// How long the servers remember a key.
         window: u64,
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,16 +1,20 @@
 //! Commands of the laboratory.
 
+use crate::day::{Clients, Ways};
 use crate::farm::{Cell, Farm};
 use crate::load::{Load, Plan};
 use crate::log::Log;
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
-use crate::{audit, counter, day, demo, measure, replay};
+use crate::report::Summary;
+use crate::{audit, counter, day, demo, library, measure, replay};
 use anyhow::{bail, Context};
+use chalkdeck_client::Repeat;
 use chalkdeck_gateway::relay::Relay;
 use chalkdeck_gateway::{logs, Settings, Shell};
 use chalkdeck_net::signals::Signals;
-use chalkdeck_proto::chalkdeck::lab::v1::Day;
+use chalkdeck_proto::chalkdeck::config::v1::Gateway;
+use chalkdeck_proto::chalkdeck::lab::v1::{Day, Load as Shape, Mix};
 use clap::{Args, Parser, Subcommand};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -121,6 +125,12 @@
     /// The first part of every call's id
     #[arg(long, default_value = "c")]
     pub prefix: String,
+    /// Calls go through the client library
+    #[arg(long, conflicts_with_all = ["outstanding", "naive"])]
+    pub library: bool,
+    /// Tries beyond the first that a call makes at once, as a naive loop does
+    #[arg(long, default_value_t = 0)]
+    pub naive: u32,
     /// Print figures each second
     #[arg(long)]
     pub lines: bool,
@@ -160,6 +170,12 @@
     pub dir: PathBuf,
     #[arg(long, hide = true)]
     pub fault: Option<String>,
+    /// Calls go through the client library
+    #[arg(long, conflicts_with = "naive")]
+    pub library: bool,
+    /// Tries beyond the first that a call makes at once
+    #[arg(long, default_value_t = 0)]
+    pub naive: u32,
     /// Print figures each second
     #[arg(long)]
     pub lines: bool,
@@ -213,7 +229,12 @@
             Command::Relay(args) => run_relay(args),
             Command::Run(args) => {
                 let day = day::read(&args.day)?;
-                play(before, day, &args.dir, args.fault, args.lines)
+                let clients = match args.naive {
+                    _ if args.library => Clients::Library,
+                    0 => Clients::Plain,
+                    tries => Clients::Naive(tries),
+                };
+                play(before, day, &args.dir, &Ways { fault: args.fault, lines: args.lines, clients })
             }
             Command::Audit { dir } => report(&dir),
             Command::Replay(args) => {
@@ -224,7 +245,7 @@
                 for t in &replay.day.troubles {
                     println!("plays {} at {} ms for {} ms", t.kind, t.at_ms, t.for_ms);
                 }
-                play(before, replay.day, &args.dir, None, args.lines)
+                play(before, replay.day, &args.dir, &Ways { lines: args.lines, ..Ways::default() })
             }
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
@@ -292,6 +313,19 @@
     if shape.customers.is_empty() || shape.mix.is_empty() || shape.rate <= 0.0 {
         bail!("{}: expected load.customers, load.mix and a rate above 0", args.day.display());
     }
+    if args.library {
+        let library = library::Plan {
+            gateways: args.gateways,
+            repeats: repeats(&day.gateway.unwrap_or_default(), &shape),
+            shape,
+            seconds: args.seconds,
+            seed: day.seed,
+            prefix: args.prefix,
+        };
+        println!("ready control=-");
+        let figures = library::run(&library, &signals, Log::create(args.log.as_deref())?)?;
+        return write_summary(args.out.as_deref(), &figures.summary());
+    }
     let plan = Plan {
         gateways: args.gateways,
         shape,
@@ -302,6 +336,7 @@
         prefix: args.prefix,
         control: args.control,
         lines: args.lines,
+        naive: args.naive,
     };
     let mut load = Load::start(plan, Log::create(args.log.as_deref())?)?;
     let control = load.control().map_or(String::new(), |c| format!(" control={c}"));
@@ -311,10 +346,24 @@
     } else {
         load.run(&signals)?;
     }
-    let summary = serde_json::to_string(&load.figures.summary())?;
-    match &args.out {
-        Some(path) => std::fs::write(path, summary)?,
-        None => println!("{summary}"),
+    write_summary(args.out.as_deref(), &load.figures.summary())
+}
+
+/// By the classes of the routes; a path without one is not repeated.
+fn repeats(gateway: &Gateway, shape: &Shape) -> Vec<Repeat> {
+    let class = |path: &str| {
+        let route = gateway.routes.iter().find(|r| r.path == path)?;
+        gateway.classes.iter().find(|c| c.name == route.class)
+    };
+    let repeat = |m: &Mix| class(&m.path).map_or(Repeat::Unsafe, |c| library::repeat_of(c, m.keyed));
+    shape.mix.iter().map(repeat).collect()
+}
+
+fn write_summary(out: Option<&Path>, summary: &Summary) -> anyhow::Result<()> {
+    let text = serde_json::to_string(summary)?;
+    match out {
+        Some(path) => std::fs::write(path, text)?,
+        None => println!("{text}"),
     }
     Ok(())
 }
@@ -344,9 +393,9 @@
     Ok(relay.run(&signals)?)
 }
 
-fn play(before: &[&str], day: Day, dir: &Path, fault: Option<String>, lines: bool) -> anyhow::Result<()> {
+fn play(before: &[&str], day: Day, dir: &Path, ways: &Ways) -> anyhow::Result<()> {
     clear(dir)?;
-    let summary = day::run(Program::this(before)?, day, dir, fault, lines)?;
+    let summary = day::run(Program::this(before)?, day, dir, ways)?;
     println!("{}", serde_json::to_string(&summary)?);
     report(dir)
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -386,7 +386,8 @@
     }
 
     /// Carries out one act of the script.
-    pub fn act(&mut self, act: &Act, load: SocketAddr) -> anyhow::Result<()> {
+    pub fn act(&mut self, act: &Act, load: Option<SocketAddr>) -> anyhow::Result<()> {
+        self.note("act", format!("{act:?}"));
         match act {
             Act::Counter(query) => drop(control::get(self.counter_control, &format!("/set?{query}"))?),
             Act::Cell(zone, query) => {
@@ -434,6 +435,7 @@
                 if query.contains("reconnect") {
                     self.note("clients_reconnect", "all");
                 }
+                let load = load.context("this load takes no commands")?;
                 control::get(load, &format!("/set?{query}"))?;
             }
         }
@@ -467,26 +469,52 @@
     }
 }
 
+/// Who calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Clients {
+    /// Each call is one try.
+    #[default]
+    Plain,
+    /// So many more at once, whatever the answer.
+    Naive(u32),
+    /// The client library.
+    Library,
+}
+
+/// How a day is played.
+#[derive(Clone, Debug, Default)]
+pub struct Ways {
+    /// A fault in the gateways' carrying code.
+    pub fault: Option<String>,
+    /// Print what happens.
+    pub lines: bool,
+    pub clients: Clients,
+}
+
 /// Plays a day and leaves its logs in `dir`. Returns what the load saw.
-pub fn run(
-    program: Program,
-    day: Day,
-    dir: &Path,
-    fault: Option<String>,
-    lines: bool,
-) -> anyhow::Result<Summary> {
+pub fn run(program: Program, day: Day, dir: &Path, ways: &Ways) -> anyhow::Result<Summary> {
     let acts = script(&day)?;
     let signals = Signals::take()?;
     let seconds = f64::from(day.seconds);
-    let mut fleet = Fleet::start(program, day, dir, any(), fault)?;
+    let mut fleet = Fleet::start(program, day, dir, any(), ways.fault.clone())?;
     let (log, out) = (dir.join("client.jsonl"), dir.join("summary.json"));
     let (log, out_text) = (log.display().to_string(), out.display().to_string());
     let mut more = vec!["--log", &log, "--out", &out_text];
-    if lines {
+    let tries;
+    match ways.clients {
+        Clients::Library => more.push("--library"),
+        Clients::Naive(n) => {
+            tries = n.to_string();
+            more.extend(["--naive", &tries]);
+        }
+        Clients::Plain => {}
+    }
+    if ways.lines {
         more.push("--lines");
     }
     let mut load = fleet.load(seconds, &more)?;
-    let control = load.address("control")?;
+    // The library's load takes no commands; days that need them say so when they come to it.
+    let control = load.address("control").ok();
     load.echo();
     let begin = monotonic();
     for timed in acts {
@@ -496,7 +524,7 @@
             }
             std::thread::sleep(Duration::from_millis(2));
         }
-        if lines {
+        if ways.lines {
             println!("# {:.1} s: {:?}", f64::from(timed.at) / 1e3, timed.act);
         }
         fleet.act(&timed.act, control).with_context(|| format!("{:?}", timed.act))?;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod day;
 pub mod demo;
 pub mod farm;
+pub mod library;
 pub mod load;
 pub mod log;
 pub mod measure;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -31,13 +31,15 @@
     pub control: Option<SocketAddr>,
     /// Print figures each second.
     pub lines: bool,
+    /// Tries beyond the first that a call makes at once, whatever it was told.
+    pub naive: u32,
 }
 
-struct Customer {
-    name: String,
-    plan: String,
+pub(crate) struct Customer {
+    pub(crate) name: String,
+    pub(crate) plan: String,
     /// The last place of its range in 0..1.
-    upto: f64,
+    pub(crate) upto: f64,
 }
 
 struct Open {
@@ -119,7 +121,7 @@
             burst: Burst::default(),
             burst_at: 0,
             shift: None,
-            naive_retries: 0,
+            naive_retries: plan.naive,
             log,
             rng: fastrand::Rng::with_seed(plan.seed),
             figures: Figures::default(),
@@ -373,6 +375,8 @@
         self.open
             .insert(stream, Open { id, customer, mix, due, deadline: until, conn, key, tries, heard: false });
         self.figures.sent(&self.customers[customer].plan);
+        self.figures.tries += 1;
+        self.figures.firsts += u64::from(tries == 0);
         true
     }
 
@@ -455,7 +459,7 @@
 }
 
 /// Named by plan and number, as the runs' settings name them. Weights within a group fall off, as customers' do.
-fn customers(shape: &Shape) -> Vec<Customer> {
+pub(crate) fn customers(shape: &Shape) -> Vec<Customer> {
     let total: f64 = shape.customers.iter().map(|g| g.share).sum();
     let mut out = Vec::new();
     let mut upto = 0.0;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -22,6 +22,9 @@
     pub connects: u64,
     pub unsent: u64,
     pub bytes: u64,
+    /// Calls as their callers made them, and tries that were sent for them.
+    pub firsts: u64,
+    pub tries: u64,
     served: Histogram<u64>,
 }
 
@@ -29,7 +32,16 @@
     fn default() -> Figures {
         let mut served = Histogram::new(3).expect("three digits are within what the library takes");
         served.auto(true);
-        Figures { plans: BTreeMap::new(), seconds: 0.0, connects: 0, unsent: 0, bytes: 0, served }
+        Figures {
+            plans: BTreeMap::new(),
+            seconds: 0.0,
+            connects: 0,
+            unsent: 0,
+            bytes: 0,
+            firsts: 0,
+            tries: 0,
+            served,
+        }
     }
 }
 
@@ -47,6 +59,8 @@
     pub late: u64,
     pub unsent: u64,
     pub connects: u64,
+    pub firsts: u64,
+    pub tries: u64,
     pub p50_us: u64,
     pub p99_us: u64,
     pub p999_us: u64,
@@ -90,6 +104,8 @@
             late: self.plans.values().map(|p| p.late).sum(),
             unsent: self.unsent,
             connects: self.connects,
+            firsts: self.firsts,
+            tries: self.tries,
             p50_us: self.quantile(0.5),
             p99_us: self.quantile(0.99),
             p999_us: self.quantile(0.999),
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -1,5 +1,6 @@
 //! Days played by real processes, and audits that must fail when a fault is put into the carrying code.
 use chalkdeck_lab::audit::{audit, Record, Verdict};
+use chalkdeck_lab::day::Ways;
 use chalkdeck_lab::process::Program;
 use chalkdeck_lab::report::Summary;
 use chalkdeck_lab::{day, demo};
@@ -17,7 +18,8 @@
 
 fn play(name: &str, day: Day, fault: Option<&str>) -> Played {
     let dir = std::env::temp_dir().join(format!("chalkdeck-day-{}-{name}", std::process::id()));
-    let summary = day::run(program(), day, &dir, fault.map(String::from), false).expect("the day is played");
+    let ways = Ways { fault: fault.map(String::from), ..Ways::default() };
+    let summary = day::run(program(), day, &dir, &ways).expect("the day is played");
     let verdict = audit(&Record::read(&dir).expect("its logs are read"));
     if fault.is_some() || verdict.breaches.is_empty() {
         let _ = std::fs::remove_dir_all(&dir);
