--- a/crates/client/src/core.rs
+++ b/crates/client/src/core.rs
@@ -42,6 +42,8 @@
     pub reconnect_most: u64,
     /// A connect that takes longer has failed.
     pub connect_timeout: u64,
+    /// Connections are pinged this often; one that does not answer by the next ping is lost. 0: never.
+    pub keepalive: u64,
     /// A gateway that fails again and again is left alone for this long.
     pub rest: u64,
     /// Calls out at one gateway.
@@ -66,6 +68,7 @@
             reconnect_first: 200_000,
             reconnect_most: 5_000_000,
             connect_timeout: 1_000_000,
+            keepalive: 5_000_000,
             rest: 1_000_000,
             outstanding: 1_000,
             queue: 10_000,
--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -111,13 +111,11 @@
 impl Client {
     /// Starts the loop. Errors: senseless settings, no thread.
     pub fn start(settings: Settings, gateways: Vec<SocketAddr>) -> Result<Client, StartError> {
-        let connect_timeout = settings.connect_timeout;
-        let seed = settings.seed;
-        let core = Core::new(settings)?;
+        let core = Core::new(settings.clone())?;
         let engine = Engine::new()?;
         let waker = engine.waker()?;
         let (commands, inbox) = channel();
-        let mut carrier = Carrier::new(core, engine, inbox, connect_timeout, seed);
+        let mut carrier = Carrier::new(core, engine, inbox, &settings);
         let thread =
             std::thread::Builder::new().name("chalkdeck-client".into()).spawn(move || carrier.run())?;
         let client = Client {
@@ -178,6 +176,7 @@
     engine: Engine,
     inbox: Receiver<Command>,
     connect_timeout: u64,
+    keepalive: u64,
     rng: fastrand::Rng,
     addresses: Vec<SocketAddr>,
     conns: Vec<Option<ConnId>>,
@@ -190,12 +189,15 @@
 }
 
 impl Carrier {
-    fn new(core: Core, engine: Engine, inbox: Receiver<Command>, connect_timeout: u64, seed: u64) -> Carrier {
+    fn new(core: Core, engine: Engine, inbox: Receiver<Command>, settings: &Settings) -> Carrier {
+        let (connect_timeout, keepalive, seed) =
+            (settings.connect_timeout, settings.keepalive, settings.seed);
         Carrier {
             core,
             engine,
             inbox,
             connect_timeout,
+            keepalive,
             rng: fastrand::Rng::with_seed(seed ^ fastrand::u64(..)),
             addresses: Vec::new(),
             conns: Vec::new(),
@@ -299,7 +301,10 @@
 
     fn connect(&mut self, place: usize) {
         let Some(address) = self.addresses.get(place) else { return };
-        match self.engine.connect(*address, Limits { streams: 10_000, ..Limits::default() }) {
+        match self
+            .engine
+            .connect(*address, Limits { streams: 10_000, keepalive: self.keepalive, ..Limits::default() })
+        {
             Ok(conn) => {
                 self.conns[place] = Some(conn);
                 self.next += 1;
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -228,3 +228,15 @@
     handle.cancel();
     assert_eq!(gateway.reply(&replies).outcome, Outcome::Cancelled);
 }
+
+#[test]
+fn a_connection_gone_without_a_word_is_found_by_pings() {
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = silent.local_addr().expect("its address");
+    let settings = Settings { keepalive: 100_000, tries: 1, ..Settings::default() };
+    let client = Client::start(settings, vec![address]).expect("a client");
+    let begin = Instant::now();
+    let reply = client.call(call(Repeat::Unsafe, 30_000));
+    assert_eq!(reply.outcome, Outcome::Failed, "it may have run");
+    assert!(begin.elapsed() < Duration::from_secs(20), "long before the deadline");
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -54,8 +54,8 @@
 }
 
 impl Pool {
-    pub(crate) fn new(most: usize, streams: u32) -> Pool {
-        let limits = Limits { streams, ..Limits::default() };
+    pub(crate) fn new(most: usize, streams: u32, keepalive: u64) -> Pool {
+        let limits = Limits { streams, keepalive, ..Limits::default() };
         Pool { limits, most, places: FxHashMap::default(), server_of: FxHashMap::default() }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -75,6 +75,8 @@
     pub server_connections: usize,
     /// Calls on one of them.
     pub server_streams: u32,
+    /// How often a connection to a server is pinged, in microseconds.
+    pub keepalive: u64,
     /// Bytes of a request kept for a repeat, and of a unary answer kept back.
     pub keep_bytes: usize,
     /// Bounds of the clients' side.
@@ -345,6 +347,7 @@
         connect_timeout: u64::from(or(endpoints.connect_timeout_ms, 250)) * 1_000,
         server_connections: or(endpoints.connections, 2) as usize,
         server_streams: or(endpoints.streams, 100),
+        keepalive: u64::from(or(endpoints.keepalive_ms, 10_000)) * 1_000,
         keep_bytes: or(limits.keep_bytes, 65_536) as usize,
         front: Limits {
             connections: or(limits.connections, 16_384) as usize,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -83,7 +83,7 @@
             admin,
             calls: Calls::default(),
             counter: set.counter.map(Counter::new),
-            pool: Pool::new(set.server_connections, set.server_streams),
+            pool: Pool::new(set.server_connections, set.server_streams, set.keepalive),
             watch: Watch::new(set.endpoints.clone()),
             metrics: Metrics::new(&set.class_names, &set.plan_names),
             due: Slab::new(),
@@ -306,7 +306,7 @@
     }
 
     /// Takes over what can change in service; the decisions' own settings need a new start.
-    fn reload(&mut self) {
+    pub fn reload(&mut self) {
         let Some(file) = &self.file else { return };
         let new = match Settings::load(file) {
             Ok(new) => new,
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -35,6 +35,9 @@
     /// Streams that the client reset in that second.
     pub(crate) resets: u32,
     pub(crate) reset_second: u64,
+    ping: Option<h2::PingPong>,
+    /// A ping is out and its answer has not come.
+    pub(crate) unanswered: bool,
 }
 
 pub(crate) enum Step {
@@ -72,12 +75,25 @@
             reached: true,
             resets: 0,
             reset_second: 0,
+            ping: None,
+            unanswered: false,
         }
     }
 
     pub(crate) fn connecting(stream: TcpStream, limits: Limits, waker: Waker) -> Conn {
         let link = Link::Connecting(Some(stream));
-        Conn { link, waker, limits, listener: None, streams: 0, reached: false, resets: 0, reset_second: 0 }
+        Conn {
+            link,
+            waker,
+            limits,
+            listener: None,
+            streams: 0,
+            reached: false,
+            resets: 0,
+            reset_second: 0,
+            ping: None,
+            unanswered: false,
+        }
     }
 
     /// How many further streams it takes now: by our limit and by what the peer allows.
@@ -87,10 +103,23 @@
         most.saturating_sub(self.streams)
     }
 
+    /// Asks the peer for a sign of life.
+    pub(crate) fn send_ping(&mut self) {
+        if let Some(ping) = &mut self.ping {
+            self.unanswered = ping.send_ping(h2::Ping::opaque()).is_ok();
+            self.waker.wake_by_ref();
+        }
+    }
+
     /// Moves on by one step.
     pub(crate) fn poll(&mut self) -> Step {
         let waker = self.waker.clone();
         let mut cx = Context::from_waker(&waker);
+        if let Some(Poll::Ready(_)) =
+            self.ping.as_mut().filter(|_| self.unanswered).map(|p| p.poll_pong(&mut cx))
+        {
+            self.unanswered = false;
+        }
         loop {
             match &mut self.link {
                 Link::Connecting(stream) => match reached(stream) {
@@ -105,7 +134,8 @@
                 Link::Greeting(handshake) => match handshake.as_mut().poll(&mut cx) {
                     Poll::Pending => return Step::Wait,
                     Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
-                    Poll::Ready(Ok((sender, link))) => {
+                    Poll::Ready(Ok((sender, mut link))) => {
+                        self.ping = link.ping_pong();
                         self.link = Link::Client(sender, Box::new(link));
                         waker.wake_by_ref();
                         return Step::Connected;
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -48,6 +48,9 @@
     pub header_bytes: u32,
     /// Streams that a client may reset on one connection within a second; beyond that it is closed.
     pub resets: u32,
+    /// A connection that was asked for is pinged this often, in microseconds; one that has not answered by the next ping is
+    /// lost. 0: never.
+    pub keepalive: u64,
 }
 
 impl Default for Limits {
@@ -59,6 +62,7 @@
             connection_window: 16 << 20,
             header_bytes: 16 << 10,
             resets: 1_000,
+            keepalive: 0,
         }
     }
 }
@@ -126,6 +130,8 @@
     conns: FxHashMap<u64, Conn>,
     streams: FxHashMap<u64, Box<Stream>>,
     timers: BinaryHeap<Reverse<(u64, u64)>>,
+    /// When a connection is to be pinged.
+    pings: BinaryHeap<Reverse<(u64, u64)>>,
     out: VecDeque<Event>,
 }
 
@@ -142,6 +148,7 @@
             conns: FxHashMap::default(),
             streams: FxHashMap::default(),
             timers: BinaryHeap::new(),
+            pings: BinaryHeap::new(),
             out: VecDeque::new(),
         })
     }
@@ -312,7 +319,9 @@
     /// Waits until something happens, at most so many microseconds, and hands over what did.
     pub fn turn(&mut self, most_wait: u64, events: &mut Vec<Event>) -> io::Result<()> {
         let idle = self.ready.is_empty() && self.out.is_empty();
-        let due = self.timers.peek().map_or(most_wait, |Reverse((at, _))| at.saturating_sub(self.now()));
+        let next =
+            [self.timers.peek(), self.pings.peek()].into_iter().flatten().map(|Reverse((at, _))| *at).min();
+        let due = next.map_or(most_wait, |at| at.saturating_sub(self.now()));
         let wait = if idle { due.min(most_wait) } else { 0 };
         match self.poll.poll(&mut self.readiness, Some(Duration::from_micros(wait))) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -331,6 +340,7 @@
             self.timers.pop();
             self.out.push_back(Event::Timer(token));
         }
+        self.ping_due(now);
         // Bounded, so that a busy peer does not keep timers waiting.
         for _ in 0..8192 {
             let Some(key) = self.ready.pop() else { break };
@@ -340,6 +350,21 @@
         Ok(())
     }
 
+    /// Guards against connections that are gone without a word: half open, their calls would wait for their time-outs.
+    fn ping_due(&mut self, now: u64) {
+        while let Some(Reverse((_, key))) = self.pings.peek().filter(|p| p.0 .0 <= now).copied() {
+            self.pings.pop();
+            let Some(conn) = self.conns.get_mut(&key) else { continue };
+            if conn.unanswered {
+                self.drop_conn(key, "no answer to a ping".to_string());
+                continue;
+            }
+            conn.send_ping();
+            let next = now + conn.limits.keepalive;
+            self.pings.push(Reverse((next, key)));
+        }
+    }
+
     fn poll_key(&mut self, key: u64) {
         if let Some(stream) = self.streams.get_mut(&key) {
             let conn = stream.conn;
@@ -384,7 +409,13 @@
         while let Some(conn) = self.conns.get_mut(&key) {
             match conn.poll() {
                 Step::Wait => return,
-                Step::Connected => self.out.push_back(Event::Connected { conn: ConnId(key) }),
+                Step::Connected => {
+                    let keepalive = conn.limits.keepalive;
+                    self.out.push_back(Event::Connected { conn: ConnId(key) });
+                    if keepalive > 0 {
+                        self.pings.push(Reverse((self.clock.now() + keepalive, key)));
+                    }
+                }
                 Step::Get(path) => {
                     self.out.push_back(Event::Get { conn: ConnId(key), path });
                     return;
