--- /dev/null
+++ b/crates/client/examples/views.rs
@@ -0,0 +1,27 @@
+//! Calls a gateway of the demo: `cargo run -p chalkdeck-client --example views -- 127.0.0.1:PORT`.
+use bytes::Bytes;
+use chalkdeck_client::{Call, Client, Repeat, Settings};
+use std::time::Duration;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let gateways = std::env::args().skip(1).map(|a| a.parse()).collect::<Result<Vec<_>, _>>()?;
+    let client = Client::start(Settings::default(), gateways)?;
+    for number in 0..20 {
+        let reply = client.call(Call {
+            path: "/farm.v1.Farm/View".into(),
+            message: Bytes::from(format!("view {number}")),
+            metadata: vec![("x-customer".into(), "harvest-1".into())],
+            repeat: Repeat::Safe,
+            key: None,
+            timeout: Duration::from_secs(1),
+        });
+        println!(
+            "{:?} after {} tries, {} bytes",
+            reply.outcome,
+            reply.tries,
+            reply.message.map_or(0, |m| m.len())
+        );
+    }
+    println!("{:?}", client.stats());
+    Ok(())
+}
--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -1,6 +1,7 @@
 //! The core over sockets: one thread with a poll loop, calls from any thread, blocking or with a callback.
 
 use crate::core::{Action, CallId, Core, Event, Outcome, Repeat, Settings, SettingsError, TryEnd};
+use crate::stats::{Counters, Stats};
 use bytes::Bytes;
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::unary::Gather;
@@ -8,7 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, sync_channel, Receiver, Sender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -64,6 +65,11 @@
     Io(#[from] std::io::Error),
 }
 
+/// Too many calls wait or are out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("too many calls are open; let some end first")]
+pub struct Full;
+
 type Done = Box<dyn FnOnce(Reply) + Send>;
 
 enum Command {
@@ -91,6 +97,10 @@
 pub struct Client {
     door: Arc<Door>,
     next: AtomicU64,
+    /// Calls that have not ended; bounded, so that the way to the loop is.
+    open: Arc<AtomicUsize>,
+    most: usize,
+    stats: Arc<Counters>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -116,13 +126,13 @@
         let waker = engine.waker()?;
         let (commands, inbox) = channel();
         let mut carrier = Carrier::new(core, engine, inbox, &settings);
+        let stats = carrier.stats.clone();
         let thread =
             std::thread::Builder::new().name("chalkdeck-client".into()).spawn(move || carrier.run())?;
-        let client = Client {
-            door: Arc::new(Door { commands, waker }),
-            next: AtomicU64::new(1),
-            thread: Some(thread),
-        };
+        let door = Arc::new(Door { commands, waker });
+        let most = settings.queue.saturating_add(settings.outstanding);
+        let (next, open) = (AtomicU64::new(1), Arc::default());
+        let client = Client { door, next, open, most, stats, thread: Some(thread) };
         client.set_gateways(gateways);
         Ok(client)
     }
@@ -132,8 +142,46 @@
         self.door.tell(Command::Gateways(gateways));
     }
 
-    /// Starts a call; `done` runs once, on the client's thread, and must not block.
+    /// What the client has done so far.
+    pub fn stats(&self) -> Stats {
+        self.stats.read()
+    }
+
+    /// Starts a call; `done` runs once, on the client's thread, and must not block. With too many calls open it hears
+    /// `Full` at once, on this thread.
     pub fn begin(&self, call: Call, done: impl FnOnce(Reply) + Send + 'static) -> Handle {
+        if self.is_full() {
+            done(Reply {
+                outcome: Outcome::Full,
+                code: None,
+                text: Full.to_string(),
+                message: None,
+                tries: 0,
+            });
+            return Handle { door: self.door.clone(), call: CallId(0) };
+        }
+        self.start_call(call, done)
+    }
+
+    /// The same, but says at once that too many calls are open; `done` is not run then.
+    pub fn try_begin(&self, call: Call, done: impl FnOnce(Reply) + Send + 'static) -> Result<Handle, Full> {
+        if self.is_full() {
+            return Err(Full);
+        }
+        Ok(self.start_call(call, done))
+    }
+
+    fn is_full(&self) -> bool {
+        self.open.load(Ordering::Relaxed) >= self.most
+    }
+
+    fn start_call(&self, call: Call, done: impl FnOnce(Reply) + Send + 'static) -> Handle {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let open = self.open.clone();
+        let done = move |reply| {
+            open.fetch_sub(1, Ordering::Relaxed);
+            done(reply);
+        };
         let id = CallId(self.next.fetch_add(1, Ordering::Relaxed));
         self.door.tell(Command::Start(id, call, Box::new(done)));
         Handle { door: self.door.clone(), call: id }
@@ -185,6 +233,7 @@
     connects: HashMap<u64, ConnId>,
     next: u64,
     todo: Vec<Event>,
+    stats: Arc<Counters>,
     stopped: bool,
 }
 
@@ -206,6 +255,7 @@
             connects: HashMap::new(),
             next: 0,
             todo: Vec::new(),
+            stats: Arc::default(),
             stopped: false,
         }
     }
@@ -295,6 +345,8 @@
     fn finish(&mut self, id: CallId, outcome: Outcome) {
         let Some(open) = self.open.remove(&id) else { return };
         let answered = outcome == Outcome::Answered;
+        self.stats.ended(outcome);
+        tracing::debug!(call = id.0, ?outcome, tries = open.tries, "ended");
         let message = open.gather.message().filter(|_| answered).cloned();
         (open.done)(Reply { outcome, code: open.code, text: open.text, message, tries: open.tries });
     }
@@ -334,6 +386,8 @@
             return;
         };
         open.tries = number + 1;
+        self.stats.tried();
+        tracing::debug!(call = id.0, number, place, left, "sent");
         open.stream = Some(stream);
         self.engine.send(stream, grpc::frame(&open.call.message));
         self.engine.finish(stream, None);
@@ -345,6 +399,7 @@
             NetEvent::Connected { conn } => {
                 if let Some(place) = self.place_of(conn) {
                     self.connects.retain(|_, c| *c != conn);
+                    self.stats.connected();
                     self.todo.push(Event::Connected(place));
                 }
             }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,10 @@
 pub mod core;
 mod driver;
 mod gateways;
+mod settings;
+mod stats;
 
 pub use crate::core::{Outcome, Repeat, Settings, SettingsError};
-pub use driver::{Call, Client, Handle, Reply, StartError};
+pub use driver::{Call, Client, Full, Handle, Reply, StartError};
+pub use settings::TextError;
+pub use stats::Stats;
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -240,3 +240,23 @@
     assert_eq!(reply.outcome, Outcome::Failed, "it may have run");
     assert!(begin.elapsed() < Duration::from_secs(20), "long before the deadline");
 }
+
+#[test]
+fn too_many_open_calls_are_told_at_once() {
+    let nobody =
+        std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let settings = Settings { queue: 3, outstanding: 1, ..Settings::default() };
+    let client = Client::start(settings, vec![nobody]).expect("a client");
+    let (tx, replies) = channel();
+    let begin = |tx: std::sync::mpsc::Sender<Reply>| {
+        client.try_begin(call(Repeat::Safe, 300), move |r| drop(tx.send(r)))
+    };
+    let taken = (0..10).filter(|_| begin(tx.clone()).is_ok()).count();
+    assert_eq!(taken, 4);
+    for _ in 0..taken {
+        replies.recv_timeout(Duration::from_secs(20)).expect("each of them ends");
+    }
+    assert!(begin(tx).is_ok(), "there is room again");
+    let stats = client.stats();
+    assert_eq!(stats.failed + stats.dropped + stats.refused, 4, "{stats:?}");
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,7 +7,7 @@
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
 use crate::report::Summary;
-use crate::{audit, counter, day, demo, library, measure, replay};
+use crate::{audit, counter, day, demo, library, measure, reconnect, replay, timeline};
 use anyhow::{bail, Context};
 use chalkdeck_client::Repeat;
 use chalkdeck_gateway::relay::Relay;
@@ -49,10 +49,37 @@
     Replay(ReplayArgs),
     /// Gateways, counter, servers and a small load with no settings
     Demo(DemoArgs),
+    /// Served calls by time of one or more runs, as a table of recoveries and an SVG
+    Timeline(TimelineArgs),
+    /// Many clients lose a gateway at once: connects by time, the library's against naive ones
+    Reconnect(ReconnectArgs),
     /// Calls a second and core, and added latency: straight, through a bare relay, through a gateway
     Measure(MeasureArgs),
 }
 
+#[derive(Args)]
+pub struct TimelineArgs {
+    /// Folders of runs
+    #[arg(required = true)]
+    pub dirs: Vec<PathBuf>,
+    #[arg(long)]
+    pub svg: Option<PathBuf>,
+}
+
+#[derive(Args)]
+pub struct ReconnectArgs {
+    #[arg(long, default_value_t = 8_000)]
+    pub clients: usize,
+    /// Connect again at once after each loss, every 10 ms, as naive clients do
+    #[arg(long)]
+    pub naive: bool,
+    /// How long the gateway is away
+    #[arg(long, default_value_t = 3.0)]
+    pub away: f64,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 #[derive(Args)]
 pub struct MeasureArgs {
     /// Seconds of each single run
@@ -247,6 +274,8 @@
                 }
                 play(before, replay.day, &args.dir, &Ways { lines: args.lines, ..Ways::default() })
             }
+            Command::Timeline(args) => timeline::run(&args.dirs, args.svg.as_deref()),
+            Command::Reconnect(args) => reconnect::run(Program::this(before)?, &args),
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,5 +14,7 @@
 pub mod measure;
 pub mod model;
 pub mod process;
+pub mod reconnect;
 pub mod replay;
 pub mod report;
+pub mod timeline;
--- /dev/null
+++ b/crates/lab/src/timeline.rs
@@ -0,0 +1,111 @@
+//! Runs over time: calls served in each slot, and how soon a run recovered after its last trouble.
+
+use crate::audit::Record;
+use crate::log::{End, Line};
+use anyhow::Context;
+use plotters::prelude::*;
+use std::path::{Path, PathBuf};
+
+/// Length of a slot in microseconds.
+const SLOT: u64 = 250_000;
+/// A run has recovered when it serves this part of what it served before the first trouble.
+const RECOVERED: f64 = 0.9;
+
+/// Served calls of a run by slots from its first call on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Timeline {
+    pub served: Vec<u32>,
+    /// When the first trouble began and the last act was done, in microseconds from the first call.
+    pub trouble: Option<(u64, u64)>,
+}
+
+impl Timeline {
+    pub fn of(lines: &[Line]) -> Timeline {
+        let first = lines.iter().find_map(|l| if let Line::Call { t, .. } = l { Some(*t) } else { None });
+        let first = first.unwrap_or(0);
+        let mut served = Vec::new();
+        let mut trouble: Option<(u64, u64)> = None;
+        for line in lines {
+            match line {
+                Line::Answer { t, end: End::Served, .. } => {
+                    let slot = (t.saturating_sub(first) / SLOT) as usize;
+                    served.resize(served.len().max(slot + 1), 0);
+                    served[slot] += 1;
+                }
+                Line::Note { t, what, .. } if what == "act" => {
+                    let at = t.saturating_sub(first);
+                    trouble = Some(trouble.map_or((at, at), |was| (was.0, at)));
+                }
+                _ => {}
+            }
+        }
+        Timeline { served, trouble }
+    }
+
+    /// How long after its last act the run served again as it did before its first, over two slots; none: it did not.
+    pub fn recovery(&self) -> Option<u64> {
+        let (begin, end) = self.trouble?;
+        let before = self.served.get(..(begin / SLOT) as usize).filter(|b| b.len() > 1)?;
+        // The first slot is short of its answers.
+        let usual = f64::from(before[1..].iter().sum::<u32>()) / (before.len() - 1) as f64;
+        let from = (end / SLOT) as usize;
+        let pairs = self.served.windows(2).enumerate().skip(from);
+        let mut good = pairs.filter(|(_, w)| f64::from(w[0] + w[1]) / 2.0 >= RECOVERED * usual);
+        good.next().map(|(slot, _)| (slot as u64 * SLOT).saturating_sub(end))
+    }
+}
+
+/// Prints recoveries of runs, and draws them.
+pub fn run(dirs: &[PathBuf], svg: Option<&Path>) -> anyhow::Result<()> {
+    let mut lines = Vec::new();
+    for dir in dirs {
+        let timeline = Timeline::of(&Record::read(dir)?.lines);
+        let recovery = timeline.recovery().map_or("not".to_string(), |us| format!("after {} ms", us / 1_000));
+        println!("{}: recovered {recovery}", dir.display());
+        lines
+            .push((dir.file_name().map_or_else(String::new, |n| n.to_string_lossy().into_owned()), timeline));
+    }
+    svg.map_or(Ok(()), |path| draw(path, &lines).with_context(|| path.display().to_string()))
+}
+
+fn draw(path: &Path, lines: &[(String, Timeline)]) -> anyhow::Result<()> {
+    let root = SVGBackend::new(path, (900, 420)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let slots = lines.iter().map(|l| l.1.served.len()).max().unwrap_or(1);
+    let most = lines.iter().flat_map(|l| &l.1.served).max().copied().unwrap_or(1);
+    let per_second = 1_000_000.0 / SLOT as f64;
+    let seconds = slots as f64 / per_second;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(12)
+        .x_label_area_size(32)
+        .y_label_area_size(48)
+        .caption("calls served a second", ("sans-serif", 18))
+        .build_cartesian_2d(0.0..seconds, 0.0..f64::from(most) * per_second * 1.05)?;
+    chart.configure_mesh().x_desc("seconds").draw()?;
+    for (i, (name, timeline)) in lines.iter().enumerate() {
+        let color = Palette99::pick(i).to_rgba();
+        let points = timeline.served.iter().enumerate();
+        let points = points.map(|(slot, n)| (slot as f64 / per_second, f64::from(*n) * per_second));
+        let series = chart.draw_series(LineSeries::new(points, color.stroke_width(2)))?;
+        series
+            .label(name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn recovery_counts_from_the_last_act() {
+        let served = [5, 10, 10, 10, 0, 0, 0, 0, 2, 10, 10].to_vec();
+        let timeline = Timeline { served, trouble: Some((4 * SLOT, 8 * SLOT)) };
+        assert_eq!(timeline.recovery(), Some(SLOT));
+        let down = Timeline { served: vec![5, 10, 10, 10, 0, 0], trouble: Some((4 * SLOT, 5 * SLOT)) };
+        assert_eq!(down.recovery(), None);
+    }
+}
--- a/crates/proto/build.rs
+++ b/crates/proto/build.rs
@@ -1,7 +1,8 @@
 //! Compiles the schemas without an outside compiler and keeps their descriptors for the text form.
 use prost::Message;
 
-const FILES: [&str; 6] = [
+const FILES: [&str; 7] = [
+    "chalkdeck/client/v1/settings.proto",
     "chalkdeck/lab/v1/day.proto",
     "chalkdeck/config/v1/config.proto",
     "chalkdeck/counter/v1/counter.proto",
