Client library: streams both ways, with a bound on what waits

Need: studios stream too, and a stream must not go again once it has begun. Change: open, send, finish and cancel over the same core, which learns Started; messages before the first try wait. Not measured: no figure of streams yet.

--- a/crates/client/src/core.rs
+++ b/crates/client/src/core.rs
@@ -135,6 +135,8 @@
     Connected(usize),
     /// A connection is over, was not made, or takes nothing new.
     Lost(usize),
+    /// A call's answer has begun to reach the caller, or what it sends cannot be sent again: it does not go again.
+    Started(CallId),
     /// A try ended.
     Ended(CallId, u32, TryEnd),
     /// Time has passed.
@@ -241,6 +243,7 @@
             Event::Cancel(id) => self.finish(id, Outcome::Cancelled),
             Event::Connected(place) => self.gateways.connected(place),
             Event::Lost(place) => self.gateways.lost(place, self.now, &self.set, &mut self.rng),
+            Event::Started(id) => self.on_started(id),
             Event::Ended(id, number, end) => self.on_end(id, number, end),
             Event::Tick => {}
         }
@@ -334,6 +337,13 @@
         }
     }
 
+    fn on_started(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.repeat = Repeat::Unsafe;
+            call.ran.get_or_insert(call.sent);
+        }
+    }
+
     fn on_end(&mut self, id: CallId, number: u32, end: TryEnd) {
         let now = self.now;
         let Some(call) = self.calls.get_mut(&id).filter(|c| c.tries == number + 1) else { return };
--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -2,11 +2,13 @@
 
 use crate::core::{Action, CallId, Core, Event, Outcome, Repeat, Settings, SettingsError, TryEnd};
 use crate::stats::{Counters, Stats};
+use crate::stream::{Stream, StreamEvent};
+use crate::wire::{end_of, head};
 use bytes::Bytes;
-use chalkdeck_net::grpc::{self, Code};
+use chalkdeck_net::grpc::{self, Code, Deframer, FrameError};
 use chalkdeck_net::unary::Gather;
 use chalkdeck_net::{engine::LoopWaker, Broken, ConnId, Engine, Event as NetEvent, Limits, StreamId};
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::HeaderMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -17,8 +19,6 @@
 
 /// The longest answer that is read.
 const ANSWER_BYTES: usize = 4 << 20;
-const KEY: &str = "x-idempotency-key";
-const UNPROCESSED: &str = "x-chalkdeck-unprocessed";
 /// The loop looks at the time at least this often, in microseconds.
 const LONGEST_WAIT: u64 = 1_000_000;
 
@@ -72,20 +72,34 @@
 
 type Done = Box<dyn FnOnce(Reply) + Send>;
 
-enum Command {
+pub(crate) enum Command {
     Start(CallId, Call, Done),
+    Open(CallId, Call, Live),
+    Message(CallId, Bytes),
+    Finish(CallId),
     Cancel(CallId),
     Gateways(Vec<SocketAddr>),
     Stop,
 }
 
-struct Door {
+/// A stream's caller, and what is on its way.
+pub(crate) struct Live {
+    hear: Box<dyn FnMut(StreamEvent) + Send>,
+    queued: Arc<AtomicUsize>,
+    deframer: Deframer,
+    /// Messages that came while no try was out; bounded by `queued`.
+    early: Vec<Bytes>,
+    /// The caller sends no more.
+    ended: bool,
+}
+
+pub(crate) struct Door {
     commands: Sender<Command>,
     waker: LoopWaker,
 }
 
 impl Door {
-    fn tell(&self, command: Command) {
+    pub(crate) fn tell(&self, command: Command) {
         // A loop that has ended has answered all its calls.
         if self.commands.send(command).is_ok() {
             let _ = self.waker.wake();
@@ -171,6 +185,33 @@
         Ok(self.start_call(call, done))
     }
 
+    /// Opens a stream with its first message; `hear` runs on the client's thread and must not block. `timeout` is the whole
+    /// stream's. Errors: too many calls are open.
+    pub fn open(&self, call: Call, hear: impl FnMut(StreamEvent) + Send + 'static) -> Result<Stream, Full> {
+        if self.is_full() {
+            return Err(Full);
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let (open, mut hear) = (self.open.clone(), hear);
+        let hear = move |event: StreamEvent| {
+            if matches!(event, StreamEvent::End(_)) {
+                open.fetch_sub(1, Ordering::Relaxed);
+            }
+            hear(event);
+        };
+        let id = CallId(self.next.fetch_add(1, Ordering::Relaxed));
+        let queued = Arc::new(AtomicUsize::new(0));
+        let live = Live {
+            hear: Box::new(hear),
+            queued: queued.clone(),
+            deframer: Deframer::default(),
+            early: Vec::new(),
+            ended: false,
+        };
+        self.door.tell(Command::Open(id, call, live));
+        Ok(Stream { door: self.door.clone(), call: id, queued })
+    }
+
     fn is_full(&self) -> bool {
         self.open.load(Ordering::Relaxed) >= self.most
     }
@@ -209,9 +250,14 @@
     }
 }
 
+enum Caller {
+    Unary(Done),
+    Stream(Live),
+}
+
 struct Open {
     call: Call,
-    done: Done,
+    done: Caller,
     stream: Option<StreamId>,
     code: Option<Code>,
     text: String,
@@ -296,16 +342,10 @@
 
     fn on_command(&mut self, command: Command) {
         match command {
-            Command::Start(id, mut call, done) => {
-                let now = self.engine.now();
-                if matches!(call.repeat, Repeat::Keyed { .. }) {
-                    call.key.get_or_insert_with(|| format!("{:032x}", self.rng.u128(..)));
-                }
-                let deadline = now + call.timeout.as_micros() as u64;
-                self.todo.push(Event::Call(id, call.repeat, deadline));
-                let (stream, code, text, gather, tries) = (None, None, String::new(), Gather::default(), 0);
-                self.open.insert(id, Open { call, done, stream, code, text, gather, tries });
-            }
+            Command::Start(id, call, done) => self.start(id, call, Caller::Unary(done)),
+            Command::Open(id, call, live) => self.start(id, call, Caller::Stream(live)),
+            Command::Message(id, message) => self.message(id, message),
+            Command::Finish(id) => self.end_of_messages(id),
             Command::Cancel(id) => self.todo.push(Event::Cancel(id)),
             Command::Gateways(addresses) => self.relist(addresses),
             Command::Stop => self.stopped = true,
@@ -313,6 +353,30 @@
         self.settle();
     }
 
+    fn start(&mut self, id: CallId, mut call: Call, done: Caller) {
+        if matches!(call.repeat, Repeat::Keyed { .. }) {
+            call.key.get_or_insert_with(|| format!("{:032x}", self.rng.u128(..)));
+        }
+        let span = u64::try_from(call.timeout.as_micros()).unwrap_or(u64::MAX);
+        self.todo.push(Event::Call(id, call.repeat, self.engine.now().saturating_add(span)));
+        let (stream, code, text, gather, tries) = (None, None, String::new(), Gather::default(), 0);
+        self.open.insert(id, Open { call, done, stream, code, text, gather, tries });
+    }
+
+    /// A further message of a stream. Once sent it is not kept, so from there on the stream does not go again.
+    fn message(&mut self, id: CallId, message: Bytes) {
+        let Some(Open { done: Caller::Stream(live), stream, .. }) = self.open.get_mut(&id) else { return };
+        let Some(stream) = stream else { return live.early.push(message) };
+        self.engine.send(*stream, grpc::frame(&message));
+        self.todo.push(Event::Started(id));
+    }
+
+    fn end_of_messages(&mut self, id: CallId) {
+        let Some(Open { done: Caller::Stream(live), stream, .. }) = self.open.get_mut(&id) else { return };
+        live.ended = true;
+        stream.iter().for_each(|s| self.engine.finish(*s, None));
+    }
+
     /// Places keep their address as long as it is on the list; a place whose address changed is connected anew.
     fn relist(&mut self, addresses: Vec<SocketAddr>) {
         for (place, conn) in self.conns.iter_mut().enumerate() {
@@ -348,7 +412,11 @@
         self.stats.ended(outcome);
         tracing::debug!(call = id.0, ?outcome, tries = open.tries, "ended");
         let message = open.gather.message().filter(|_| answered).cloned();
-        (open.done)(Reply { outcome, code: open.code, text: open.text, message, tries: open.tries });
+        let reply = Reply { outcome, code: open.code, text: open.text, message, tries: open.tries };
+        match open.done {
+            Caller::Unary(done) => done(reply),
+            Caller::Stream(mut live) => (live.hear)(StreamEvent::End(reply)),
+        }
     }
 
     fn connect(&mut self, place: usize) {
@@ -390,7 +458,15 @@
         tracing::debug!(call = id.0, number, place, left, "sent");
         open.stream = Some(stream);
         self.engine.send(stream, grpc::frame(&open.call.message));
-        self.engine.finish(stream, None);
+        if let Caller::Stream(live) = &mut open.done {
+            if !live.early.is_empty() {
+                self.todo.push(Event::Started(id));
+            }
+            live.early.drain(..).for_each(|m| self.engine.send(stream, grpc::frame(&m)));
+        }
+        if !matches!(&open.done, Caller::Stream(live) if !live.ended) {
+            self.engine.finish(stream, None);
+        }
         self.tries.insert(stream, (id, number));
     }
 
@@ -417,15 +493,9 @@
             NetEvent::Head { stream, head, ended: true } => self.on_end(stream, &head.headers),
             NetEvent::Data { stream, data } => {
                 self.engine.consume(stream, data.len());
-                let Some(open) = self.tries.get(&stream).and_then(|t| self.open.get_mut(&t.0)) else {
-                    return;
-                };
-                if let Err(e) = open.gather.push(&data, ANSWER_BYTES) {
-                    open.text = e.to_string();
-                    self.engine.reset(stream, h2::Reason::CANCEL);
-                    self.ended(stream, TryEnd::MayHaveRun);
-                }
+                self.on_data(stream, &data);
             }
+            NetEvent::Sent { stream, bytes } => self.on_sent(stream, bytes),
             NetEvent::End { stream, trailers } => self.on_end(stream, &trailers.unwrap_or_default()),
             NetEvent::Broken { stream, how } => self.ended(
                 stream,
@@ -438,6 +508,32 @@
         }
     }
 
+    /// The first message was not queued by the caller, so the sum may come out below nothing.
+    fn on_sent(&mut self, stream: StreamId, bytes: usize) {
+        let open = self.tries.get(&stream).and_then(|t| self.open.get(&t.0));
+        if let Some(Open { done: Caller::Stream(live), .. }) = open {
+            let take = |queued: usize| Some(queued.saturating_sub(bytes));
+            let _ = live.queued.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        }
+    }
+
+    fn on_data(&mut self, stream: StreamId, data: &[u8]) {
+        let Some(&(id, _)) = self.tries.get(&stream) else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let pushed = match &mut open.done {
+            Caller::Unary(_) => open.gather.push(data, ANSWER_BYTES),
+            Caller::Stream(live) => hand_over(live, data),
+        };
+        if matches!(open.done, Caller::Stream(_)) {
+            self.todo.push(Event::Started(id));
+        }
+        if let Err(e) = pushed {
+            open.text = e.to_string();
+            self.engine.reset(stream, h2::Reason::CANCEL);
+            self.ended(stream, TryEnd::MayHaveRun);
+        }
+    }
+
     fn on_end(&mut self, stream: StreamId, trailers: &HeaderMap) {
         if let Some(open) = self.tries.get(&stream).and_then(|t| self.open.get_mut(&t.0)) {
             open.code = Code::read(trailers);
@@ -453,32 +549,10 @@
     }
 }
 
-fn head(call: &Call, address: SocketAddr, number: u32, left: u64) -> Option<http::Request<()>> {
-    let mut head = grpc::request(&address.to_string(), &call.path)?;
-    let headers = head.headers_mut();
-    for (name, value) in &call.metadata {
-        headers.insert(HeaderName::from_bytes(name.as_bytes()).ok()?, HeaderValue::from_str(value).ok()?);
-    }
-    if let Some(key) = &call.key {
-        headers.insert(HeaderName::from_static(KEY), HeaderValue::from_str(key).ok()?);
-    }
-    if number > 0 {
-        headers.insert(HeaderName::from_static(grpc::ATTEMPTS), HeaderValue::from(number));
-    }
-    headers.insert(HeaderName::from_static(grpc::TIMEOUT), grpc::timeout(left));
-    Some(head)
-}
-
-/// What an answer's end says. A refusal is marked by its pushback; one that cannot be read gives no time.
-fn end_of(trailers: &HeaderMap) -> TryEnd {
-    let pushback = trailers.get(grpc::PUSHBACK);
-    match Code::read(trailers) {
-        Some(Code::ResourceExhausted) if pushback.is_some() => {
-            let ms = pushback.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
-            TryEnd::Refused(ms.map(|ms| ms.saturating_mul(1_000)))
-        }
-        Some(Code::Unavailable) if trailers.get(UNPROCESSED).is_some_and(|v| v == "1") => TryEnd::NeverRan,
-        Some(Code::Unavailable | Code::DeadlineExceeded) | None => TryEnd::MayHaveRun,
-        Some(_) => TryEnd::Answered,
+fn hand_over(live: &mut Live, data: &[u8]) -> Result<(), FrameError> {
+    live.deframer.push(data);
+    while let Some(message) = live.deframer.next(ANSWER_BYTES)? {
+        (live.hear)(StreamEvent::Message(message));
     }
+    Ok(())
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -11,8 +11,11 @@
 mod gateways;
 mod settings;
 mod stats;
+mod stream;
+mod wire;
 
 pub use crate::core::{Outcome, Repeat, Settings, SettingsError};
 pub use driver::{Call, Client, Full, Handle, Reply, StartError};
 pub use settings::TextError;
 pub use stats::Stats;
+pub use stream::{Stream, StreamEvent};
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -1,6 +1,6 @@
 //! The client over sockets, against gateways that are scripted in this thread.
 use bytes::Bytes;
-use chalkdeck_client::{Call, Client, Outcome, Repeat, Reply, Settings};
+use chalkdeck_client::{Call, Client, Outcome, Repeat, Reply, Settings, StreamEvent};
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::{Engine, Event, Limits, ListenerId, StreamId};
 use http::{HeaderMap, HeaderValue};
@@ -14,6 +14,8 @@
     listener: ListenerId,
     address: SocketAddr,
     asked: Vec<(StreamId, HeaderMap)>,
+    /// It gives no window back.
+    slow: bool,
 }
 
 impl Gateway {
@@ -21,7 +23,7 @@
         let mut engine = Engine::new().expect("a poll handle");
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let (listener, address) = engine.listen(any, Limits::default(), false, false).expect("a port");
-        Gateway { engine, listener, address, asked: Vec::new() }
+        Gateway { engine, listener, address, asked: Vec::new(), slow: false }
     }
     fn turn(&mut self) {
         let mut events = Vec::new();
@@ -29,7 +31,7 @@
         for event in events {
             match event {
                 Event::Opened { stream, head, .. } => self.asked.push((stream, head.headers.clone())),
-                Event::Data { stream, data } => self.engine.consume(stream, data.len()),
+                Event::Data { stream, data } if !self.slow => self.engine.consume(stream, data.len()),
                 _ => {}
             }
         }
@@ -175,7 +177,7 @@
     drop(gateway);
     let mut engine = Engine::new().expect("a poll handle");
     let (listener, address) = engine.listen(address, Limits::default(), false, false).expect("the same port");
-    let mut gateway = Gateway { engine, listener, address, asked: Vec::new() };
+    let mut gateway = Gateway { engine, listener, address, asked: Vec::new(), slow: false };
     let (mut ended, mut answered) = (std::collections::BTreeSet::new(), 0);
     let end = Instant::now() + Duration::from_secs(20);
     while ended.len() < 500 && Instant::now() < end {
@@ -260,3 +262,61 @@
     let stats = client.stats();
     assert_eq!(stats.failed + stats.dropped + stats.refused, 4, "{stats:?}");
 }
+
+#[test]
+fn a_stream_talks_both_ways_and_ends_once() {
+    let mut gateway = Gateway::new();
+    let client = start(&gateway);
+    let (tx, heard) = channel();
+    let stream =
+        client.open(call(Repeat::Safe, 20_000), move |e| drop(tx.send(e))).expect("room for a stream");
+    gateway.until("the stream", |g| g.asked.len() == 1);
+    let server = gateway.asked[0].0;
+    gateway.engine.respond(server, grpc::head(), false);
+    for i in 0..3 {
+        stream.send(Bytes::from_static(b"ping")).expect("room for a message");
+        gateway.engine.send(server, grpc::frame(b"pong"));
+        let end = Instant::now() + Duration::from_secs(20);
+        let event = loop {
+            gateway.turn();
+            if let Ok(event) = heard.try_recv() {
+                break event;
+            }
+            assert!(Instant::now() < end, "message {i}");
+        };
+        assert!(matches!(event, StreamEvent::Message(m) if &m[..] == b"pong"));
+    }
+    stream.finish();
+    // It has started, so a reset ends it and it does not go again.
+    gateway.engine.reset(server, h2::Reason::INTERNAL_ERROR);
+    let end = Instant::now() + Duration::from_secs(20);
+    let event = loop {
+        gateway.turn();
+        if let Ok(event) = heard.try_recv() {
+            break event;
+        }
+        assert!(Instant::now() < end, "its end");
+    };
+    assert!(matches!(event, StreamEvent::End(r) if r.outcome == Outcome::Failed && r.tries == 1));
+    assert_eq!(gateway.asked.len(), 1);
+}
+
+#[test]
+fn a_stream_that_nobody_reads_takes_no_more_than_its_bound() {
+    let mut gateway = Gateway::new();
+    gateway.slow = true;
+    let client = start(&gateway);
+    let (tx, heard) = channel();
+    let stream =
+        client.open(call(Repeat::Safe, 20_000), move |e| drop(tx.send(e))).expect("room for a stream");
+    gateway.until("the stream", |g| g.asked.len() == 1);
+    let message = Bytes::from(vec![1; 100_000]);
+    let taken = (0..1_000).take_while(|_| stream.send(message.clone()).is_ok()).count();
+    assert!((10..100).contains(&taken), "{taken} messages of 100 kB");
+    stream.cancel();
+    let end = Instant::now() + Duration::from_secs(20);
+    while !matches!(heard.try_recv(), Ok(StreamEvent::End(ref r)) if r.outcome == Outcome::Cancelled) {
+        gateway.turn();
+        assert!(Instant::now() < end, "its end");
+    }
+}
