--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -153,7 +153,7 @@
     #[arg(long, default_value = "c")]
     pub prefix: String,
     /// Calls go through the client library
-    #[arg(long, conflicts_with_all = ["outstanding", "naive"])]
+    #[arg(long, conflicts_with = "naive")]
     pub library: bool,
     /// Tries beyond the first that a call makes at once, as a naive loop does
     #[arg(long, default_value_t = 0)]
@@ -348,6 +348,7 @@
             repeats: repeats(&day.gateway.unwrap_or_default(), &shape),
             shape,
             seconds: args.seconds,
+            outstanding: args.outstanding,
             seed: day.seed,
             prefix: args.prefix,
         };
--- a/crates/lab/src/library.rs
+++ b/crates/lab/src/library.rs
@@ -21,6 +21,8 @@
     /// For each place of the mix, whether its calls may go again.
     pub repeats: Vec<Repeat>,
     pub seconds: f64,
+    /// Instead of a rate, so many calls out at all times, from one client for all customers.
+    pub outstanding: Option<usize>,
     pub seed: u64,
     pub prefix: String,
 }
@@ -52,7 +54,8 @@
 /// Sends for the planned time and waits for the last ends.
 pub fn run(plan: &Plan, signals: &Signals, log: Log) -> anyhow::Result<Figures> {
     let customers = customers(&plan.shape);
-    let clients = (0..customers.len() as u64).map(|i| {
+    let count = if plan.outstanding.is_some() { 1 } else { customers.len() as u64 };
+    let clients = (0..count).map(|i| {
         let settings = Settings { seed: plan.seed ^ (i << 32), ..Settings::default() };
         Client::start(settings, plan.gateways.clone()).context("a client")
     });
@@ -62,7 +65,10 @@
     let rng = fastrand::Rng::with_seed(plan.seed);
     let (serial, open, figures) = (0, 0, Figures::default());
     let mut load = Load { plan, customers, clients, mixed, serial, log, figures, rng, ended, inbox, open };
-    load.send_all(signals);
+    match plan.outstanding {
+        Some(most) => load.keep_out(most as u64, signals),
+        None => load.send_all(signals),
+    }
     load.wait();
     Ok(load.figures)
 }
@@ -84,6 +90,18 @@
         self.figures.seconds = (monotonic() - begin) as f64 / 1e6;
     }
 
+    fn keep_out(&mut self, most: u64, signals: &Signals) {
+        let begin = monotonic();
+        let until = begin + (self.plan.seconds * 1e6) as u64;
+        while monotonic() < until && !signals.stop() {
+            while self.open < most {
+                self.send(monotonic());
+            }
+            self.hear(Duration::from_millis(20));
+        }
+        self.figures.seconds = (monotonic() - begin) as f64 / 1e6;
+    }
+
     fn wait(&mut self) {
         let longest = self.plan.shape.mix.iter().map(|m| u64::from(m.timeout_ms)).max().unwrap_or(0);
         let give_up = monotonic() + (longest + 1_000) * 1_000;
@@ -124,7 +142,8 @@
         self.open += 1;
         let call = call_of(&mix, repeat, &id, customer, key, self.plan.shape.body_bytes as usize);
         let ended = self.ended.clone();
-        self.clients[i].begin(call, move |reply| {
+        let client = i % self.clients.len();
+        self.clients[client].begin(call, move |reply| {
             let at = monotonic();
             drop(ended.send(Ended { id, plan, due, at, deadline, reply }));
         });
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -68,6 +68,7 @@
         lab.load(way, &["--outstanding", OUTSTANDING])?;
     }
     let most = lab.most(&ways, args.rounds)?;
+    lab.clients(&ways[0], args.rounds)?;
     lab.latencies(&ways, most, args.rounds)?;
     if args.held > 0 {
         lab.idle(&ways[2], args.held)?;
@@ -157,6 +158,26 @@
         Ok(median(&samples[2], Sample::rate))
     }
 
+    /// The library against a client that does nothing but call, on the same loop: what a call costs the caller.
+    fn clients(&self, straight: &Way, rounds: u32) -> anyhow::Result<()> {
+        println!(
+            "\n| client | calls/s | calls/s and core | p50 us | p99 us |\n| --- | --- | --- | --- | --- |"
+        );
+        for (name, more) in [
+            ("bare", &["--outstanding", OUTSTANDING][..]),
+            ("library", &["--outstanding", OUTSTANDING, "--library"]),
+        ] {
+            let samples =
+                (0..rounds).map(|_| self.load(straight, more)).collect::<anyhow::Result<Vec<Sample>>>()?;
+            let core = |s: &Sample| s.summary.served as f64 / s.summary.cpu_s.max(1e-9);
+            let best =
+                samples.iter().max_by(|a, b| core(a).total_cmp(&core(b))).context("expected a round")?;
+            let s = &best.summary;
+            println!("| {name} | {:.0} | {:.0} | {} | {} |", best.rate(), core(best), s.p50_us, s.p99_us);
+        }
+        Ok(())
+    }
+
     /// Times to an answer at parts of the gateway's most, the lowest of the rounds: others share the machine.
     fn latencies(&self, ways: &[Way], most: f64, rounds: u32) -> anyhow::Result<()> {
         println!("\n| load | way | p50 us | p99 us | p99.9 us |\n| --- | --- | --- | --- | --- |");
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -61,6 +61,8 @@
     pub connects: u64,
     pub firsts: u64,
     pub tries: u64,
+    /// Processor time of the load itself, in seconds.
+    pub cpu_s: f64,
     pub p50_us: u64,
     pub p99_us: u64,
     pub p999_us: u64,
@@ -106,6 +108,7 @@
             connects: self.connects,
             firsts: self.firsts,
             tries: self.tries,
+            cpu_s: crate::process::cpu_seconds(std::process::id()).unwrap_or(0.0),
             p50_us: self.quantile(0.5),
             p99_us: self.quantile(0.99),
             p999_us: self.quantile(0.999),
