Client: gateways from a file read again on change; late answers and GOAWAY storms under test

Need: a list of gateways changes while programs run; two hard cases had no test over sockets yet. Change: start_with_file over the same watch as the gateway's server list (moved to net); a wrong line leaves the last good list. Tests: an answer that comes after the retry's is nobody's; thirty GOAWAYs with a call in flight each. Not measured: nothing here is on a hot path.

--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -3,10 +3,11 @@
 use crate::core::{Action, CallId, Core, Event, Outcome, Repeat, Settings, SettingsError, TryEnd};
 use crate::stats::{Counters, Stats};
 use crate::stream::{Stream, StreamEvent};
-use crate::wire::{end_of, head};
+use crate::wire::{addresses_of, end_of, head};
 use bytes::Bytes;
 use chalkdeck_net::grpc::{self, Code, Deframer, FrameError};
 use chalkdeck_net::unary::Gather;
+use chalkdeck_net::watch::Watch;
 use chalkdeck_net::{engine::LoopWaker, Broken, ConnId, Engine, Event as NetEvent, Limits, StreamId};
 use http::HeaderMap;
 use std::collections::HashMap;
@@ -21,6 +22,9 @@
 const ANSWER_BYTES: usize = 4 << 20;
 /// The loop looks at the time at least this often, in microseconds.
 const LONGEST_WAIT: u64 = 1_000_000;
+/// How often a file of gateways is looked at, and the timer for it.
+const LOOK: u64 = 200_000;
+const LOOK_TOKEN: u64 = u64::MAX;
 
 /// A unary call.
 #[derive(Clone, Debug)]
@@ -79,6 +83,7 @@
     Finish(CallId),
     Cancel(CallId),
     Gateways(Vec<SocketAddr>),
+    Watch(Watch),
     Stop,
 }
 
@@ -151,6 +156,14 @@
         Ok(client)
     }
 
+    /// The same with the gateways of a file, which is read again when it changes: one `ip:port` a line, `#` begins a comment.
+    /// A file that cannot be read or has a wrong line leaves the last good list in force and is logged.
+    pub fn start_with_file(settings: Settings, file: std::path::PathBuf) -> Result<Client, StartError> {
+        let client = Client::start(settings, Vec::new())?;
+        client.door.tell(Command::Watch(Watch::new(file)));
+        Ok(client)
+    }
+
     /// Replaces the list of gateways.
     pub fn set_gateways(&self, gateways: Vec<SocketAddr>) {
         self.door.tell(Command::Gateways(gateways));
@@ -279,6 +292,7 @@
     connects: HashMap<u64, ConnId>,
     next: u64,
     todo: Vec<Event>,
+    watch: Option<Watch>,
     stats: Arc<Counters>,
     stopped: bool,
 }
@@ -301,6 +315,7 @@
             connects: HashMap::new(),
             next: 0,
             todo: Vec::new(),
+            watch: None,
             stats: Arc::default(),
             stopped: false,
         }
@@ -348,6 +363,10 @@
             Command::Finish(id) => self.end_of_messages(id),
             Command::Cancel(id) => self.todo.push(Event::Cancel(id)),
             Command::Gateways(addresses) => self.relist(addresses),
+            Command::Watch(watch) => {
+                self.watch = Some(watch);
+                self.look();
+            }
             Command::Stop => self.stopped = true,
         }
         self.settle();
@@ -377,6 +396,19 @@
         stream.iter().for_each(|s| self.engine.finish(*s, None));
     }
 
+    /// Reads the file of gateways again if it changed.
+    fn look(&mut self) {
+        let Some(watch) = &mut self.watch else { return };
+        self.engine.timer(self.engine.now() + LOOK, LOOK_TOKEN);
+        let Some(bytes) = watch.look() else { return };
+        match bytes.and_then(|b| addresses_of(&b)) {
+            Ok(addresses) => self.relist(addresses),
+            Err(why) => {
+                tracing::error!(file = %watch.path().display(), "the last good list of gateways stays: {why}")
+            }
+        }
+    }
+
     /// Places keep their address as long as it is on the list; a place whose address changed is connected anew.
     fn relist(&mut self, addresses: Vec<SocketAddr>) {
         for (place, conn) in self.conns.iter_mut().enumerate() {
@@ -485,6 +517,7 @@
                     self.todo.push(Event::Lost(place));
                 }
             }
+            NetEvent::Timer(LOOK_TOKEN) => self.look(),
             NetEvent::Timer(token) => {
                 if let Some(conn) = self.connects.remove(&token) {
                     self.engine.close(conn);
--- a/crates/client/src/wire.rs
+++ b/crates/client/src/wire.rs
@@ -38,3 +38,19 @@
         Some(_) => TryEnd::Answered,
     }
 }
+
+/// The gateways of a file's text. Errors name the line.
+pub(crate) fn addresses_of(bytes: &[u8]) -> Result<Vec<SocketAddr>, String> {
+    let text = std::str::from_utf8(bytes).map_err(|_| "expected UTF-8 text".to_string())?;
+    let mut addresses = Vec::new();
+    for (i, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        if line.is_empty() {
+            continue;
+        }
+        let address =
+            line.parse().map_err(|_| format!("line {}: expected ip:port, found '{line}'", i + 1))?;
+        addresses.push(address);
+    }
+    Ok(addresses)
+}
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -320,3 +320,69 @@
         assert!(Instant::now() < end, "its end");
     }
 }
+
+#[test]
+fn gateways_of_a_file_are_read_again_and_a_broken_file_changes_nothing() {
+    let (mut first, mut second) = (Gateway::new(), Gateway::new());
+    let dir = std::env::temp_dir().join(format!("chalkdeck-client-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("gateways");
+    let write = |text: String| {
+        std::fs::write(dir.join("new"), text)
+            .and_then(|()| std::fs::rename(dir.join("new"), &file))
+            .expect("a file");
+    };
+    write(format!("# the fleet\n{}\n", first.address));
+    let settings = Settings { reconnect_first: 1_000, ..Settings::default() };
+    let client = Client::start_with_file(settings, file.clone()).expect("a client");
+    let (tx, replies) = channel();
+    let begin = || {
+        let tx = tx.clone();
+        client.begin(call(Repeat::Unsafe, 20_000), move |r| drop(tx.send(r)));
+    };
+    begin();
+    first.until("a call", |g| g.asked.len() == 1);
+    first.answer(0);
+    assert_eq!(first.reply(&replies).outcome, Outcome::Answered);
+    write(format!("{}\nnowhere\n", second.address));
+    for _ in 0..800 {
+        first.turn();
+    }
+    begin();
+    first.until("a call by the last good list", |g| g.asked.len() == 2);
+    first.answer(1);
+    assert_eq!(first.reply(&replies).outcome, Outcome::Answered);
+    write(format!("{}\n", second.address));
+    let end = Instant::now() + Duration::from_secs(20);
+    while second.asked.is_empty() {
+        assert!(Instant::now() < end, "calls go to the new gateway");
+        begin();
+        for _ in 0..50 {
+            second.turn();
+            first.turn();
+        }
+    }
+    let _ = std::fs::remove_dir_all(&dir);
+}
+
+#[test]
+fn a_storm_of_goaways_fails_no_call_and_a_dropped_handle_leaves_its_call() {
+    let mut gateway = Gateway::new();
+    let settings = Settings { reconnect_first: 1_000, ..Settings::default() };
+    let client = Client::start(settings, vec![gateway.address]).expect("a client");
+    let (tx, replies) = channel();
+    let mut ended = 0;
+    for i in 0..30 {
+        let tx = tx.clone();
+        drop(client.begin(call(Repeat::Unsafe, 20_000), move |r| drop(tx.send(r))));
+        gateway.until("the call", |g| g.asked.len() > i);
+        // Each call's connection goes away while the call is in flight.
+        gateway.engine.drain(gateway.listener);
+        gateway.answer(i);
+        let reply = gateway.reply(&replies);
+        assert_eq!((reply.outcome, reply.tries), (Outcome::Answered, 1), "call {i}");
+        ended += 1;
+    }
+    assert_eq!(ended, 30);
+    assert!(client.stats().connects > 1, "{:?}", client.stats());
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod relay;
 pub mod settings;
 pub mod shell;
-mod watch;
 
 pub use settings::{Settings, SettingsError};
 pub use shell::Shell;
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -9,13 +9,13 @@
 use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
 use crate::settings::Settings;
-use crate::watch::Watch;
 use chalkdeck::api::{
     Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, ServerId, TimerId,
 };
 use chalkdeck::rules::Gateway;
 use chalkdeck_net::grpc::Code;
 use chalkdeck_net::signals::Signals;
+use chalkdeck_net::watch::Watch;
 use chalkdeck_net::{ConnId, Engine, Event as NetEvent, ListenerId};
 use slab::Slab;
 use std::collections::VecDeque;
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -354,3 +354,39 @@
     assert!([Code::ResourceExhausted, Code::DeadlineExceeded].contains(&code));
     rig.until("the reset", |r| r.servers.seen[&stream].broken == Some(Broken::Reset(h2::Reason::CANCEL)));
 }
+
+/// A server that failed before is asked again on trial, and given up early there; the answer of the next one is the
+/// client's, and the first one's, which comes after it, is nobody's.
+#[test]
+fn a_late_answer_after_the_retry_s_is_nobody_s() {
+    let mut rig = Rig::new(3);
+    let bad = rig.addresses[0];
+    let (mut seen, mut failures, mut late) = (0, 0, None);
+    let end = Instant::now() + Duration::from_secs(15);
+    while late.is_none() {
+        assert!(Instant::now() < end, "the bad server is tried again");
+        let call = rig.call(VIEW, &[]);
+        while !rig.heard(call).is_some_and(|s| s.ended) {
+            rig.turn();
+            let Some(&stream) = rig.servers.opened.get(seen) else { continue };
+            seen += 1;
+            if rig.servers.address_of(stream) != bad {
+                rig.servers.answer(stream, b"fine");
+            } else if failures < 2 {
+                failures += 1;
+                rig.servers.status(stream, Code::Unavailable, false);
+            } else {
+                late = Some(stream);
+            }
+        }
+        if let Some(stream) = late {
+            assert_eq!(rig.ended(call), Code::Ok, "another one answered in time");
+            rig.servers.answer(stream, b"late and longer");
+            rig.pass(50);
+            assert_eq!(rig.client.seen[&call].bytes, 9);
+            assert_eq!(rig.client.seen[&call].gather.message().map(|m| &m[..]), Some(&b"fine"[..]));
+        }
+    }
+    let ended = rig.metric("chalkdeck_calls_ended_total", "served");
+    assert_eq!(ended, rig.metric("chalkdeck_calls_taken_total", ""), "one end a call");
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,5 +14,6 @@
 mod stream;
 pub mod unary;
 mod wake;
+pub mod watch;
 
 pub use engine::{Broken, ConnId, Engine, Event, Limits, ListenerId, StreamId};
--- a/crates/gateway/src/watch.rs
+++ b/crates/net/src/watch.rs
@@ -15,21 +15,23 @@
 
 /// Looks at a file; tells its bytes when they may be new.
 #[derive(Debug)]
-pub(crate) struct Watch {
+pub struct Watch {
     path: PathBuf,
     seen: Option<Stamp>,
     failed: bool,
 }
 
 impl Watch {
-    pub(crate) fn new(path: PathBuf) -> Watch {
+    /// Watches a file; nothing is read yet.
+    pub fn new(path: PathBuf) -> Watch {
         Watch { path, seen: None, failed: false }
     }
-    pub(crate) fn path(&self) -> &Path {
+    /// The file.
+    pub fn path(&self) -> &Path {
         &self.path
     }
     /// The bytes, when the file changed since the last look; an error is told once until the file is back.
-    pub(crate) fn look(&mut self) -> Option<Result<Vec<u8>, String>> {
+    pub fn look(&mut self) -> Option<Result<Vec<u8>, String>> {
         let stamp = match stamp(&self.path) {
             Ok(stamp) => stamp,
             Err(e) => {
