Connections to servers that left the list end with their last call; steadier tests

Cause: a call that waited for a connection to a server that left the list was told at its deadline only, and connections to such servers stayed for good. Change: such calls are told at once as never sent; connections are closed when nothing runs on them (test fails without). Not measured: no hot path changed.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -137,7 +137,7 @@
     }
 
     /// An attempt ended; `answered`: with it the call has its final answer.
-    fn ended(&mut self, id: AttemptId, outcome: Outcome, answered: bool) {
+    pub(crate) fn ended(&mut self, id: AttemptId, outcome: Outcome, answered: bool) {
         let now = self.engine.now();
         let Some(attempt) = self.calls.attempt(id) else { return };
         attempt.out = false;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -51,16 +51,25 @@
     most: usize,
     places: FxHashMap<ServerId, Place>,
     server_of: FxHashMap<ConnId, ServerId>,
+    /// Connections to servers that left the list.
+    leaving: Vec<ConnId>,
 }
 
 impl Pool {
     pub(crate) fn new(most: usize, streams: u32, keepalive: u64) -> Pool {
         let limits = Limits { streams, keepalive, ..Limits::default() };
-        Pool { limits, most, places: FxHashMap::default(), server_of: FxHashMap::default() }
+        Pool {
+            limits,
+            most,
+            places: FxHashMap::default(),
+            server_of: FxHashMap::default(),
+            leaving: Vec::new(),
+        }
     }
 
-    /// Takes a new list; connections to servers that are no longer on it end when their last call has.
-    pub(crate) fn update(&mut self, engine: &mut Engine, servers: &[Server]) {
+    /// Takes a new list; connections to servers that are no longer on it end when their last call has. Returns the
+    /// attempts that waited for one that never stood.
+    pub(crate) fn update(&mut self, engine: &mut Engine, servers: &[Server]) -> Vec<AttemptId> {
         let mut old = std::mem::take(&mut self.places);
         for server in servers {
             let links = old.remove(&server.entry.server).map(|p| p.links).unwrap_or_default();
@@ -69,12 +78,25 @@
                 Place { address: server.address, authority: authority(server.address), links },
             );
         }
-        for link in old.into_values().flat_map(|p| p.links).filter(|l| l.up) {
+        let mut unsent = Vec::new();
+        for link in old.into_values().flat_map(|p| p.links) {
             self.server_of.remove(&link.conn);
-            if engine.room(link.conn) >= self.limits.streams as usize {
-                engine.close(link.conn);
-            }
+            self.leaving.push(link.conn);
+            unsent.extend(link.waiting);
         }
+        self.close_idle(engine);
+        unsent
+    }
+
+    /// Ends connections to servers that left the list once nothing runs on them.
+    pub(crate) fn close_idle(&mut self, engine: &mut Engine) {
+        self.leaving.retain(|&conn| {
+            let busy = engine.open_streams(conn) > 0;
+            if !busy {
+                engine.close(conn);
+            }
+            busy
+        });
     }
 
     /// The server's name in the heads of calls.
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -279,13 +279,15 @@
     /// Reads the server list again if it changed. A broken one leaves the last good list in force.
     fn look(&mut self) {
         self.due_in(self.set.poll, Due::Look);
+        self.pool.close_idle(&mut self.engine);
         let Some(bytes) = self.watch.look() else { return };
         let list = bytes.and_then(|b| endpoints::read(self.watch.path(), &b).map_err(|e| e.to_string()));
         match list {
             Ok(servers) => {
                 tracing::info!(servers = servers.len(), "server list read");
                 self.metrics.servers.set(servers.len() as i64);
-                self.pool.update(&mut self.engine, &servers);
+                let unsent = self.pool.update(&mut self.engine, &servers);
+                unsent.into_iter().for_each(|attempt| self.ended(attempt, Outcome::ConnectFailed, false));
                 let mut entries: Vec<_> = servers.into_iter().map(|s| s.entry).collect();
                 for entry in &mut entries {
                     if self.fault == Some(Fault::Drains) {
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -39,7 +39,7 @@
 
 #[test]
 fn messages_of_a_streamed_answer_come_as_they_are_sent() {
-    let mut rig = Rig::new(1);
+    let mut rig = Rig::with(1, CounterMood::Answers, &[("deadline_ms: 8000", "deadline_ms: 1500")]);
     let call = rig.call(WATCH, &[]);
     let stream = rig.arrived(1);
     rig.servers.engine.respond(stream, grpc::head(), false);
--- a/crates/gateway/tests/servers.rs
+++ b/crates/gateway/tests/servers.rs
@@ -390,3 +390,17 @@
     let ended = rig.metric("chalkdeck_calls_ended_total", "served");
     assert_eq!(ended, rig.metric("chalkdeck_calls_taken_total", ""), "one end a call");
 }
+
+#[test]
+fn a_server_that_left_the_list_keeps_its_call_and_then_loses_its_connection() {
+    let mut rig = Rig::new(1);
+    let call = rig.call(BUY, &[]);
+    let stream = rig.arrived(1);
+    rig.relist("cluster_name: \"farm\"");
+    rig.until("the empty list", |r| r.shell.metrics().contains("chalkdeck_servers 0"));
+    rig.pass(50);
+    assert!(rig.servers.closed.is_empty(), "its call goes on");
+    rig.servers.answer(stream, b"fine");
+    assert_eq!(rig.ended(call), Code::Ok);
+    rig.until("the connection's end", |r| r.servers.closed.len() == 1);
+}
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -216,6 +216,11 @@
         self.conns.get(&conn.0).map_or(0, Conn::room)
     }
 
+    /// Streams that are open there.
+    pub fn open_streams(&self, conn: ConnId) -> usize {
+        self.conns.get(&conn.0).map_or(0, |c| c.streams)
+    }
+
     /// Opens a stream. `ended`: it has no body. Nothing when the connection does not stand or takes no more.
     pub fn open(&mut self, conn: ConnId, head: Request<()>, ended: bool) -> Option<StreamId> {
         let id = self.next + 1;
