--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -91,6 +91,14 @@
     Ok(acts)
 }
 
+/// The acts that a day of that length has time for. What sets a process right again is done at the end at the latest; the
+/// load is told nothing any more by then.
+fn within(acts: Vec<Timed>, end: u32) -> Vec<Timed> {
+    let late_for_load = |a: &Timed| a.at + 100 >= end && matches!(a.act, Act::Load(_));
+    let kept = acts.into_iter().filter(|a| !late_for_load(a));
+    kept.map(|a| Timed { at: a.at.min(end), act: a.act }).collect()
+}
+
 fn acts_of(day: &Day, t: &Trouble) -> anyhow::Result<Vec<Timed>> {
     let servers: usize = day.zones.iter().map(|z| z.servers as usize).sum();
     let gateways = day.gateways as usize;
@@ -493,7 +501,7 @@
 
 /// Plays a day and leaves its logs in `dir`. Returns what the load saw.
 pub fn run(program: Program, day: Day, dir: &Path, ways: &Ways) -> anyhow::Result<Summary> {
-    let acts = script(&day)?;
+    let acts = within(script(&day)?, day.seconds.saturating_mul(1_000));
     let signals = Signals::take()?;
     let seconds = f64::from(day.seconds);
     let mut fleet = Fleet::start(program, day, dir, any(), ways.fault.clone())?;
@@ -540,3 +548,19 @@
     std::thread::sleep(UP * 5);
     Ok(serde_json::from_str(&std::fs::read_to_string(out)?)?)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_outlasts_the_day_is_set_right_at_its_end() {
+        let acts = vec![
+            Timed { at: 100, act: Act::Load("shift=1".into()) },
+            Timed { at: 9_950, act: Act::Load("shift=-1".into()) },
+            Timed { at: 30_000, act: Act::Stall(0, false) },
+        ];
+        let kept = within(acts.clone(), 10_000);
+        assert_eq!(kept, [acts[0].clone(), Timed { at: 10_000, act: Act::Stall(0, false) }]);
+    }
+}
