Tidy-up, no behaviour changed: names of metadata, control answers and draws stand once

Cause: a reading of the whole change. The key's and the unprocessed trailer's names stood in four packages, three control ports answered alike, two loads drew a kind of call alike, a type was used by nobody, an enum had one case, and the trailers of every answer were copied before they were sent. Change: one constant, one function each; the copy is gone. Tests keep their assertions. Not measured: one copy less a call.

--- a/crates/client/src/wire.rs
+++ b/crates/client/src/wire.rs
@@ -6,9 +6,6 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
 
-const KEY: &str = "x-idempotency-key";
-const UNPROCESSED: &str = "x-chalkdeck-unprocessed";
-
 pub(crate) fn head(call: &Call, address: SocketAddr, number: u32, left: u64) -> Option<http::Request<()>> {
     let mut head = grpc::request(&address.to_string(), &call.path)?;
     let headers = head.headers_mut();
@@ -16,7 +13,7 @@
         headers.insert(HeaderName::from_bytes(name.as_bytes()).ok()?, HeaderValue::from_str(value).ok()?);
     }
     if let Some(key) = &call.key {
-        headers.insert(HeaderName::from_static(KEY), HeaderValue::from_str(key).ok()?);
+        headers.insert(HeaderName::from_static(grpc::KEY), HeaderValue::from_str(key).ok()?);
     }
     if number > 0 {
         headers.insert(HeaderName::from_static(grpc::ATTEMPTS), HeaderValue::from(number));
@@ -33,7 +30,9 @@
             let ms = pushback.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
             TryEnd::Refused(ms.map(|ms| ms.saturating_mul(1_000)))
         }
-        Some(Code::Unavailable) if trailers.get(UNPROCESSED).is_some_and(|v| v == "1") => TryEnd::NeverRan,
+        Some(Code::Unavailable) if trailers.get(grpc::UNPROCESSED).is_some_and(|v| v == "1") => {
+            TryEnd::NeverRan
+        }
         Some(Code::Unavailable | Code::DeadlineExceeded) | None => TryEnd::MayHaveRun,
         Some(_) => TryEnd::Answered,
     }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -297,8 +297,7 @@
             return self.turned_away(id, Outcome::Error, what);
         }
         if ended {
-            let trailers = head.headers;
-            return self.on_answer(id, &trailers, None);
+            return self.on_answer(id, head.headers, true);
         }
         let Some(call) = self.calls.get(id.call) else { return };
         call.answer = Answer::Held { head, chunks: Vec::new(), bytes: 0 };
@@ -395,32 +394,28 @@
             return back.into_iter().for_each(|back| self.engine.finish(back, None));
         }
         let Some(id) = self.calls.of_back(stream) else { return };
-        let trailers = trailers.unwrap_or_default();
-        self.on_answer(id, &trailers.clone(), Some(trailers));
+        self.on_answer(id, trailers.unwrap_or_default(), false);
     }
 
-    /// An attempt's answer is whole. `trailers`: the end of an answer whose head came before.
-    fn on_answer(&mut self, id: AttemptId, status: &HeaderMap, trailers: Option<HeaderMap>) {
-        let Ended { outcome, is_answer } = outcome::of_status(status);
+    /// An attempt's answer is whole. `only`: these trailers are all of it, else its head came before.
+    fn on_answer(&mut self, id: AttemptId, trailers: HeaderMap, only: bool) {
+        let Ended { outcome, is_answer } = outcome::of_status(&trailers);
         let Some(call) = self.calls.get(id.call) else { return };
         let (front, started) = (call.front, matches!(call.answer, Answer::Started));
         if !is_answer && !started {
-            return self.turned_away(id, outcome, grpc::message_of(status));
+            return self.turned_away(id, outcome, grpc::message_of(&trailers));
         }
         if call.is_done() {
             return self.ended(id, outcome, true);
         }
-        match trailers {
-            None => self.engine.respond(front, grpc::trailers_only(status.clone()), true),
-            Some(trailers) => {
-                if let Answer::Held { head, chunks, .. } =
-                    std::mem::replace(&mut call.answer, Answer::Started)
-                {
-                    self.engine.respond(front, http::Response::from_parts(*head, ()), false);
-                    chunks.into_iter().for_each(|chunk| self.engine.send(front, chunk));
-                }
-                self.engine.finish(front, Some(with_status(trailers)));
+        if only {
+            self.engine.respond(front, grpc::trailers_only(trailers), true);
+        } else {
+            if let Answer::Held { head, chunks, .. } = std::mem::replace(&mut call.answer, Answer::Started) {
+                self.engine.respond(front, http::Response::from_parts(*head, ()), false);
+                chunks.into_iter().for_each(|chunk| self.engine.send(front, chunk));
             }
+            self.engine.finish(front, Some(with_status(trailers)));
         }
         self.close_call(id.call, End::Served);
         self.ended(id, outcome, true);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,8 +6,6 @@
 use http::uri::PathAndQuery;
 use http::{request, HeaderMap, HeaderName};
 
-/// The key of a keyed call.
-pub(crate) const KEY: &str = "x-idempotency-key";
 /// The units of a call.
 pub(crate) const UNITS: &str = "x-units";
 
@@ -88,7 +86,7 @@
             }
         },
     };
-    let keyed = headers.get(KEY).is_some_and(|k| !k.is_empty());
+    let keyed = headers.get(grpc::KEY).is_some_and(|k| !k.is_empty());
     let class = if keyed { route.class } else { set.unkeyed[route.class] };
     let longest = set.policy.classes[class].deadline.0;
     let tries_before = text(headers, grpc::ATTEMPTS).and_then(|v| v.parse().ok()).unwrap_or(0);
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -1,13 +1,10 @@
 //! What an attempt's end on the wire says of it, in the terms of the decisions. A translation, no decision.
 
 use chalkdeck::api::Outcome;
-use chalkdeck_net::grpc::Code;
+use chalkdeck_net::grpc::{Code, UNPROCESSED};
 use chalkdeck_net::Broken;
 use http::HeaderMap;
 
-/// The trailer by which a server says that it did not look at a call.
-pub(crate) const UNPROCESSED: &str = "x-chalkdeck-unprocessed";
-
 /// How an attempt ended, and whether the server's answer is the client's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Ended {
--- a/crates/lab/src/control.rs
+++ b/crates/lab/src/control.rs
@@ -1,6 +1,7 @@
 //! Control ports: `GET /set?name=value&...` over HTTP/1.1 on loopback.
 
 use anyhow::{bail, Context};
+use chalkdeck_net::{ConnId, Engine};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -14,6 +15,14 @@
     (path.to_string(), pairs.map(|(k, v)| (k.to_string(), v.to_string())).collect())
 }
 
+/// Answers a command.
+pub fn answer(engine: &mut Engine, conn: ConnId, done: Result<(), String>) {
+    match done {
+        Ok(()) => engine.reply(conn, 200, "ok\n"),
+        Err(what) => engine.reply(conn, 400, &what),
+    }
+}
+
 /// Asks a control or admin port; returns the body.
 pub fn get(address: SocketAddr, target: &str) -> anyhow::Result<String> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
--- a/crates/lab/src/counter.rs
+++ b/crates/lab/src/counter.rs
@@ -110,10 +110,8 @@
             }
             Event::Get { conn, path } => {
                 let (_, pairs) = control::parse(&path);
-                match self.set(&pairs) {
-                    Ok(()) => self.engine.reply(conn, 200, "ok\n"),
-                    Err(what) => self.engine.reply(conn, 400, &what),
-                }
+                let done = self.set(&pairs);
+                control::answer(&mut self.engine, conn, done);
             }
             _ => {}
         }
--- a/crates/lab/src/farm.rs
+++ b/crates/lab/src/farm.rs
@@ -156,10 +156,8 @@
             },
             Event::Get { conn, path } => {
                 let (_, pairs) = control::parse(&path);
-                match self.set(&pairs) {
-                    Ok(()) => self.engine.reply(conn, 200, "ok\n"),
-                    Err(what) => self.engine.reply(conn, 400, &what),
-                }
+                let done = self.set(&pairs);
+                control::answer(&mut self.engine, conn, done);
             }
             _ => {}
         }
@@ -174,7 +172,7 @@
     fn on_call(&mut self, stream: StreamId, conn: ConnId, head: &request::Parts) {
         let Some(&server) = self.conns.get(&conn) else { return };
         let path = head.uri.path().to_string();
-        let (id, key) = (text(&head.headers, "x-call-id"), text(&head.headers, "x-idempotency-key"));
+        let (id, key) = (text(&head.headers, "x-call-id"), text(&head.headers, grpc::KEY));
         let customer = text(&head.headers, "x-customer");
         let units = text(&head.headers, "x-units").parse().unwrap_or(1.0);
         let name = self.servers[server].name.clone();
@@ -318,7 +316,7 @@
     fn reply(&mut self, server: usize, id: &str, stream: StreamId, code: Code, unprocessed: bool) {
         let mut trailers = grpc::trailers(code, "");
         if unprocessed {
-            trailers.insert("x-chalkdeck-unprocessed", HeaderValue::from_static("1"));
+            trailers.insert(grpc::UNPROCESSED, HeaderValue::from_static("1"));
         }
         self.engine.respond(stream, grpc::trailers_only(trailers), true);
         self.log_reply(server, id, code as i32, unprocessed);
--- a/crates/lab/src/library.rs
+++ b/crates/lab/src/library.rs
@@ -1,6 +1,6 @@
 //! Open-loop load through the client library: one client for each customer, a call's tries are the library's.
 
-use crate::load::{customers, Customer};
+use crate::load::{customers, kind_at, Customer};
 use crate::log::{End, Line, Log};
 use crate::report::Figures;
 use anyhow::Context;
@@ -114,12 +114,7 @@
     fn send(&mut self, due: u64) {
         let place = self.rng.f64();
         let i = self.customers.partition_point(|c| c.upto < place).min(self.customers.len() - 1);
-        let mut place = self.rng.f64() * self.mixed;
-        let kind = self.plan.shape.mix.iter().position(|m| {
-            place -= m.share;
-            place < 0.0
-        });
-        let kind = kind.unwrap_or(0);
+        let kind = kind_at(&self.plan.shape.mix, self.rng.f64() * self.mixed);
         let (mix, repeat) = (self.plan.shape.mix[kind].clone(), self.plan.repeats[kind]);
         self.serial += 1;
         let id = format!("{}{}", self.plan.prefix, self.serial);
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -234,10 +234,8 @@
             }
             Event::Get { conn, path } => {
                 let (_, pairs) = control::parse(&path);
-                match self.set(&pairs) {
-                    Ok(()) => self.engine.reply(conn, 200, "ok\n"),
-                    Err(what) => self.engine.reply(conn, 400, &what),
-                }
+                let done = self.set(&pairs);
+                control::answer(&mut self.engine, conn, done);
             }
             _ => {}
         }
@@ -303,12 +301,7 @@
     }
 
     fn send(&mut self, customer: usize, due: u64) -> bool {
-        let mut place = self.rng.f64() * self.mix_total;
-        let mix = self.plan.shape.mix.iter().position(|m| {
-            place -= m.share;
-            place < 0.0
-        });
-        let mix = mix.unwrap_or(0);
+        let mix = kind_at(&self.plan.shape.mix, self.rng.f64() * self.mix_total);
         let key = if self.plan.shape.mix[mix].keyed { self.new_key() } else { String::new() };
         self.try_call(customer, mix, key, 0, due)
     }
@@ -332,7 +325,7 @@
         let deadline = u64::from(shape.timeout_ms) * 1_000;
         let headers = head.headers_mut();
         for (name, value) in
-            [("x-call-id", &id), ("x-customer", &self.customers[customer].name), ("x-idempotency-key", &key)]
+            [("x-call-id", &id), ("x-customer", &self.customers[customer].name), (grpc::KEY, &key)]
         {
             if let Ok(value) = HeaderValue::from_str(value) {
                 if !value.is_empty() {
@@ -458,6 +451,15 @@
     }
 }
 
+/// The kind of call whose range of shares holds that place.
+pub(crate) fn kind_at(mix: &[Mix], mut place: f64) -> usize {
+    let kind = mix.iter().position(|m| {
+        place -= m.share;
+        place < 0.0
+    });
+    kind.unwrap_or(0)
+}
+
 /// Named by plan and number, as the runs' settings name them. Weights within a group fall off, as customers' do.
 pub(crate) fn customers(shape: &Shape) -> Vec<Customer> {
     let total: f64 = shape.customers.iter().map(|g| g.share).sum();
--- a/crates/lab/src/reconnect.rs
+++ b/crates/lab/src/reconnect.rs
@@ -16,17 +16,14 @@
 /// The window that every client draws its first reconnect from.
 const WINDOW: u64 = 2_000_000;
 
-enum Due {
-    Client(usize),
-}
-
 struct Crowd {
     engine: Engine,
     address: SocketAddr,
     cores: Vec<Core>,
     naive: bool,
     conns: HashMap<ConnId, usize>,
-    due: HashMap<u64, Due>,
+    /// Which client a timer is for.
+    due: HashMap<u64, usize>,
     next: u64,
     up: usize,
     /// Connects that were begun, by slot from the loss on.
@@ -82,7 +79,7 @@
 
     fn wake_at(&mut self, at: u64, i: usize) {
         self.next += 1;
-        self.due.insert(self.next, Due::Client(i));
+        self.due.insert(self.next, i);
         self.engine.timer(at, self.next);
     }
 
@@ -123,8 +120,8 @@
                     self.lost(i);
                 }
                 NetEvent::Timer(token) => match self.due.remove(&token) {
-                    Some(Due::Client(i)) if self.naive => self.connect(i),
-                    Some(Due::Client(i)) => self.tell(i, Event::Tick),
+                    Some(i) if self.naive => self.connect(i),
+                    Some(i) => self.tell(i, Event::Tick),
                     None => {}
                 },
                 _ => {}
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -64,6 +64,10 @@
 pub const PUSHBACK: &str = "grpc-retry-pushback-ms";
 /// How many tries of this call a client made before.
 pub const ATTEMPTS: &str = "grpc-previous-rpc-attempts";
+/// The key of a keyed call.
+pub const KEY: &str = "x-idempotency-key";
+/// The trailer by which a server says, with "1", that it did not look at a call.
+pub const UNPROCESSED: &str = "x-chalkdeck-unprocessed";
 /// What is left of a call's deadline.
 pub const TIMEOUT: &str = "grpc-timeout";
 
--- a/crates/net/src/unary.rs
+++ b/crates/net/src/unary.rs
@@ -1,6 +1,6 @@
 //! Whole messages one way: what a unary call's bytes add up to.
 
-use crate::grpc::{Code, Deframer, FrameError};
+use crate::grpc::{Deframer, FrameError};
 use bytes::Bytes;
 
 /// Gathers the single message of a unary request or answer.
@@ -24,12 +24,3 @@
         self.message.as_ref()
     }
 }
-
-/// How a unary call ended, for callers that need no more than that.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Reply {
-    /// Its status.
-    pub code: Code,
-    /// Its message, where it has one.
-    pub message: Option<Bytes>,
-}
