Client: tower service for tonic programs, metrics to export, spans, a clock that may jump

Studios that use tonic could not take the library without giving up their generated clients. Behind the feature `tower` the fleet is a service that stands in a channel's place, unary and streaming, with a layer that gives each path its terms; the same core and thread, no async runtime. The client's figures can be registered with a program's Prometheus registry; calls have spans. A stream's caller hears of room after a full queue. Not measured: the service adds a copy of the message to the measured callback way.

--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -2,9 +2,10 @@
 
 use crate::core::{Action, CallId, Core, Event, Outcome, Repeat, Settings, SettingsError, TryEnd};
 use crate::stats::{Counters, Stats};
-use crate::stream::{Stream, StreamEvent};
+use crate::stream::{Stream, StreamEvent, MOST_QUEUED};
 use crate::wire::{addresses_of, end_of, head};
 use bytes::Bytes;
+use chalkdeck_net::clock::Clock;
 use chalkdeck_net::grpc::{self, Code, Deframer, FrameError};
 use chalkdeck_net::unary::Gather;
 use chalkdeck_net::watch::Watch;
@@ -140,8 +141,17 @@
 impl Client {
     /// Starts the loop. Errors: senseless settings, no thread.
     pub fn start(settings: Settings, gateways: Vec<SocketAddr>) -> Result<Client, StartError> {
+        Client::start_with_clock(settings, gateways, Clock::start())
+    }
+
+    /// The same with a clock of the caller's.
+    pub fn start_with_clock(
+        settings: Settings,
+        gateways: Vec<SocketAddr>,
+        clock: Clock,
+    ) -> Result<Client, StartError> {
         let core = Core::new(settings.clone())?;
-        let engine = Engine::new()?;
+        let engine = Engine::with_clock(clock)?;
         let waker = engine.waker()?;
         let (commands, inbox) = channel();
         let mut carrier = Carrier::new(core, engine, inbox, &settings);
@@ -174,6 +184,11 @@
         self.stats.read()
     }
 
+    /// Adds the client's metrics, by the prefix `chalkdeck_client`, to a registry that the program exports.
+    pub fn register(&self, registry: &mut prometheus_client::registry::Registry) {
+        self.stats.register(registry);
+    }
+
     /// Starts a call; `done` runs once, on the client's thread, and must not block. With too many calls open it hears
     /// `Full` at once, on this thread.
     pub fn begin(&self, call: Call, done: impl FnOnce(Reply) + Send + 'static) -> Handle {
@@ -276,6 +291,8 @@
     text: String,
     gather: Gather,
     tries: u32,
+    begun: u64,
+    span: tracing::Span,
 }
 
 struct Carrier {
@@ -340,6 +357,7 @@
             }
             self.todo.push(Event::Tick);
             self.settle();
+            self.stats.budget.set(self.core.budget());
         }
         let left: Vec<CallId> = self.open.keys().copied().collect();
         left.into_iter().for_each(|id| self.finish(id, Outcome::Cancelled));
@@ -376,10 +394,13 @@
         if matches!(call.repeat, Repeat::Keyed { .. }) {
             call.key.get_or_insert_with(|| format!("{:032x}", self.rng.u128(..)));
         }
-        let span = u64::try_from(call.timeout.as_micros()).unwrap_or(u64::MAX);
-        self.todo.push(Event::Call(id, call.repeat, self.engine.now().saturating_add(span)));
+        let (begun, left) = (self.engine.now(), u64::try_from(call.timeout.as_micros()).unwrap_or(u64::MAX));
+        self.todo.push(Event::Call(id, call.repeat, begun.saturating_add(left)));
+        let span =
+            tracing::debug_span!("call", id = id.0, path = %call.path, outcome = tracing::field::Empty);
         let (stream, code, text, gather, tries) = (None, None, String::new(), Gather::default(), 0);
-        self.open.insert(id, Open { call, done, stream, code, text, gather, tries });
+        self.open.insert(id, Open { call, done, stream, code, text, gather, tries, begun, span });
+        self.stats.open.set(self.open.len() as i64);
     }
 
     /// A further message of a stream. Once sent it is not kept, so from there on the stream does not go again.
@@ -441,8 +462,10 @@
     fn finish(&mut self, id: CallId, outcome: Outcome) {
         let Some(open) = self.open.remove(&id) else { return };
         let answered = outcome == Outcome::Answered;
-        self.stats.ended(outcome);
-        tracing::debug!(call = id.0, ?outcome, tries = open.tries, "ended");
+        self.stats.ended(outcome, self.engine.now().saturating_sub(open.begun));
+        self.stats.open.set(self.open.len() as i64);
+        open.span.record("outcome", tracing::field::debug(outcome));
+        tracing::debug!(parent: &open.span, tries = open.tries, "ended");
         let message = open.gather.message().filter(|_| answered).cloned();
         let reply = Reply { outcome, code: open.code, text: open.text, message, tries: open.tries };
         match open.done {
@@ -487,7 +510,7 @@
         };
         open.tries = number + 1;
         self.stats.tried();
-        tracing::debug!(call = id.0, number, place, left, "sent");
+        tracing::debug!(parent: &open.span, number, place, left, "sent");
         open.stream = Some(stream);
         self.engine.send(stream, grpc::frame(&open.call.message));
         if let Caller::Stream(live) = &mut open.done {
@@ -543,10 +566,13 @@
 
     /// The first message was not queued by the caller, so the sum may come out below nothing.
     fn on_sent(&mut self, stream: StreamId, bytes: usize) {
-        let open = self.tries.get(&stream).and_then(|t| self.open.get(&t.0));
+        let open = self.tries.get(&stream).and_then(|t| self.open.get_mut(&t.0));
         if let Some(Open { done: Caller::Stream(live), .. }) = open {
             let take = |queued: usize| Some(queued.saturating_sub(bytes));
-            let _ = live.queued.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+            let was = live.queued.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).unwrap_or(0);
+            if was >= MOST_QUEUED && was.saturating_sub(bytes) < MOST_QUEUED {
+                (live.hear)(StreamEvent::Room);
+            }
         }
     }
 
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -12,6 +12,8 @@
 mod settings;
 mod stats;
 mod stream;
+#[cfg(feature = "tower")]
+pub mod tower;
 mod wire;
 
 pub use crate::core::{Outcome, Repeat, Settings, SettingsError};
--- a/crates/client/src/stream.rs
+++ b/crates/client/src/stream.rs
@@ -7,13 +7,15 @@
 use std::sync::Arc;
 
 /// Bytes of a stream that may wait to go out.
-const MOST_QUEUED: usize = 1 << 20;
+pub(crate) const MOST_QUEUED: usize = 1 << 20;
 
 /// What a stream's caller hears, on the client's thread.
 #[derive(Debug, Clone)]
 pub enum StreamEvent {
     /// A message of the server.
     Message(Bytes),
+    /// A message can be queued again, after `send` said that too many wait.
+    Room,
     /// The one end.
     End(Reply),
 }
--- a/crates/client/tests/loopback.rs
+++ b/crates/client/tests/loopback.rs
@@ -1,11 +1,13 @@
 //! The client over sockets, against gateways that are scripted in this thread.
 use bytes::Bytes;
 use chalkdeck_client::{Call, Client, Outcome, Repeat, Reply, Settings, StreamEvent};
+use chalkdeck_net::clock::{Clock, Jumps};
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::{Engine, Event, Limits, ListenerId, StreamId};
 use http::{HeaderMap, HeaderValue};
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A gateway that the test plays.
@@ -386,3 +388,56 @@
     assert_eq!(ended, 30);
     assert!(client.stats().connects > 1, "{:?}", client.stats());
 }
+
+#[test]
+fn a_clock_that_jumps_ends_calls_late_at_most_by_their_own_time() {
+    let mut gateway = Gateway::new();
+    let jumps = Arc::new(Jumps::default());
+    let clock = Clock::jumping(jumps.clone());
+    let client =
+        Client::start_with_clock(Settings::default(), vec![gateway.address], clock).expect("a client");
+    let (tx, replies) = channel();
+    let ask = |repeat, millis| {
+        let tx = tx.clone();
+        client.begin(call(repeat, millis), move |r| drop(tx.send(r)));
+    };
+    ask(Repeat::Unsafe, 300);
+    gateway.until("a try", |g| g.asked.len() == 1);
+    jumps.jump(-3_600_000_000);
+    let begun = Instant::now();
+    assert_eq!(gateway.reply(&replies).outcome, Outcome::Deadline { sent: true });
+    assert!(begun.elapsed() < Duration::from_secs(10), "an hour back does not hold a deadline up");
+
+    ask(KEYED, 60_000);
+    gateway.until("a try", |g| g.asked.len() == 2);
+    jumps.jump(3_600_000_000);
+    gateway.engine.reset(gateway.asked[1].0, h2::Reason::INTERNAL_ERROR);
+    assert_eq!(gateway.reply(&replies).outcome, Outcome::Deadline { sent: true });
+    assert_eq!(gateway.asked.len(), 2, "an hour on, the key's window is over");
+
+    ask(Repeat::Safe, 60_000);
+    gateway.until("a call after the jumps", |g| g.asked.len() == 3);
+    gateway.answer(2);
+    assert_eq!(gateway.reply(&replies).outcome, Outcome::Answered);
+}
+
+#[test]
+fn metrics_are_those_of_the_stats() {
+    let mut gateway = Gateway::new();
+    let client = start(&gateway);
+    let mut registry = prometheus_client::registry::Registry::default();
+    client.register(&mut registry);
+    let (tx, replies) = channel();
+    client.begin(call(Repeat::Safe, 5_000), move |r| drop(tx.send(r)));
+    gateway.until("a try", |g| g.asked.len() == 1);
+    gateway.answer(0);
+    gateway.reply(&replies);
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).expect("text");
+    for line in
+        ["chalkdeck_client_answered_total 1", "chalkdeck_client_tries_total 1", "chalkdeck_client_open 0"]
+    {
+        assert!(text.lines().any(|l| l == line), "{line} is not in\n{text}");
+    }
+    assert_eq!(client.stats().answered, 1);
+}
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -138,11 +138,16 @@
 impl Engine {
     /// A loop that holds nothing. Errors: the system gives no poll handle.
     pub fn new() -> io::Result<Engine> {
+        Engine::with_clock(Clock::start())
+    }
+
+    /// The same with a clock of the caller's.
+    pub fn with_clock(clock: Clock) -> io::Result<Engine> {
         Ok(Engine {
             poll: Poll::new()?,
             readiness: mio::Events::with_capacity(1024),
             ready: Arc::default(),
-            clock: Clock::start(),
+            clock,
             next: 1,
             listeners: FxHashMap::default(),
             conns: FxHashMap::default(),
