--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -76,6 +76,9 @@
     /// How long the gateway is away
     #[arg(long, default_value_t = 3.0)]
     pub away: f64,
+    /// Run the library's clients and then naive ones, and draw both
+    #[arg(long, conflicts_with = "naive")]
+    pub svg: Option<PathBuf>,
     #[arg(long, default_value = "lab-out")]
     pub dir: PathBuf,
 }
@@ -275,7 +278,7 @@
                 play(before, replay.day, &args.dir, &Ways { lines: args.lines, ..Ways::default() })
             }
             Command::Timeline(args) => timeline::run(&args.dirs, args.svg.as_deref()),
-            Command::Reconnect(args) => reconnect::run(Program::this(before)?, &args),
+            Command::Reconnect(args) => reconnect::run(&Program::this(before)?, &args),
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log;
 pub mod measure;
 pub mod model;
+pub mod plot;
 pub mod process;
 pub mod reconnect;
 pub mod replay;
