--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -23,6 +23,9 @@
     Check { config: PathBuf },
     /// Gateways, counter, servers and a small load with no settings
     Demo(DemoArgs),
+    /// The counter: serve, tools for its log
+    #[command(subcommand)]
+    Counter(chalkdeck_counter::cli::Command),
     /// Commands of the laboratory
     #[command(subcommand)]
     Lab(Lab),
@@ -35,6 +38,7 @@
             Settings::load(&config).map(|_| println!("{}: ok", config.display())).map_err(Into::into)
         }
         Command::Demo(args) => Lab::Demo(args).run_as(&["lab"]),
+        Command::Counter(command) => command.run(),
         Command::Lab(command) => command.run_as(&["lab"]),
     })
 }
--- a/crates/counter/src/serve.rs
+++ b/crates/counter/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::state::{Add, Counts, Refusal};
 use crate::top::Top;
 use crate::waiting::Waiting;
-use crate::writer::{Done, Promise, Writer};
+use crate::writer::{Done, Promise, Writer, Written};
 use crate::{meters::Meters, snapshot};
 use bytes::{BufMut, BytesMut};
 use chalkdeck_net::grpc::{self, Code, Deframer};
@@ -24,6 +24,8 @@
 const BATCH: usize = 16_384;
 /// Answers that may wait for a slow reader, in bytes; its stream is reset then.
 const UNREAD: usize = 4 << 20;
+/// Of so many adds one is looked at for the hottest names.
+const SAMPLE: u64 = 8;
 const ADDS: &str = "/chalkdeck.counter.v1.Counter/Adds";
 const ADD: &str = "/chalkdeck.counter.v1.Counter/Add";
 
@@ -59,6 +61,7 @@
     out_time: u64,
     answers: FxHashMap<StreamId, BytesMut>,
     top: Top,
+    sampled: u64,
     meters: Meters,
     /// Bytes of log since the last snapshot was begun, and whether one is under way.
     grown: u64,
@@ -105,6 +108,7 @@
             out_time: 0,
             answers: FxHashMap::default(),
             top: Top::default(),
+            sampled: 0,
             meters: Meters::new(),
             grown: 0,
             snapshot_bytes: settings.snapshot_bytes,
@@ -170,11 +174,9 @@
                 self.engine.consume(stream, data.len());
                 self.on_data(stream, &data);
             }
-            Event::End { stream, .. } => {
-                if self.askers.get(&stream).is_some_and(|a| !a.single) {
-                    self.askers.remove(&stream);
-                    self.engine.finish(stream, Some(grpc::trailers(Code::Ok, "")));
-                }
+            Event::End { stream, .. } if self.askers.get(&stream).is_some_and(|a| !a.single) => {
+                self.askers.remove(&stream);
+                self.engine.finish(stream, Some(grpc::trailers(Code::Ok, "")));
             }
             Event::Broken { stream, .. } => drop(self.askers.remove(&stream)),
             // What a lost connection still has waiting is not counted: nobody would hear of it.
@@ -241,29 +243,30 @@
         (self.out, self.out_time) = (asked, time);
         let Some(writer) = &self.writer else { return self.count() };
         let adds: Vec<Add> = self.out.iter().map(|a| a.add).collect();
-        let mut record = Vec::with_capacity(adds.len() * 50 + 64);
-        log::encode(&mut record, self.counts.position(), time, &adds);
-        self.grown += record.len() as u64;
-        writer.batch(record);
+        writer.batch(self.counts.position(), time, adds);
     }
 
     /// Counts the batch that is out, and answers it.
     fn count(&mut self) {
         for Asked { stream, add } in std::mem::take(&mut self.out) {
             let total = self.counts.apply(self.out_time, &add);
-            self.top.hit(add.name);
+            self.sampled += 1;
+            if self.sampled.is_multiple_of(SAMPLE) {
+                self.top.hit(add.name);
+            }
             self.answer(stream, add.number, total, Code::Ok);
         }
     }
 
     fn on_done(&mut self, done: Done) {
         match done {
-            Done::Batch(Ok(()), took) => {
+            Done::Batch(Written { result: Ok(()), took, bytes }) => {
                 self.meters.wrote(took);
+                self.grown += bytes as u64;
                 self.count();
                 self.maybe_roll();
             }
-            Done::Batch(Err(failed), _) => self.on_failed(&failed),
+            Done::Batch(Written { result: Err(failed), .. }) => self.on_failed(&failed),
             Done::Rolled(Ok(())) => {
                 self.writer.iter().for_each(|w| w.snapshot(self.counts.clone()));
                 self.grown = 0;
@@ -355,7 +358,10 @@
             "/healthz" if self.closed => self.engine.reply(conn, 503, "the log is closed; start again\n"),
             "/healthz" => self.engine.reply(conn, 200, "ok\n"),
             "/top" => {
-                let mut text = format!("# name adds (at most {} too many)\n", self.top.error());
+                let mut text = format!(
+                    "# name adds, one in {SAMPLE} looked at (at most {} too many)\n",
+                    self.top.error()
+                );
                 for (name, adds) in self.top.hottest(20) {
                     text += &format!("{name:016x} {adds}\n");
                 }
--- a/crates/counter/src/state.rs
+++ b/crates/counter/src/state.rs
@@ -173,18 +173,24 @@
     /// Counts an add that passed `check`, and returns the total it hears. One that arrived before counts once.
     pub fn apply(&mut self, time: u64, add: &Add) -> f64 {
         self.time = self.clock(time);
-        let place = match self.callers.get(&add.caller).map_or(Err(0), |c| c.find(add.number)) {
-            Ok(place) => return self.callers[&add.caller].seen[place].total,
-            Err(place) => place,
+        let place = match self.callers.get(&add.caller).map(|c| (c, c.find(add.number))) {
+            Some((caller, Ok(place))) => return caller.seen[place].total,
+            Some((_, Err(place))) => place,
+            None => 0,
         };
         self.position += 1;
         self.sweep();
         let total = self.add(add);
-        if add.caller != 0 {
-            self.room_for(add.caller);
-            let seen = Seen { number: add.number, total, at: self.time };
-            self.callers.entry(add.caller).or_default().remember(place, seen, &self.limits);
+        if add.caller == 0 {
+            return total;
+        }
+        let seen = Seen { number: add.number, total, at: self.time };
+        if let Some(caller) = self.callers.get_mut(&add.caller) {
+            caller.remember(place, seen, &self.limits);
+            return total;
         }
+        self.room_for_caller();
+        self.callers.entry(add.caller).or_default().remember(0, seen, &self.limits);
         total
     }
 
@@ -212,8 +218,8 @@
 
     /// Forgets the caller that was not heard for longest, where a new one comes. An add of it that arrives again is
     /// known by its incarnation, as those only grow.
-    fn room_for(&mut self, caller: u64) {
-        if self.callers.contains_key(&caller) || self.callers.len() < self.limits.callers {
+    fn room_for_caller(&mut self) {
+        if self.callers.len() < self.limits.callers {
             return;
         }
         let oldest = self.callers.iter().map(|(id, c)| (c.used, *id)).min();
--- a/crates/counter/src/writer.rs
+++ b/crates/counter/src/writer.rs
@@ -3,7 +3,7 @@
 use crate::disk::Disk;
 use crate::log::{self, Failed, Log};
 use crate::snapshot;
-use crate::state::Counts;
+use crate::state::{Add, Counts};
 use chalkdeck_net::engine::LoopWaker;
 use std::io;
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
@@ -23,16 +23,32 @@
     Write,
 }
 
+struct Batch {
+    position: u64,
+    time: u64,
+    adds: Vec<Add>,
+}
+
 enum Work {
-    Batch(Vec<u8>),
+    Batch(Batch),
     Roll(u64),
     Snapshot(Box<Counts>),
 }
 
+/// How a batch went.
+pub struct Written {
+    /// Whether it is as safe as the promise says.
+    pub result: Result<(), Failed>,
+    /// How long it took.
+    pub took: Duration,
+    /// Its bytes in the log.
+    pub bytes: usize,
+}
+
 /// What the writer has done.
 pub enum Done {
-    /// A batch, and how long it took.
-    Batch(Result<(), Failed>, Duration),
+    /// A batch.
+    Batch(Written),
     /// A new segment was begun: the counts as they are now can be kept.
     Rolled(io::Result<()>),
     /// A snapshot was written and what it made needless removed.
@@ -75,9 +91,9 @@
         ];
         Ok(Writer { work: Some(work), done, threads, snaps: Some(snaps) })
     }
-    /// Writes a record of `log::encode`. The caller waits for `Done::Batch` before the next.
-    pub fn batch(&self, record: Vec<u8>) {
-        self.give(Work::Batch(record));
+    /// Writes adds that count from a position on at a time. The caller waits for `Done::Batch` before the next.
+    pub fn batch(&self, position: u64, time: u64, adds: Vec<Add>) {
+        self.give(Work::Batch(Batch { position, time, adds }));
     }
     /// Begins a new segment at a position, behind the batches that were given.
     pub fn roll(&self, position: u64) {
@@ -115,6 +131,7 @@
 fn write<D: Disk>(mut log: Log<D>, promise: Promise, inbox: &Receiver<Work>, tell: impl Fn(Done)) {
     let mut synced = Instant::now();
     let mut behind = false;
+    let mut record = Vec::new();
     loop {
         let work = if behind {
             let wait = SYNC_EVERY.saturating_sub(synced.elapsed());
@@ -126,13 +143,16 @@
             inbox.recv().map_err(|_| TryRecvError::Disconnected)
         };
         match work {
-            Ok(Work::Batch(record)) => {
+            Ok(Work::Batch(batch)) => {
                 let begun = Instant::now();
+                record.clear();
+                log::encode(&mut record, batch.position, batch.time, &batch.adds);
                 let written = log.append(&record);
                 let written =
                     if promise == Promise::Sync { written.and_then(|()| log.sync()) } else { written };
                 behind = promise == Promise::Write;
-                tell(Done::Batch(written, begun.elapsed()));
+                let (took, bytes) = (begun.elapsed(), record.len());
+                tell(Done::Batch(Written { result: written, took, bytes }));
             }
             Ok(Work::Roll(position)) => tell(Done::Rolled(log.roll(position))),
             Ok(Work::Snapshot(_)) | Err(TryRecvError::Empty) => {}
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -286,7 +286,7 @@
     }
 
     pub(crate) fn on_head(&mut self, stream: StreamId, head: Box<response::Parts>, ended: bool) {
-        if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
+        if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = if ended { counter.on_over(&mut self.engine) } else { Vec::new() };
             return self.counted(told);
         }
@@ -324,7 +324,7 @@
     }
 
     pub(crate) fn on_data(&mut self, stream: StreamId, data: Bytes) {
-        if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
+        if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = counter.on_data(&mut self.engine, stream, &data);
             return self.counted(told);
         }
@@ -384,7 +384,7 @@
     }
 
     pub(crate) fn on_end(&mut self, stream: StreamId, trailers: Option<HeaderMap>) {
-        if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
+        if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = counter.on_over(&mut self.engine);
             return self.counted(told);
         }
@@ -431,7 +431,7 @@
     }
 
     pub(crate) fn on_broken(&mut self, stream: StreamId, how: Broken) {
-        if let Some(counter) = self.counter.as_mut().filter(|c| c.owns(stream)) {
+        if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = counter.on_over(&mut self.engine);
             return self.counted(told);
         }
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -4,6 +4,7 @@
 //! A link on which nothing was heard since a call that timed out was sent may be dead without a word; the next call takes
 //! a new one.
 
+use crate::counters::{News, Standing};
 use chalkdeck::api::{CountName, Outcome};
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::{ConnId, Engine, Limits, StreamId};
@@ -83,15 +84,32 @@
     /// Time-outs in the order of the calls; those that ended are dropped when they come first.
     until: VecDeque<Until>,
     next: u64,
+    /// This gateway's incarnation: an add that arrives twice counts once.
+    caller: u64,
+    standing: Standing,
+    /// Bounded: taken out after each answer.
+    pub(crate) news: Vec<News>,
     head: http::Request<()>,
 }
 
 impl Counter {
-    pub(crate) fn new(address: SocketAddr) -> Counter {
+    pub(crate) fn new(address: SocketAddr, now: u64) -> Counter {
         let head =
             grpc::request(&address.to_string(), PATH).expect("an address and a fixed path make a sound head");
         let (open, until, order) = (FxHashMap::default(), VecDeque::new(), InOrder::default());
-        Counter { address, link: Link::None, heard: 0, open, order, until, next: 0, head }
+        Counter {
+            address,
+            link: Link::None,
+            heard: 0,
+            open,
+            order,
+            until,
+            next: 0,
+            caller: incarnation(now),
+            standing: Standing::default(),
+            news: Vec::new(),
+            head,
+        }
     }
 
     /// Asks, until that time; returns what can be told at once.
@@ -112,7 +130,8 @@
             return self.end(call, Outcome::Moot, 0.0);
         }
         self.until.push_back(Until { at: until, call });
-        let request = AddRequest { name: name.0, amount, lifetime_us: life, number: call };
+        let caller = self.caller;
+        let request = AddRequest { name: name.0, amount, lifetime_us: life, number: call, caller };
         if let Link::None = self.link {
             self.link = match engine.connect(self.address, Limits::default()) {
                 Ok(conn) => Link::Connecting(conn, Vec::new()),
@@ -224,6 +243,10 @@
                 told.extend(self.drop_link(engine));
                 return told;
             };
+            self.news.extend(self.standing.heard(&answer));
+            if Code::of(answer.status) == Code::Aborted {
+                self.caller = incarnation(engine.now());
+            }
             let outcome = outcome_of(&answer);
             told.extend(self.end(answer.number, outcome, answer.total));
         }
@@ -235,6 +258,11 @@
     }
 }
 
+/// Above that of any earlier life, and apart from those that began in the same microsecond.
+fn incarnation(now: u64) -> u64 {
+    (now << 12) | fastrand::u64(..1 << 12)
+}
+
 fn outcome_of(answer: &AddResponse) -> Outcome {
     match Code::of(answer.status) {
         Code::Ok if answer.total.is_finite() => Outcome::Ok,
--- /dev/null
+++ b/crates/gateway/src/counters.rs
@@ -0,0 +1,121 @@
+//! The counter's parts, each with its own link: a name belongs to one of them by its number, and the loss of one part leaves
+//! the others. What each part's answers say of its counts is followed here.
+
+use crate::counter::{Counter, Told};
+use chalkdeck::api::CountName;
+use chalkdeck_net::{ConnId, Engine, StreamId};
+use chalkdeck_proto::chalkdeck::counter::v1::AddResponse;
+use std::net::SocketAddr;
+
+/// What happened to a part's counts between two answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum News {
+    /// It was started again and has its counts.
+    Recovered,
+    /// It has other counts than before: what it was told is gone.
+    Emptied,
+    /// It has its counts as they were earlier.
+    WentBack,
+}
+
+/// Follows the answers of one part.
+#[derive(Debug, Default)]
+pub(crate) struct Standing {
+    incarnation: u64,
+    epoch: u64,
+    position: u64,
+}
+
+impl Standing {
+    /// An answer came. A part that does not tell, such as one without a log, gives no news.
+    pub(crate) fn heard(&mut self, answer: &AddResponse) -> Option<News> {
+        if answer.incarnation == 0 {
+            return None;
+        }
+        let before = std::mem::replace(
+            self,
+            Standing { incarnation: answer.incarnation, epoch: answer.epoch, position: answer.position },
+        );
+        if before.incarnation == 0 {
+            None
+        } else if before.incarnation != answer.incarnation {
+            Some(News::Emptied)
+        } else if answer.position < before.position || answer.epoch < before.epoch {
+            Some(News::WentBack)
+        } else {
+            (answer.epoch > before.epoch).then_some(News::Recovered)
+        }
+    }
+}
+
+/// All parts.
+pub(crate) struct Counters {
+    parts: Vec<Counter>,
+}
+
+impl Counters {
+    /// None without addresses.
+    pub(crate) fn new(addresses: &[SocketAddr], now: u64) -> Option<Counters> {
+        let parts: Vec<Counter> = addresses.iter().map(|a| Counter::new(*a, now)).collect();
+        (!parts.is_empty()).then_some(Counters { parts })
+    }
+
+    /// See `Counter::add`.
+    pub(crate) fn add(
+        &mut self,
+        engine: &mut Engine,
+        name: CountName,
+        amount: f64,
+        life: u64,
+        until: u64,
+    ) -> Vec<Told> {
+        let part = (name.0 % self.parts.len() as u64) as usize;
+        self.parts[part].add(engine, name, amount, life, until)
+    }
+    pub(crate) fn next_timeout(&mut self) -> Option<u64> {
+        self.parts.iter_mut().filter_map(Counter::next_timeout).min()
+    }
+    pub(crate) fn timed_out(&mut self, engine: &mut Engine) -> Vec<Told> {
+        self.parts.iter_mut().flat_map(|p| p.timed_out(engine)).collect()
+    }
+    pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) -> Option<Vec<Told>> {
+        self.parts.iter_mut().find_map(|p| p.connected(engine, conn))
+    }
+    pub(crate) fn closed(&mut self, conn: ConnId) -> Option<Vec<Told>> {
+        self.parts.iter_mut().find_map(|p| p.closed(conn))
+    }
+    /// The part whose stream it is.
+    pub(crate) fn of(&mut self, stream: StreamId) -> Option<&mut Counter> {
+        self.parts.iter_mut().find(|p| p.owns(stream))
+    }
+    /// What the parts' answers told since the last look.
+    pub(crate) fn news(&mut self) -> Vec<News> {
+        self.parts.iter_mut().flat_map(|p| p.news.drain(..)).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn answer(incarnation: u64, epoch: u64, position: u64) -> AddResponse {
+        AddResponse { incarnation, epoch, position, ..AddResponse::default() }
+    }
+
+    #[test]
+    fn a_recovered_counter_is_told_from_an_emptied_and_a_restored_one() {
+        let mut standing = Standing::default();
+        for (answer, news) in [
+            (answer(0, 0, 0), None),
+            (answer(7, 1, 10), None),
+            (answer(7, 1, 12), None),
+            (answer(7, 2, 12), Some(News::Recovered)),
+            (answer(7, 3, 4), Some(News::WentBack)),
+            (answer(9, 1, 1), Some(News::Emptied)),
+            (answer(0, 0, 0), None),
+            (answer(9, 1, 2), None),
+        ] {
+            assert_eq!(standing.heard(&answer), news, "{answer:?}");
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod carry;
 mod counter;
+mod counters;
 pub mod endpoints;
 pub mod fault;
 mod front;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Plain metrics of one gateway.
 
+use crate::counters::News;
 use chalkdeck::api::Outcome;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
@@ -41,6 +42,7 @@
     ended: Vec<Vec<[Counter; 4]>>,
     attempts: ByOutcome,
     counts: ByOutcome,
+    news: Family<Kind, Counter>,
     pub(crate) rejected: Family<Kind, Counter>,
     pub(crate) open: Gauge,
     pub(crate) connections: Gauge,
@@ -59,6 +61,7 @@
             ended: classes.iter().map(by_plan).collect(),
             attempts: by_outcome(&attempts),
             counts: by_outcome(&counts),
+            news: Family::default(),
             rejected: Family::default(),
             open: Gauge::default(),
             connections: Gauge::default(),
@@ -71,6 +74,11 @@
         r.register("calls_ended", "Calls by class, plan and end", ended);
         r.register("attempts", "Attempts by how they ended", attempts);
         r.register("counter_calls", "Calls to the counter by how they ended", counts);
+        r.register(
+            "counter_news",
+            "Changes of the counter's counts as its answers tell them",
+            m.news.clone(),
+        );
         r.register("calls_rejected", "Input that is no call, by what was wrong", m.rejected.clone());
         r.register("calls_open", "Calls without their answer", m.open.clone());
         r.register("connections", "Connections of all kinds", m.connections.clone());
@@ -90,6 +98,11 @@
         inc(&self.counts, outcome);
     }
 
+    pub(crate) fn counter_news(&self, news: News) {
+        let kind = format!("{news:?}").to_lowercase();
+        self.news.get_or_create(&Kind { kind }).inc();
+    }
+
     pub(crate) fn text(&self) -> String {
         let mut out = String::new();
         match text::encode(&mut out, &self.registry) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -63,8 +63,8 @@
     pub plan_of: HashMap<String, usize>,
     /// Through how many gateways a customer's calls come.
     pub spread: u32,
-    /// The counter.
-    pub counter: Option<SocketAddr>,
+    /// The counter's parts, in the order that all gateways have; none: there is no counter.
+    pub counter: Vec<SocketAddr>,
     /// The file with the server list.
     pub endpoints: PathBuf,
     /// How often it is looked at, in microseconds.
@@ -297,10 +297,16 @@
     let levels = ["error", "warn", "info", "debug", "trace"].map(String::from);
     source.known("logs.level", &log_level, &levels)?;
     let fleet = or(wire.fleet, 1);
-    let address = match counter.address.as_str() {
-        "" => None,
-        text => Some(source.address("counter.address", text)?),
-    };
+    if !counter.address.is_empty() && !counter.parts.is_empty() {
+        return source.fail("counter: expected address or parts, found both");
+    }
+    let mut parts = Vec::new();
+    if !counter.address.is_empty() {
+        parts.push(source.address("counter.address", &counter.address)?);
+    }
+    for part in &counter.parts {
+        parts.push(source.address("counter.parts", part)?);
+    }
     let policy = api::Settings {
         gateways: fleet,
         me: wire.number,
@@ -313,7 +319,7 @@
         probes: false,
         retry_after: limits.retry_after_ms > 0,
         max_retry_after: millis(limits.retry_after_ms),
-        counter: address.is_some(),
+        counter: !parts.is_empty(),
         count_timeout: millis(or(counter.timeout_ms, 80)),
         most_units: if limits.most_units == 0.0 { 1.0 } else { limits.most_units },
         must_subscribe: false,
@@ -341,7 +347,7 @@
         default_plan,
         plan_of,
         spread: or(customers.spread, fleet).min(fleet),
-        counter: address,
+        counter: parts,
         endpoints: PathBuf::from(endpoints.file),
         poll: u64::from(or(endpoints.poll_ms, 200)) * 1_000,
         connect_timeout: u64::from(or(endpoints.connect_timeout_ms, 250)) * 1_000,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -3,7 +3,8 @@
 //! a client's own deadline on an answer that has started is the client's going away.
 
 use crate::calls::Calls;
-use crate::counter::{Counter, Told};
+use crate::counter::Told;
+use crate::counters::{Counters, News};
 use crate::endpoints;
 use crate::fault::Fault;
 use crate::metrics::Metrics;
@@ -47,7 +48,7 @@
     listen: SocketAddr,
     admin: Option<SocketAddr>,
     pub(crate) calls: Calls,
-    pub(crate) counter: Option<Counter>,
+    pub(crate) counter: Option<Counters>,
     pub(crate) pool: Pool,
     watch: Watch,
     pub(crate) metrics: Metrics,
@@ -74,6 +75,7 @@
             None => None,
         };
         let policy = Gateway::new(seed, set.policy.clone()).map_err(io::Error::other)?;
+        let counter = Counters::new(&set.counter, engine.now());
         let mut shell = Shell {
             engine,
             policy,
@@ -82,7 +84,7 @@
             listen,
             admin,
             calls: Calls::default(),
-            counter: set.counter.map(Counter::new),
+            counter,
             pool: Pool::new(set.server_connections, set.server_streams, set.keepalive),
             watch: Watch::new(set.endpoints.clone()),
             metrics: Metrics::new(&set.class_names, &set.plan_names),
@@ -253,7 +255,7 @@
 
     /// All calls have the same time, so the first of them times out first and one timer serves all.
     fn watch_counts(&mut self) {
-        let Some(until) = self.counter.as_mut().and_then(Counter::next_timeout) else { return };
+        let Some(until) = self.counter.as_mut().and_then(Counters::next_timeout) else { return };
         if !std::mem::replace(&mut self.counts_watched, true) {
             self.due_in(until.saturating_sub(self.engine.now()), Due::Count);
         }
@@ -268,6 +270,14 @@
     }
 
     pub(crate) fn counted(&mut self, told: Vec<Told>) {
+        for news in self.counter.as_mut().map(Counters::news).unwrap_or_default() {
+            self.metrics.counter_news(news);
+            match news {
+                News::Recovered => tracing::info!("the counter was started again and has its counts"),
+                News::Emptied => tracing::warn!("the counter has lost its counts"),
+                News::WentBack => tracing::warn!("the counter has an earlier state of its counts"),
+            }
+        }
         for Told { name, outcome, total } in told {
             self.metrics.count(outcome);
             self.todo.push_back(Event::Counted(name, outcome, total));
@@ -314,7 +324,7 @@
             Ok(new) => new,
             Err(e) => return tracing::error!("the earlier settings stay: {e}"),
         };
-        let fixed = |s: &Settings| (format!("{:?}", s.policy), s.listen, s.admin, s.counter);
+        let fixed = |s: &Settings| (format!("{:?}", s.policy), s.listen, s.admin, s.counter.clone());
         if fixed(&new) != fixed(&self.set) {
             tracing::error!(
                 "the earlier settings stay: classes, plans, fleet, limits and addresses need a new start"
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -289,7 +289,7 @@
             let add = AddRequest::decode(&message[..]).expect("an add");
             let total = self.totals.entry(add.name).or_default();
             *total += add.amount;
-            let answer = AddResponse { total: *total, number: add.number, status: 0 };
+            let answer = AddResponse { total: *total, number: add.number, ..AddResponse::default() };
             self.counter.engine.send(stream, grpc::frame(&answer.encode_to_vec()));
             self.adds += 1;
         }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,7 +7,7 @@
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
 use crate::report::Summary;
-use crate::{audit, counter, day, demo, library, measure, reconnect, replay, timeline};
+use crate::{adds, audit, counter, day, demo, library, measure, reconnect, replay, timeline};
 use anyhow::{bail, Context};
 use chalkdeck_client::Repeat;
 use chalkdeck_gateway::relay::Relay;
@@ -33,6 +33,9 @@
 pub enum Command {
     /// Stand-in for the counter
     Counter(CounterArgs),
+    /// The counter itself, as a part of a day
+    #[command(hide = true)]
+    OwnCounter(OwnCounterArgs),
     /// Stand-ins for the servers of one cell
     Farm(FarmArgs),
     /// Open-loop gRPC load
@@ -53,6 +56,8 @@
     Timeline(TimelineArgs),
     /// Many clients lose a gateway at once: connects by time, the library's against naive ones
     Reconnect(ReconnectArgs),
+    /// Adds a second of the counter by its promise, beside the stand-in and a bare loop
+    Adds(AddsArgs),
     /// Calls a second and core, and added latency: straight, through a bare relay, through a gateway
     Measure(MeasureArgs),
 }
@@ -108,6 +113,33 @@
     pub with_parent: bool,
 }
 
+#[derive(Args, Clone)]
+pub struct AddsArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 3.0)]
+    pub seconds: f64,
+    /// How often the ways take turns
+    #[arg(long, default_value_t = 2)]
+    pub rounds: u32,
+    #[arg(long, default_value_t = 8)]
+    pub connections: usize,
+    /// Adds out at once on each connection
+    #[arg(long, default_value_t = 512)]
+    pub outstanding: usize,
+    #[arg(long, default_value_t = 10_000)]
+    pub names: u64,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
+#[derive(Args)]
+pub struct OwnCounterArgs {
+    /// Settings, protobuf text of chalkdeck.counter.v1.Settings
+    pub config: PathBuf,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
 #[derive(Args)]
 pub struct FarmArgs {
     /// A day: its farm, work and cold start
@@ -200,6 +232,9 @@
     pub dir: PathBuf,
     #[arg(long, hide = true)]
     pub fault: Option<String>,
+    /// With the counter that keeps its counts, in place of its stand-in
+    #[arg(long)]
+    pub own_counter: bool,
     /// Calls go through the client library
     #[arg(long, conflicts_with = "naive")]
     pub library: bool,
@@ -253,12 +288,18 @@
     pub fn run_as(self, before: &[&str]) -> anyhow::Result<()> {
         match self {
             Command::Counter(args) => run_counter(&args),
+            Command::OwnCounter(args) => {
+                begin(args.with_parent);
+                let settings = chalkdeck_counter::settings::Settings::load(&args.config)?;
+                chalkdeck_counter::serve::run(&settings, &Signals::take()?)
+            }
             Command::Farm(args) => run_farm(&args),
             Command::Load(args) => run_load(args),
             Command::Serve(args) => serve(&args),
             Command::Relay(args) => run_relay(args),
             Command::Run(args) => {
-                let day = day::read(&args.day)?;
+                let mut day = day::read(&args.day)?;
+                day.own_counter |= args.own_counter;
                 let clients = match args.naive {
                     _ if args.library => Clients::Library,
                     0 => Clients::Plain,
@@ -279,6 +320,7 @@
             }
             Command::Timeline(args) => timeline::run(&args.dirs, args.svg.as_deref()),
             Command::Reconnect(args) => reconnect::run(&Program::this(before)?, &args),
+            Command::Adds(args) => adds::run(&Program::this(before)?, &args),
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
         }
--- a/crates/lab/src/counter.rs
+++ b/crates/lab/src/counter.rs
@@ -150,7 +150,7 @@
             return self.status(stream, Code::InvalidArgument);
         }
         let total = self.add(&add);
-        self.reply_in_time(stream, AddResponse { total, number: add.number, status: 0 });
+        self.reply_in_time(stream, AddResponse { total, number: add.number, ..AddResponse::default() });
     }
 
     fn reply_in_time(&mut self, stream: StreamId, answer: AddResponse) {
@@ -185,11 +185,11 @@
             }
             if self.refusing {
                 let status = Code::Unavailable as i32;
-                self.reply(stream, AddResponse { total: 0.0, number: add.number, status });
+                self.reply(stream, AddResponse { number: add.number, status, ..AddResponse::default() });
                 continue;
             }
             let total = self.add(&add);
-            self.reply_in_time(stream, AddResponse { total, number: add.number, status: 0 });
+            self.reply_in_time(stream, AddResponse { total, number: add.number, ..AddResponse::default() });
         }
     }
 
--- /dev/null
+++ b/crates/lab/src/counting.rs
@@ -0,0 +1,72 @@
+//! The counter of a fleet: the project's own, or the stand-in with its faults.
+
+use crate::control;
+use crate::process::{Process, Program};
+use anyhow::{bail, Context};
+use rustix::process::Signal;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A counter that can be ended and started again at its address.
+pub struct CounterPart {
+    program: Program,
+    dir: PathBuf,
+    own: bool,
+    process: Option<Process>,
+    address: SocketAddr,
+    control: SocketAddr,
+}
+
+impl CounterPart {
+    /// Starts it; `own`: the one that keeps its counts.
+    pub fn start(program: &Program, dir: &Path, own: bool) -> anyhow::Result<CounterPart> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (program, dir) = (program.clone(), dir.to_path_buf());
+        let mut part = CounterPart { program, dir, own, process: None, address: any, control: any };
+        part.begin()?;
+        Ok(part)
+    }
+
+    /// Where gateways find it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts it, again where it was before.
+    pub fn begin(&mut self) -> anyhow::Result<()> {
+        let (listen, control) = (self.address.to_string(), self.control.to_string());
+        let args = if self.own {
+            let config = self.dir.join("counter.txtpb");
+            let text = format!("listen: \"{listen}\"\nadmin: \"{control}\"\nfolder: \"counter\"\n");
+            std::fs::write(&config, text)?;
+            vec!["own-counter".to_string(), config.display().to_string()]
+        } else {
+            ["counter", "--listen", &listen, "--control", &control].map(String::from).to_vec()
+        };
+        let process = Process::start(&self.program, &args, &self.dir.join("counter.log"))?;
+        self.address = process.address("grpc")?;
+        self.control = process.address(if self.own { "admin" } else { "control" })?;
+        self.process = Some(process);
+        Ok(())
+    }
+
+    /// Ends it at once, without a word.
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    /// A fault by the stand-in's commands. The project's own counter can only fall silent, and has its counts after that.
+    pub fn fault(&self, query: &str) -> anyhow::Result<()> {
+        if !self.own {
+            control::get(self.control, &format!("/set?{query}"))?;
+            return Ok(());
+        }
+        let signal = match query.split('&').next() {
+            Some("silent=1") => Signal::STOP,
+            Some("silent=0") => Signal::CONT,
+            _ => bail!("the own counter has no fault '{query}'; play this day with the stand-in"),
+        };
+        self.process.as_ref().context("the counter is down")?.signal(signal);
+        Ok(())
+    }
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,6 +1,7 @@
 //! A scripted day: gateways, counter, cells and load as processes, troubles by the clock, logs in one folder.
 
 use crate::control;
+use crate::counting::CounterPart;
 use crate::log::{Line, Log};
 use crate::process::{Process, Program};
 use crate::report::Summary;
@@ -26,6 +27,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
     Counter(String),
+    KillCounter,
+    StartCounter,
     Cell(usize, String),
     /// A command to one server, by its number over all cells.
     Server(usize, String),
@@ -117,6 +120,7 @@
     let load = |on: String, off: &str| both(Act::Load(on), Act::Load(off.into()));
     Ok(match t.kind.as_str() {
         "counter_down" => counter("silent=1", "silent=0&empty"),
+        "counter_kill" => both(Act::KillCounter, Act::StartCounter),
         "counter_refusing" => counter("refusing=1", "refusing=0"),
         "counter_slow" => counter(&format!("slow_ms={}", t.factor), "slow_ms=0"),
         "counter_empty" => vec![Timed { at: begin, act: Act::Counter("empty".into()) }],
@@ -210,8 +214,7 @@
     dir: PathBuf,
     day_file: PathBuf,
     clock: Clock,
-    counter: Process,
-    counter_control: SocketAddr,
+    counter: CounterPart,
     cells: Vec<CellPart>,
     gateways: Vec<GatewayPart>,
     list: Vec<OnList>,
@@ -237,26 +240,12 @@
         let day_text = text::print(MESSAGE, &day).context("expected the day to have a text form")?;
         std::fs::write(&day_file, day_text)?;
         let notes = Log::create(Some(&dir.join("run.jsonl")))?;
-        let args = ["counter", "--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"].map(String::from);
-        let counter = Process::start(&program, &args, &dir.join("counter.log"))?;
-        let counter_control = counter.address("control")?;
+        let counter = CounterPart::start(&program, dir, day.own_counter)?;
         let (cells, gateways, list) = (Vec::new(), Vec::new(), Vec::new());
         let clock = Clock::start();
         let dir = dir.to_path_buf();
-        let mut fleet = Fleet {
-            program,
-            day,
-            dir,
-            day_file,
-            clock,
-            counter,
-            counter_control,
-            cells,
-            gateways,
-            list,
-            notes,
-            fault,
-        };
+        let mut fleet =
+            Fleet { program, day, dir, day_file, clock, counter, cells, gateways, list, notes, fault };
         for zone in 0..fleet.day.zones.len() {
             fleet.first_cell(zone)?;
         }
@@ -329,7 +318,7 @@
         settings.number = number as u32;
         settings.zone = self.day.zones[number % self.day.zones.len()].name.clone();
         let counter = settings.counter.get_or_insert_with(config::Counter::default);
-        counter.address = self.counter.address("grpc")?.to_string();
+        counter.address = self.counter.address().to_string();
         let endpoints = settings.endpoints.get_or_insert_with(config::Endpoints::default);
         endpoints.file = "endpoints.txtpb".to_string();
         let customers = settings.customers.get_or_insert_with(config::Customers::default);
@@ -397,7 +386,9 @@
     pub fn act(&mut self, act: &Act, load: Option<SocketAddr>) -> anyhow::Result<()> {
         self.note("act", format!("{act:?}"));
         match act {
-            Act::Counter(query) => drop(control::get(self.counter_control, &format!("/set?{query}"))?),
+            Act::Counter(query) => self.counter.fault(query)?,
+            Act::KillCounter => self.counter.kill(),
+            Act::StartCounter => self.counter.begin()?,
             Act::Cell(zone, query) => {
                 drop(control::get(self.cells[*zone].control, &format!("/set?{query}"))?)
             }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,10 +1,12 @@
 //! The laboratory: stand-ins for the counter and the servers, a load tool, scripted days and their audit.
 #![forbid(unsafe_code)]
 
+pub mod adds;
 pub mod audit;
 pub mod cli;
 pub mod control;
 pub mod counter;
+pub mod counting;
 pub mod day;
 pub mod demo;
 pub mod farm;
