--- a/crates/counter/src/record.rs
+++ b/crates/counter/src/record.rs
@@ -7,13 +7,18 @@
 /// Bytes before each message.
 pub const FRAME: usize = 8;
 
+/// The check of a body.
+pub fn checksum(body: &[u8]) -> u32 {
+    crc32c::crc32c(body)
+}
+
 /// Appends a message as a record.
 pub fn push(out: &mut Vec<u8>, message: &impl Message) {
     let at = out.len();
     out.extend([0; FRAME]);
     message.encode(out).expect("a vector grows");
     let body = &out[at + FRAME..];
-    let (len, crc) = (body.len() as u32, crc32c::crc32c(body));
+    let (len, crc) = (body.len() as u32, checksum(body));
     out[at..at + 4].copy_from_slice(&len.to_le_bytes());
     out[at + 4..at + FRAME].copy_from_slice(&crc.to_le_bytes());
 }
@@ -27,7 +32,7 @@
         return None;
     }
     let body = bytes.get(at + FRAME..at + FRAME + len)?;
-    (crc32c::crc32c(body) == crc).then_some(body)
+    (checksum(body) == crc).then_some(body)
 }
 
 /// Whether a sound record begins anywhere from `at` on.
