--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -153,6 +153,7 @@
                 },
                 window: f.micros_or(&key("window"), 0)?,
                 stream: f.flag_or(&key("streaming"), false)?,
+                by_caller: false,
             });
         }
         let (mut plans, mut plan_list) = (HashMap::new(), Vec::new());
@@ -288,6 +289,8 @@
             }
             Action::Refuse(r, None) => writeln!(out, "REJECT ref={}", r.0),
             Action::Refuse(r, Some(b)) => writeln!(out, "REJECT ref={} backoff={}", r.0, b.0),
+            // The bench has no callers that do their own work.
+            Action::Grant(_) => Ok(()),
             Action::Fail(r) => writeln!(out, "FINISH_ERROR ref={}", r.0),
             Action::Cancel(r, a) => writeln!(out, "ABANDON ref={} trial={a}", r.0),
             Action::Probe(s) => writeln!(out, "PROBE backend={}", name(s)),
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -183,6 +183,9 @@
     }
 
     pub(crate) fn refuse(&mut self, id: RequestId, back_in: Option<u64>) {
+        if self.resp_refused(id, back_in) {
+            return;
+        }
         if self.fault == Some(Fault::Ceiling) && self.send_refused(id) {
             return;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,8 +18,9 @@
 mod outcome;
 mod pool;
 pub mod relay;
+pub mod resp;
 pub mod settings;
-pub mod shell;
+mod shell;
 
 pub use settings::{Settings, SettingsError};
 pub use shell::Shell;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) taken: Counter,
+    pub(crate) resp_asks: Counter,
     /// By class, then plan, then end.
     ended: Vec<Vec<[Counter; 4]>>,
     attempts: ByOutcome,
@@ -58,6 +59,7 @@
         let mut m = Metrics {
             registry: Registry::with_prefix("chalkdeck"),
             taken: Counter::default(),
+            resp_asks: Counter::default(),
             ended: classes.iter().map(by_plan).collect(),
             attempts: by_outcome(&attempts),
             counts: by_outcome(&counts),
@@ -71,6 +73,7 @@
         };
         let r = &mut m.registry;
         r.register("calls_taken", "Calls taken", m.taken.clone());
+        r.register("resp_asks", "Requests that came over RESP", m.resp_asks.clone());
         r.register("calls_ended", "Calls by class, plan and end", ended);
         r.register("attempts", "Attempts by how they ended", attempts);
         r.register("counter_calls", "Calls to the counter by how they ended", counts);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,11 @@
                 let gone = self.conns.iter_mut().filter(|c| **c == Some(conn));
                 gone.for_each(|slot| *slot = None);
             }
-            Event::Accepted { .. } | Event::Connected { .. } | Event::Timer(_) | Event::Get { .. } => {}
+            Event::Accepted { .. }
+            | Event::Connected { .. }
+            | Event::Timer(_)
+            | Event::Get { .. }
+            | Event::Bytes { .. } => {}
         }
     }
     fn on_call(&mut self, front: StreamId, head: &request::Parts) {
--- /dev/null
+++ b/crates/gateway/src/resp/mod.rs
@@ -0,0 +1,377 @@
+//! The second front: programs that are no gRPC clients ask for limits over RESP. The decisions are asked as for a call; what
+//! is granted, the caller does itself. One customer has one quota over both fronts.
+
+mod command;
+mod session;
+mod wire;
+
+use crate::shell::{Due, Shell};
+use bytes::Bytes;
+use chalkdeck::api::{Arrival, ClassId, CustomerId, Event, Micros, PlanId, RequestId};
+use chalkdeck_net::{ConnId, Engine, Limits, ListenerId};
+use command::Command;
+use rustc_hash::FxHashMap;
+use session::Session;
+use std::io;
+use std::net::SocketAddr;
+use wire::{Front, Reply};
+
+/// Commands of one connection whose answers are still to come; beyond, nothing is read from it.
+const MOST_PENDING: usize = 1_024;
+/// Bytes that a client may leave unread; beyond, nothing is read from it.
+const UNREAD: usize = 256 << 10;
+/// How long half a command, or an answer nobody reads, is waited for.
+const STALLED: u64 = 30_000_000;
+/// Tickets held at once by one connection.
+const MOST_TICKETS: usize = 10_000;
+
+/// Settings of the front.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RespSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Asked of clients; empty: none.
+    pub password: String,
+    /// The class that its requests have; callers do the work themselves.
+    pub class: usize,
+    /// How long a ticket lasts that names no lease, in microseconds.
+    pub lease: u64,
+    /// Connections at once.
+    pub connections: usize,
+}
+
+/// A request of this front that waits for its decision.
+struct Ask {
+    conn: ConnId,
+    slot: u64,
+    customer: CustomerId,
+    plan: PlanId,
+    /// A plain ask, or one that gets a ticket for so long.
+    lease: Option<u64>,
+}
+
+/// A granted request that its caller still works on.
+struct Ticket {
+    conn: ConnId,
+    secret: u32,
+}
+
+/// All of the front.
+pub(crate) struct Resp {
+    listener: ListenerId,
+    listen: SocketAddr,
+    sessions: FxHashMap<ConnId, Session>,
+    asks: FxHashMap<RequestId, Ask>,
+    tickets: FxHashMap<RequestId, Ticket>,
+}
+
+impl Resp {
+    pub(crate) fn start(engine: &mut Engine, set: &RespSettings) -> io::Result<Resp> {
+        let limits = Limits { connections: set.connections, ..Limits::default() };
+        let (listener, listen) = engine.listen_raw(set.listen, limits)?;
+        let (sessions, asks, tickets) = Default::default();
+        Ok(Resp { listener, listen, sessions, asks, tickets })
+    }
+
+    fn drop_ticket(&mut self, id: RequestId) -> bool {
+        let Some(ticket) = self.tickets.remove(&id) else { return false };
+        self.sessions.get_mut(&ticket.conn).into_iter().for_each(|s| s.tickets -= 1);
+        true
+    }
+}
+
+fn ticket_text(id: RequestId, secret: u32) -> String {
+    format!("{:x}-{secret:08x}", id.0)
+}
+
+fn ticket_of(text: &str) -> Option<(RequestId, u32)> {
+    let (id, secret) = text.split_once('-')?;
+    Some((RequestId(u64::from_str_radix(id, 16).ok()?), u32::from_str_radix(secret, 16).ok()?))
+}
+
+/// Seconds, whole ones, as Redis clients expect them.
+fn seconds(micros: u64) -> i64 {
+    micros.div_ceil(1_000_000) as i64
+}
+
+impl Shell {
+    /// Where RESP comes in.
+    pub fn resp_listen(&self) -> Option<SocketAddr> {
+        self.resp.as_ref().map(|r| r.listen)
+    }
+
+    /// Whether the connection came in at this front.
+    pub(crate) fn resp_accepted(&mut self, listener: ListenerId, conn: ConnId) {
+        if let Some(resp) = self.resp.as_mut().filter(|r| r.listener == listener) {
+            resp.sessions.insert(conn, Session::default());
+        }
+    }
+
+    pub(crate) fn resp_bytes(&mut self, conn: ConnId, data: &Bytes) {
+        let now = self.engine.now();
+        let Some(session) = self.resp_session(conn) else { return };
+        session.bytes.extend_from_slice(data);
+        session.heard = now;
+        self.resp_read(conn);
+    }
+
+    fn resp_session(&mut self, conn: ConnId) -> Option<&mut Session> {
+        self.resp.as_mut()?.sessions.get_mut(&conn)
+    }
+
+    /// Takes commands as long as there is room for their answers.
+    fn resp_read(&mut self, conn: ConnId) {
+        loop {
+            let unread = self.engine.unsent(conn);
+            let Some(session) = self.resp_session(conn) else { return };
+            if session.over {
+                return;
+            }
+            if session.pending() >= MOST_PENDING || unread > UNREAD {
+                session.paused = true;
+                break;
+            }
+            match wire::take(&mut session.bytes) {
+                Front::Partial if session.bytes.len() > wire::MOST_COMMAND => {
+                    self.resp_end(conn, Reply::Error("ERR Protocol error: too big a request".into()));
+                    break;
+                }
+                Front::Partial => {
+                    let half = !session.bytes.is_empty();
+                    if half && !std::mem::replace(&mut session.watched, true) {
+                        self.due_in(STALLED, Due::Stalled(conn));
+                    }
+                    break;
+                }
+                Front::Bad(why) => {
+                    self.resp_end(conn, Reply::Error(format!("ERR {why}")));
+                    break;
+                }
+                Front::Command(words) => self.resp_command(conn, &words),
+            }
+        }
+        self.resp_flush(conn);
+    }
+
+    /// The last answer of a connection.
+    fn resp_end(&mut self, conn: ConnId, reply: Reply) {
+        if let Some(session) = self.resp_session(conn) {
+            session.ready(reply);
+            session.over = true;
+        }
+    }
+
+    fn resp_command(&mut self, conn: ConnId, words: &[Bytes]) {
+        let password = self.set.resp.as_ref().map(|r| r.password.clone()).unwrap_or_default();
+        let Some(session) = self.resp_session(conn) else { return };
+        let command = match command::read(words) {
+            Ok(command) => command,
+            Err(why) => return session.ready(Reply::Error(why)),
+        };
+        if let Some(reply) = session.greet(&command, password.as_bytes()) {
+            return session.ready(reply);
+        }
+        match command {
+            Command::Quit => self.resp_end(conn, Reply::Ok),
+            Command::Throttle { customer, units } => self.resp_ask(conn, &customer, units, None),
+            Command::Take { customer, units, lease } => {
+                let lease = lease.or(self.set.resp.as_ref().map(|r| r.lease));
+                self.resp_ask(conn, &customer, units, lease);
+            }
+            Command::Give { ticket, units } => {
+                let given = self.resp_give(&ticket, units);
+                self.resp_session(conn).into_iter().for_each(|s| s.ready(Reply::Integer(i64::from(given))));
+            }
+            Command::Peek { customer } => {
+                let reply = self.resp_peek(&customer);
+                self.resp_session(conn).into_iter().for_each(|s| s.ready(reply.clone()));
+            }
+            Command::Hello { .. } | Command::Auth(_) | Command::Plain(_) => {}
+        }
+    }
+
+    fn plan_of(&self, customer: &str) -> Option<PlanId> {
+        self.set.plan_of.get(customer).copied().or(self.set.default_plan).map(PlanId)
+    }
+
+    fn resp_ask(&mut self, conn: ConnId, customer: &str, units: f64, lease: Option<u64>) {
+        let (most, plan) = (self.set.policy.most_units, self.plan_of(customer));
+        let class = self.set.resp.as_ref().map_or(0, |r| r.class);
+        let Some(resp) = &mut self.resp else { return };
+        let Some(session) = resp.sessions.get_mut(&conn) else { return };
+        let Some(plan) = plan else {
+            return session.ready(Reply::Error("NOPLAN this customer has no plan".into()));
+        };
+        if !(units > 0.0 && units <= most) {
+            return session
+                .ready(Reply::Error(format!("ERR units: expected above 0, at most {most}, found {units}")));
+        }
+        if lease.is_some() && session.tickets >= MOST_TICKETS {
+            return session.ready(Reply::Error("ERR too many tickets on this connection".into()));
+        }
+        let (id, now) = (self.calls.next_id(), self.engine.now());
+        let customer = CustomerId(crate::number_of(customer));
+        resp.asks.insert(id, Ask { conn, slot: session.wait(), customer, plan, lease });
+        self.metrics.resp_asks.inc();
+        self.todo.push_back(Event::Request(Arrival {
+            id,
+            class: ClassId(class),
+            plan,
+            customer,
+            spread: self.set.spread,
+            deadline: Micros(now + self.set.policy.classes[class].deadline.0),
+            units,
+            resent: false,
+        }));
+    }
+
+    /// Leave is given.
+    pub(crate) fn granted(&mut self, id: RequestId) {
+        let now = Micros(self.engine.now());
+        let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return };
+        let standing = self.policy.standing(now, ask.customer, ask.plan);
+        let (limit, remaining) = (standing.limit as i64, standing.remaining.max(0.0) as i64);
+        let Some(lease) = ask.lease else {
+            // A plain ask holds no place: what it was granted for is over for us.
+            self.todo.push_back(Event::ClientGone(id));
+            let numbers = [0, limit, remaining, -1, seconds(standing.reset.0)];
+            return self.resp_answer(&ask, Reply::Array(numbers.map(Reply::Integer).into()));
+        };
+        let secret = fastrand::u32(..);
+        let Some(resp) = &mut self.resp else { return };
+        let Some(session) = resp.sessions.get_mut(&ask.conn) else {
+            return self.todo.push_back(Event::ClientGone(id));
+        };
+        session.tickets += 1;
+        resp.tickets.insert(id, Ticket { conn: ask.conn, secret });
+        self.due_in(lease, Due::Lease(id));
+        let ticket = Reply::Bulk(ticket_text(id, secret).into());
+        let reply = vec![Reply::Integer(1), ticket, Reply::Integer(remaining)];
+        self.resp_answer(&ask, Reply::Array(reply));
+    }
+
+    /// Whether it was a request of this front; it is refused, to come back after that time.
+    pub(crate) fn resp_refused(&mut self, id: RequestId, back_in: Option<u64>) -> bool {
+        let now = Micros(self.engine.now());
+        let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return false };
+        let standing = self.policy.standing(now, ask.customer, ask.plan);
+        let back = back_in.unwrap_or(standing.reset.0);
+        let reply = match ask.lease {
+            Some(_) => vec![Reply::Integer(0), Reply::Null, Reply::Integer(back.div_ceil(1_000) as i64)],
+            None => {
+                let (limit, remaining) = (standing.limit as i64, standing.remaining as i64);
+                [1, limit, remaining, seconds(back), seconds(standing.reset.0)].map(Reply::Integer).into()
+            }
+        };
+        self.resp_answer(&ask, Reply::Array(reply));
+        true
+    }
+
+    fn resp_answer(&mut self, ask: &Ask, reply: Reply) {
+        if let Some(session) = self.resp_session(ask.conn) {
+            session.answer(ask.slot, reply);
+        }
+        self.resp_flush(ask.conn);
+        if self.resp_session(ask.conn).is_some_and(|s| s.paused && s.pending() < MOST_PENDING / 2) {
+            self.resp_resume(ask.conn);
+        }
+    }
+
+    fn resp_give(&mut self, ticket: &str, units: Option<f64>) -> bool {
+        let Some((id, secret)) = ticket_of(ticket) else { return false };
+        let Some(resp) = &mut self.resp else { return false };
+        if resp.tickets.get(&id).is_none_or(|t| t.secret != secret) {
+            return false;
+        }
+        resp.drop_ticket(id);
+        units.into_iter().for_each(|units| self.todo.push_back(Event::Settled(id, units)));
+        self.todo.push_back(Event::ClientGone(id));
+        true
+    }
+
+    fn resp_peek(&self, customer: &str) -> Reply {
+        let Some(plan) = self.plan_of(customer) else {
+            return Reply::Error("NOPLAN this customer has no plan".into());
+        };
+        let now = Micros(self.engine.now());
+        let standing = self.policy.standing(now, CustomerId(crate::number_of(customer)), plan);
+        let numbers = [standing.limit as i64, standing.remaining as i64, seconds(standing.reset.0)];
+        Reply::Array(numbers.map(Reply::Integer).into())
+    }
+
+    /// Sends the answers that are ready, in the order of their commands.
+    fn resp_flush(&mut self, conn: ConnId) {
+        let Some(session) = self.resp_session(conn) else { return };
+        let (bytes, over, paused) = (session.take_ready(), session.ended(), session.paused);
+        if !bytes.is_empty() {
+            self.engine.write(conn, &bytes);
+        }
+        if over {
+            return self.engine.end(conn);
+        }
+        self.engine.pause(conn, paused);
+        if paused && self.engine.unsent(conn) > UNREAD {
+            let watched = self.resp_session(conn).is_some_and(|s| std::mem::replace(&mut s.watched, true));
+            if !watched {
+                self.due_in(STALLED, Due::Stalled(conn));
+            }
+        }
+    }
+
+    fn resp_resume(&mut self, conn: ConnId) {
+        if let Some(session) = self.resp_session(conn) {
+            session.paused = false;
+            self.resp_read(conn);
+        }
+    }
+
+    /// A connection that stood still for long is closed; one that went on is looked at again when it stands still.
+    pub(crate) fn resp_stalled(&mut self, conn: ConnId) {
+        let (now, unread) = (self.engine.now(), self.engine.unsent(conn));
+        let Some(session) = self.resp_session(conn) else { return };
+        session.watched = false;
+        let half = !session.bytes.is_empty() && !session.paused;
+        let still = session.heard + STALLED <= now;
+        if still && (half || unread > UNREAD) {
+            tracing::info!(?conn, half, unread, "a RESP client stands still: closed");
+            self.engine.close(conn);
+        } else if session.paused {
+            self.resp_resume(conn);
+        } else if half {
+            session.watched = true;
+            self.due_in(STALLED, Due::Stalled(conn));
+        }
+    }
+
+    /// What a caller that vanished still held comes back.
+    pub(crate) fn resp_closed(&mut self, conn: ConnId) {
+        let Some(resp) = &mut self.resp else { return };
+        if resp.sessions.remove(&conn).is_none() {
+            return;
+        }
+        let asks = resp.asks.iter().filter(|(_, a)| a.conn == conn).map(|(id, _)| *id);
+        let tickets = resp.tickets.iter().filter(|(_, t)| t.conn == conn).map(|(id, _)| *id);
+        let mut gone: Vec<RequestId> = asks.chain(tickets).collect();
+        gone.sort_unstable();
+        for id in gone {
+            resp.asks.remove(&id);
+            resp.drop_ticket(id);
+            self.todo.push_back(Event::ClientGone(id));
+        }
+    }
+
+    pub(crate) fn lease_over(&mut self, id: RequestId) {
+        if self.resp.as_mut().is_some_and(|r| r.drop_ticket(id)) {
+            tracing::info!(request = id.0, "a ticket's lease is over: its place comes back");
+            self.todo.push_back(Event::ClientGone(id));
+        }
+    }
+
+    /// Ends the front's connections for a stop.
+    pub(crate) fn resp_stop(&mut self) {
+        let Some(resp) = &self.resp else { return };
+        self.engine.unlisten(resp.listener);
+        let conns: Vec<ConnId> = resp.sessions.keys().copied().collect();
+        conns.into_iter().for_each(|c| self.engine.end(c));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/resp/session.rs
@@ -0,0 +1,125 @@
+//! One connection: its protocol, whether it may ask, and answers in the order of their commands.
+
+use super::command::Command;
+use super::wire::{encode, Reply};
+use bytes::BytesMut;
+use std::collections::VecDeque;
+
+/// A connection's state.
+#[derive(Default)]
+pub(crate) struct Session {
+    pub(crate) bytes: BytesMut,
+    pub(crate) paused: bool,
+    /// A look at whether it stands still is due.
+    pub(crate) watched: bool,
+    pub(crate) heard: u64,
+    /// It gets no further answers than those that are due.
+    pub(crate) over: bool,
+    /// Tickets that it holds.
+    pub(crate) tickets: usize,
+    resp3: bool,
+    known: bool,
+    /// Answers by their commands; none: it is still to come.
+    slots: VecDeque<Option<Reply>>,
+    /// Number of the first slot.
+    first: u64,
+}
+
+impl Session {
+    /// Answers that are still to come or to be sent.
+    pub(crate) fn pending(&self) -> usize {
+        self.slots.len()
+    }
+    /// An answer at once.
+    pub(crate) fn ready(&mut self, reply: Reply) {
+        self.slots.push_back(Some(reply));
+    }
+    /// An answer to come; returns its slot.
+    pub(crate) fn wait(&mut self) -> u64 {
+        self.slots.push_back(None);
+        self.first + self.slots.len() as u64 - 1
+    }
+    pub(crate) fn answer(&mut self, slot: u64, reply: Reply) {
+        if let Some(place) = slot.checked_sub(self.first).and_then(|i| self.slots.get_mut(i as usize)) {
+            *place = Some(reply);
+        }
+    }
+    /// The answers that can be sent.
+    pub(crate) fn take_ready(&mut self) -> BytesMut {
+        let mut out = BytesMut::new();
+        while let Some(reply) = self.slots.front_mut().and_then(Option::take) {
+            encode(&mut out, reply, self.resp3);
+            self.slots.pop_front();
+            self.first += 1;
+        }
+        out
+    }
+    /// All is answered and nothing more is read.
+    pub(crate) fn ended(&self) -> bool {
+        self.over && self.slots.is_empty()
+    }
+
+    /// Commands that are answered from the connection's own state; none: the command goes on.
+    pub(crate) fn greet(&mut self, command: &Command, password: &[u8]) -> Option<Reply> {
+        let wrong =
+            || Some(Reply::Error("WRONGPASS invalid username-password pair or user is disabled.".into()));
+        match command {
+            Command::Hello { password: Some(given), .. } | Command::Auth(given) => {
+                if password.is_empty() {
+                    let text = "ERR Client sent AUTH, but no password is set.";
+                    return Some(Reply::Error(text.into()));
+                }
+                if given.as_ref() != password {
+                    return wrong();
+                }
+                self.known = true;
+            }
+            Command::Quit => return None,
+            _ => {}
+        }
+        if !password.is_empty() && !self.known {
+            return Some(Reply::Error("NOAUTH Authentication required.".into()));
+        }
+        match command {
+            Command::Hello { resp3, .. } => {
+                self.resp3 = resp3.unwrap_or(self.resp3);
+                Some(Reply::Hello)
+            }
+            Command::Auth(_) => Some(Reply::Ok),
+            Command::Plain(reply) => Some(reply.clone()),
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_keep_the_order_of_their_commands() {
+        let mut session = Session::default();
+        let (a, b) = (session.wait(), session.wait());
+        session.ready(Reply::Pong);
+        session.answer(b, Reply::Integer(2));
+        assert!(session.take_ready().is_empty(), "the first is still to come");
+        session.answer(a, Reply::Integer(1));
+        assert_eq!(&session.take_ready()[..], b":1\r\n:2\r\n+PONG\r\n");
+        session.answer(a, Reply::Integer(9));
+        assert_eq!(session.pending(), 0);
+    }
+
+    #[test]
+    fn nothing_is_asked_before_the_password() {
+        let mut session = Session::default();
+        let ask = Command::Peek { customer: "a".into() };
+        let error = |reply: Option<Reply>, mark: &str| {
+            assert!(matches!(&reply, Some(Reply::Error(e)) if e.starts_with(mark)), "{reply:?}");
+        };
+        error(session.greet(&ask, b"secret"), "NOAUTH");
+        error(session.greet(&Command::Auth("wrong".into()), b"secret"), "WRONGPASS");
+        assert_eq!(session.greet(&Command::Auth("secret".into()), b"secret"), Some(Reply::Ok));
+        assert_eq!(session.greet(&ask, b"secret"), None);
+        error(Session::default().greet(&Command::Auth("x".into()), b""), "ERR Client sent AUTH");
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway: read from protobuf text, checked, and turned into what the decisions take.
 
+use crate::resp::RespSettings;
 use chalkdeck::api::{self, Effect, Group, Micros, ZoneId};
 use chalkdeck_net::Limits;
 use chalkdeck_proto::chalkdeck::config::v1 as wire;
@@ -63,6 +64,8 @@
     pub plan_of: HashMap<String, usize>,
     /// Through how many gateways a customer's calls come.
     pub spread: u32,
+    /// The second front; none: gRPC only.
+    pub resp: Option<RespSettings>,
     /// The counter's parts, in the order that all gateways have; none: there is no counter.
     pub counter: Vec<SocketAddr>,
     /// The file with the server list.
@@ -163,6 +166,7 @@
             },
             window: millis(c.window_ms),
             stream: c.stream,
+            by_caller: false,
         })
     }
 }
@@ -243,6 +247,27 @@
     Ok(routes)
 }
 
+/// The second front's class is the named one with the work left to the caller.
+fn resp(
+    source: &Source,
+    wire: &wire::Gateway,
+    classes: &mut Vec<api::Class>,
+    names: &mut Vec<String>,
+) -> Result<Option<RespSettings>> {
+    let Some(resp) = &wire.resp else { return Ok(None) };
+    let class = source.known("resp.class", &resp.class, names)?;
+    let own = api::Class { by_caller: true, effect: Effect::Unsafe, stream: false, ..classes[class].clone() };
+    classes.push(own);
+    names.push(names[class].clone());
+    Ok(Some(RespSettings {
+        listen: source.address("resp.listen", &resp.listen)?,
+        password: resp.password.clone(),
+        class: classes.len() - 1,
+        lease: u64::from(or(resp.lease_ms, 30_000)) * 1_000,
+        connections: or(resp.connections, 10_000) as usize,
+    }))
+}
+
 fn check(source: &Source, wire: &wire::Gateway) -> Result<Settings> {
     let mut class_names: Vec<String> = wire.classes.iter().map(|c| c.name.clone()).collect();
     let plan_names: Vec<String> = wire.plans.iter().map(|p| p.name.clone()).collect();
@@ -307,6 +332,7 @@
     for part in &counter.parts {
         parts.push(source.address("counter.parts", part)?);
     }
+    let resp = resp(source, wire, &mut classes, &mut class_names)?;
     let policy = api::Settings {
         gateways: fleet,
         me: wire.number,
@@ -348,6 +374,7 @@
         plan_of,
         spread: or(customers.spread, fleet).min(fleet),
         counter: parts,
+        resp,
         endpoints: PathBuf::from(endpoints.file),
         poll: u64::from(or(endpoints.poll_ms, 200)) * 1_000,
         connect_timeout: u64::from(or(endpoints.connect_timeout_ms, 250)) * 1_000,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -9,6 +9,7 @@
 use crate::fault::Fault;
 use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
+use crate::resp::Resp;
 use crate::settings::Settings;
 use chalkdeck::api::{
     Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, ServerId, TimerId,
@@ -32,6 +33,10 @@
 pub(crate) enum Due {
     Policy(TimerId),
     GiveUp(AttemptId),
+    /// A ticket of the RESP front.
+    Lease(RequestId),
+    /// A RESP client that may stand still.
+    Stalled(ConnId),
     Deadline(RequestId),
     Count,
     Connect(ConnId),
@@ -41,7 +46,7 @@
 /// A running gateway.
 pub struct Shell {
     pub(crate) engine: Engine,
-    policy: Gateway,
+    pub(crate) policy: Gateway,
     pub(crate) set: Settings,
     file: Option<PathBuf>,
     listener: ListenerId,
@@ -49,6 +54,7 @@
     admin: Option<SocketAddr>,
     pub(crate) calls: Calls,
     pub(crate) counter: Option<Counters>,
+    pub(crate) resp: Option<Resp>,
     pub(crate) pool: Pool,
     watch: Watch,
     pub(crate) metrics: Metrics,
@@ -75,6 +81,7 @@
             None => None,
         };
         let policy = Gateway::new(seed, set.policy.clone()).map_err(io::Error::other)?;
+        let resp = set.resp.as_ref().map(|r| Resp::start(&mut engine, r)).transpose()?;
         let counter = Counters::new(&set.counter, engine.now());
         let mut shell = Shell {
             engine,
@@ -85,6 +92,7 @@
             admin,
             calls: Calls::default(),
             counter,
+            resp,
             pool: Pool::new(set.server_connections, set.server_streams, set.keepalive),
             watch: Watch::new(set.endpoints.clone()),
             metrics: Metrics::new(&set.class_names, &set.plan_names),
@@ -147,6 +155,7 @@
         self.stop_by = Some(self.engine.now() + longest);
         self.engine.unlisten(self.listener);
         self.engine.drain(self.listener);
+        self.resp_stop();
         tracing::info!(open = self.calls.open, "stopping: takes no calls, finishes what it holds");
     }
 
@@ -181,10 +190,14 @@
 
     fn on_event(&mut self, event: NetEvent) {
         match event {
-            NetEvent::Accepted { .. } => {}
+            NetEvent::Accepted { listener, conn } => self.resp_accepted(listener, conn),
+            NetEvent::Bytes { conn, data } => self.resp_bytes(conn, &data),
             NetEvent::Opened { stream, head, ended, .. } => self.on_call(stream, &head, ended),
             NetEvent::Connected { conn } => self.on_connected(conn),
-            NetEvent::Closed { conn, why, .. } => self.on_closed(conn, &why),
+            NetEvent::Closed { conn, why, .. } => {
+                self.resp_closed(conn);
+                self.on_closed(conn, &why);
+            }
             NetEvent::Head { stream, head, ended } => self.on_head(stream, head, ended),
             NetEvent::Data { stream, data } => self.on_data(stream, data),
             NetEvent::End { stream, trailers } => self.on_end(stream, trailers),
@@ -214,6 +227,7 @@
         match action {
             Action::Send(id, server, until) => self.send(id, server, until.0),
             Action::Refuse(id, back_in) => self.refuse(id, back_in.map(|m| m.0)),
+            Action::Grant(id) => self.granted(id),
             Action::Fail(id) => self.fail(id),
             Action::Cancel(call, number) => self.call_off(AttemptId { call, number }, Outcome::Cancelled),
             Action::Count(name, amount, life) => self.count(name, amount, life.0),
@@ -232,6 +246,8 @@
     fn on_due(&mut self, token: u64) {
         match self.due.try_remove(token as usize) {
             Some(Due::Policy(timer)) => self.todo.push_back(Event::Timer(timer)),
+            Some(Due::Lease(id)) => self.lease_over(id),
+            Some(Due::Stalled(conn)) => self.resp_stalled(conn),
             Some(Due::GiveUp(attempt)) => self.give_up(attempt),
             Some(Due::Deadline(id)) => self.client_deadline(id),
             Some(Due::Count) => self.count_times_out(),
@@ -324,7 +340,8 @@
             Ok(new) => new,
             Err(e) => return tracing::error!("the earlier settings stay: {e}"),
         };
-        let fixed = |s: &Settings| (format!("{:?}", s.policy), s.listen, s.admin, s.counter.clone());
+        let fixed =
+            |s: &Settings| (format!("{:?}", s.policy), s.listen, s.admin, s.counter.clone(), s.resp.clone());
         if fixed(&new) != fixed(&self.set) {
             tracing::error!(
                 "the earlier settings stay: classes, plans, fleet, limits and addresses need a new start"
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -136,7 +136,7 @@
                 (seen.trailers, seen.ended) = (trailers, true);
             }
             Event::Broken { stream, how } => self.seen.entry(stream).or_default().broken = Some(how),
-            Event::Sent { .. } | Event::Timer(_) | Event::Get { .. } => {}
+            Event::Sent { .. } | Event::Timer(_) | Event::Get { .. } | Event::Bytes { .. } => {}
         }
     }
     /// Answers a unary call.
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -3,6 +3,7 @@
 use crate::engine::Limits;
 use crate::http1::Http1;
 use crate::io::Io;
+use crate::raw::Raw;
 use bytes::Bytes;
 use mio::net::TcpStream;
 use std::future::Future;
@@ -19,9 +20,18 @@
     Welcome(Box<h2::server::Handshake<Io, Bytes>>),
     Server(Box<h2::server::Connection<Io, Bytes>>),
     Http1(Http1),
+    Raw(Raw),
     Closed,
 }
 
+/// What a listener's connections speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Speaks {
+    Http2,
+    Http1,
+    Raw,
+}
+
 pub(crate) struct Conn {
     pub(crate) link: Link,
     pub(crate) waker: Waker,
@@ -49,6 +59,8 @@
     Opened(Box<http::Request<h2::RecvStream>>, h2::server::SendResponse<Bytes>),
     /// A GET on a side port.
     Get(String),
+    /// Plain bytes.
+    Bytes(Bytes),
     /// It is over.
     Closed(String),
 }
@@ -58,13 +70,13 @@
         stream: TcpStream,
         limits: Limits,
         listener: u64,
-        http1: bool,
+        speaks: Speaks,
         waker: Waker,
     ) -> Conn {
-        let link = if http1 {
-            Link::Http1(Http1::new(stream))
-        } else {
-            Link::Welcome(Box::new(server_builder(&limits).handshake(Io(stream))))
+        let link = match speaks {
+            Speaks::Http2 => Link::Welcome(Box::new(server_builder(&limits).handshake(Io(stream)))),
+            Speaks::Http1 => Link::Http1(Http1::new(stream)),
+            Speaks::Raw => Link::Raw(Raw::new(stream)),
         };
         Conn {
             link,
@@ -163,6 +175,11 @@
                     crate::http1::Step::Get(path) => return Step::Get(path),
                     crate::http1::Step::Close => return Step::Closed(String::new()),
                 },
+                Link::Raw(raw) => match raw.poll() {
+                    crate::raw::Step::Wait => return Step::Wait,
+                    crate::raw::Step::Bytes(bytes) => return Step::Bytes(bytes),
+                    crate::raw::Step::Close(why) => return Step::Closed(why),
+                },
                 Link::Closed => return Step::Wait,
             }
         }
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -4,7 +4,8 @@
 //! one window is held until `consume` gives it back; what a caller queues to go out it must pace by `Event::Sent`.
 
 use crate::clock::Clock;
-use crate::conn::{Conn, Link, Step};
+use crate::conn::{Conn, Link, Speaks, Step};
+use crate::raw::Raw;
 use crate::stream::{Outgoing, Stream};
 use crate::wake::Ready;
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Waker;
 use std::time::Duration;
 
 macro_rules! id {
@@ -106,12 +108,14 @@
     Timer(u64),
     /// A GET on a side port.
     Get { conn: ConnId, path: String },
+    /// Bytes on a plain connection.
+    Bytes { conn: ConnId, data: Bytes },
 }
 
 struct Listener {
     socket: TcpListener,
     limits: Limits,
-    http1: bool,
+    speaks: Speaks,
     held: usize,
     paused: bool,
 }
@@ -181,6 +185,25 @@
         limits: Limits,
         shared: bool,
         http1: bool,
+    ) -> io::Result<(ListenerId, SocketAddr)> {
+        self.listen_for(address, limits, shared, if http1 { Speaks::Http1 } else { Speaks::Http2 })
+    }
+
+    /// The same for connections of plain bytes.
+    pub fn listen_raw(
+        &mut self,
+        address: SocketAddr,
+        limits: Limits,
+    ) -> io::Result<(ListenerId, SocketAddr)> {
+        self.listen_for(address, limits, false, Speaks::Raw)
+    }
+
+    fn listen_for(
+        &mut self,
+        address: SocketAddr,
+        limits: Limits,
+        shared: bool,
+        speaks: Speaks,
     ) -> io::Result<(ListenerId, SocketAddr)> {
         let socket =
             socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
@@ -195,7 +218,7 @@
         let bound = socket.local_addr()?;
         let id = self.id();
         self.poll.registry().register(&mut socket, Token(id as usize), Interest::READABLE)?;
-        self.listeners.insert(id, Listener { socket, limits, http1, held: 0, paused: false });
+        self.listeners.insert(id, Listener { socket, limits, speaks, held: 0, paused: false });
         Ok((ListenerId(id), bound))
     }
 
@@ -321,6 +344,39 @@
         }
     }
 
+    fn raw(&mut self, conn: ConnId) -> Option<(&mut Raw, &Waker)> {
+        match self.conns.get_mut(&conn.0) {
+            Some(Conn { link: Link::Raw(raw), waker, .. }) => Some((raw, waker)),
+            _ => None,
+        }
+    }
+
+    /// Queues bytes on a plain connection.
+    pub fn write(&mut self, conn: ConnId, bytes: &[u8]) {
+        if let Some((raw, waker)) = self.raw(conn) {
+            raw.write(bytes);
+            waker.wake_by_ref();
+        }
+    }
+    /// Bytes queued on a plain connection that its peer has not taken.
+    pub fn unsent(&mut self, conn: ConnId) -> usize {
+        self.raw(conn).map_or(0, |(raw, _)| raw.unsent())
+    }
+    /// Reads nothing from a plain connection, or goes on.
+    pub fn pause(&mut self, conn: ConnId, paused: bool) {
+        if let Some((raw, waker)) = self.raw(conn) {
+            raw.paused = paused;
+            waker.wake_by_ref();
+        }
+    }
+    /// Ends a plain connection once its queued bytes are out.
+    pub fn end(&mut self, conn: ConnId) {
+        if let Some((raw, waker)) = self.raw(conn) {
+            raw.ending = true;
+            waker.wake_by_ref();
+        }
+    }
+
     /// `Event::Timer(token)` at that time. Timers are not taken back; stale ones are the caller's to ignore.
     pub fn timer(&mut self, at: u64, token: u64) {
         self.timers.push(Reverse((at, token)));
@@ -430,6 +486,11 @@
                     self.out.push_back(Event::Get { conn: ConnId(key), path });
                     return;
                 }
+                Step::Bytes(data) => {
+                    // One piece a turn, so that no connection keeps the others waiting.
+                    conn.waker.wake_by_ref();
+                    return self.out.push_back(Event::Bytes { conn: ConnId(key), data });
+                }
                 Step::Opened(request, respond) => {
                     conn.streams += 1;
                     self.opened(key, *request, respond);
@@ -486,7 +547,7 @@
             };
             let _ = stream.set_nodelay(true);
             listener.held += 1;
-            let (limits, http1) = (listener.limits, listener.http1);
+            let (limits, speaks) = (listener.limits, listener.speaks);
             let id = self.id();
             let interest = Interest::READABLE | Interest::WRITABLE;
             if self.poll.registry().register(&mut stream, Token(id as usize), interest).is_err() {
@@ -495,7 +556,7 @@
             }
             let waker = self.ready.waker(id);
             waker.wake_by_ref();
-            self.conns.insert(id, Conn::accepted(stream, limits, key, http1, waker));
+            self.conns.insert(id, Conn::accepted(stream, limits, key, speaks, waker));
             self.out.push_back(Event::Accepted { listener: ListenerId(key), conn: ConnId(id) });
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod grpc;
 mod http1;
 mod io;
+mod raw;
 pub mod signals;
 mod stream;
 pub mod unary;
--- a/crates/policy/benches/request.rs
+++ b/crates/policy/benches/request.rs
@@ -13,6 +13,7 @@
         group: Group::All,
         window: Micros(0),
         stream: false,
+        by_caller: false,
     };
     let plan = Plan {
         rate: 10.0,
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -99,6 +99,8 @@
     pub window: Micros,
     /// The answer comes as a stream.
     pub stream: bool,
+    /// The caller does the work itself and asks for leave only: no server is chosen.
+    pub by_caller: bool,
 }
 
 /// A plan. Its quota holds for each customer over all gateways together.
@@ -304,6 +306,8 @@
     StreamStarted(RequestId),
     /// The client is gone.
     ClientGone(RequestId),
+    /// A request that was granted cost so many units in truth.
+    Settled(RequestId, f64),
     /// Its body is no longer held and cannot be sent again.
     BodyGone(RequestId),
     /// A probe ended.
@@ -321,6 +325,8 @@
     Send(RequestId, ServerId, Micros),
     /// Final answer: refused, with advice when to come back.
     Refuse(RequestId, Option<Micros>),
+    /// Leave is given: the caller does the work itself, and tells its end by `ClientGone`.
+    Grant(RequestId),
     /// Final answer: failed.
     Fail(RequestId),
     /// Call off an attempt.
@@ -337,6 +343,17 @@
     FetchList,
 }
 
+/// How a customer stands with its quota, as far as it is known here.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// The most units (or places) at once.
+    pub limit: f64,
+    /// What is left of them.
+    pub remaining: f64,
+    /// When all of it is there again.
+    pub reset: Micros,
+}
+
 /// Settings that make no sense.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError(pub String);
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -170,6 +170,7 @@
                 self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
             }
             Event::ClientGone(id) => self.finish(id, None),
+            Event::Settled(id, units) => self.settle(id, units),
             Event::BodyGone(id) => self.requests.get_mut(&id).into_iter().for_each(|r| r.body_gone = true),
             Event::Probed(..) => {}
             Event::Counted(name, outcome, total) => self.on_counted(name, outcome, total),
@@ -276,7 +277,7 @@
         let resent = a.resent || c.refused.as_ref().is_some_and(alike);
         self.requests.insert(id, Request { a: Arrival { resent, ..a }, arrived: now, ..Request::default() });
         self.roll(customer);
-        if self.shed(id) {
+        if !self.set.classes[a.class.0].by_caller && self.shed(id) {
             let wait = self.soon(a.class);
             return self.finish(id, Some(Action::Refuse(id, wait)));
         }
@@ -576,9 +577,39 @@
             r.holds_place = true;
             self.customers.get_mut(&r.a.customer).into_iter().for_each(|c| c.out += 1.0);
         }
+        if self.set.classes[r.a.class.0].by_caller {
+            // Its units stay counted and its place held; from here on it has no deadline.
+            (r.streaming, r.counted) = (true, None);
+            return self.out.push(Action::Grant(id));
+        }
         self.dispatch(id);
     }
 
+    /// What a granted request cost beside what was reserved goes onto the count with the next call.
+    fn settle(&mut self, id: RequestId, units: f64) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.streaming && !r.done) else { return };
+        let customer = r.a.customer;
+        let units = units.clamp(0.0, self.set.most_units);
+        let more = units - std::mem::replace(&mut r.a.units, units);
+        self.roll(customer);
+        self.customers.get_mut(&customer).into_iter().for_each(|c| c.window.owed += more);
+    }
+
+    /// A look at a customer's quota, which changes nothing and asks nobody.
+    pub fn standing(&self, now: Micros, customer: CustomerId, plan: PlanId) -> Standing {
+        let p = &self.set.plans[plan.0];
+        if p.rate <= 0.0 {
+            let out = self.customers.get(&customer).map_or(0.0, |c| c.out);
+            return Standing { limit: p.open, remaining: (p.open - out).max(0.0), reset: Micros(0) };
+        }
+        let (length, quota) = self.window_of(plan.0);
+        let shifted = now.0 + mix(customer.0) % length.0;
+        let known = self.customers.get(&customer).filter(|c| c.window.span == shifted / length.0);
+        let left = known.map_or(quota, |c| self.room(customer, c.window.known()));
+        let reset = Micros(length.0 - shifted % length.0);
+        Standing { limit: quota, remaining: left.clamp(0.0, p.burst), reset }
+    }
+
     /// Sends the next attempt, or holds the request until a server is free.
     fn dispatch(&mut self, id: RequestId) {
         if let Some(server) = self.pick(id) {
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -17,6 +17,7 @@
         group,
         window: Micros(S),
         stream: false,
+        by_caller: false,
     }
 }
 
