--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -5,6 +5,7 @@
 //! a new one.
 
 use crate::counters::{News, Standing};
+use bytes::{BufMut, BytesMut};
 use chalkdeck::api::{CountName, Outcome};
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::{ConnId, Engine, Limits, StreamId};
@@ -87,6 +88,8 @@
     /// This gateway's incarnation: an add that arrives twice counts once.
     caller: u64,
     standing: Standing,
+    /// Adds of this turn, which go out together. Bounded by the open calls.
+    out: BytesMut,
     /// Bounded: taken out after each answer.
     pub(crate) news: Vec<News>,
     head: http::Request<()>,
@@ -107,6 +110,7 @@
             next: 0,
             caller: incarnation(now),
             standing: Standing::default(),
+            out: BytesMut::new(),
             news: Vec::new(),
             head,
         }
@@ -140,12 +144,19 @@
         }
         match &mut self.link {
             Link::Connecting(_, waiting) => waiting.push(request),
-            Link::Up(_, stream, _) => engine.send(*stream, grpc::frame(&request.encode_to_vec())),
+            Link::Up(..) => push(&mut self.out, &request),
             Link::None => {}
         }
         Vec::new()
     }
 
+    /// Sends what the turn has asked.
+    pub(crate) fn flush(&mut self, engine: &mut Engine) {
+        if let (Link::Up(_, stream, _), false) = (&self.link, self.out.is_empty()) {
+            engine.send(*stream, self.out.split().freeze());
+        }
+    }
+
     fn end(&mut self, call: u64, outcome: Outcome, total: f64) -> Vec<Told> {
         let Some(open) = self.open.remove(&call) else { return Vec::new() };
         self.order.ended(call, Told { name: open.name, outcome, total })
@@ -178,6 +189,7 @@
 
     fn drop_link(&mut self, engine: &mut Engine) -> Vec<Told> {
         let link = std::mem::replace(&mut self.link, Link::None);
+        self.out.clear();
         let (conn, outcome) = match &link {
             Link::None => return Vec::new(),
             Link::Connecting(conn, _) => (*conn, Outcome::ConnectFailed),
@@ -207,7 +219,7 @@
         self.heard = engine.now();
         self.link = Link::Up(conn, stream, Deframer::default());
         let live = waiting.into_iter().filter(|add| self.open.contains_key(&add.number));
-        live.for_each(|add| engine.send(stream, grpc::frame(&add.encode_to_vec())));
+        live.for_each(|add| push(&mut self.out, &add));
         Some(Vec::new())
     }
 
@@ -219,6 +231,7 @@
             _ => return None,
         };
         self.link = Link::None;
+        self.out.clear();
         Some(self.end_all(outcome))
     }
 
@@ -258,6 +271,12 @@
     }
 }
 
+fn push(out: &mut BytesMut, add: &AddRequest) {
+    out.put_u8(0);
+    out.put_u32(add.encoded_len() as u32);
+    add.encode(out).expect("a buffer that grows");
+}
+
 /// Above that of any earlier life, and apart from those that began in the same microsecond.
 fn incarnation(now: u64) -> u64 {
     (now << 12) | fastrand::u64(..1 << 12)
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -88,6 +88,10 @@
     pub(crate) fn of(&mut self, stream: StreamId) -> Option<&mut Counter> {
         self.parts.iter_mut().find(|p| p.owns(stream))
     }
+    /// Sends what the turn has asked.
+    pub(crate) fn flush(&mut self, engine: &mut Engine) {
+        self.parts.iter_mut().for_each(|p| p.flush(engine));
+    }
     /// What the parts' answers told since the last look.
     pub(crate) fn news(&mut self) -> Vec<News> {
         self.parts.iter_mut().flat_map(|p| p.news.drain(..)).collect()
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -185,6 +185,9 @@
             self.settle();
         }
         self.events = events;
+        if let Shell { counter: Some(counter), engine, .. } = self {
+            counter.flush(engine);
+        }
         Ok(())
     }
 
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,7 +7,7 @@
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
 use crate::report::Summary;
-use crate::{adds, audit, counter, day, demo, library, measure, reconnect, replay, timeline};
+use crate::{adds, asks, audit, counter, day, demo, library, measure, reconnect, replay, timeline};
 use anyhow::{bail, Context};
 use chalkdeck_client::Repeat;
 use chalkdeck_gateway::relay::Relay;
@@ -58,6 +58,8 @@
     Reconnect(ReconnectArgs),
     /// Adds a second of the counter by its promise, beside the stand-in and a bare loop
     Adds(AddsArgs),
+    /// Commands a second of the RESP front, beside ECHO on the same loop
+    Asks(AsksArgs),
     /// Calls a second and core, and added latency: straight, through a bare relay, through a gateway
     Measure(MeasureArgs),
 }
@@ -132,6 +134,23 @@
     pub dir: PathBuf,
 }
 
+#[derive(Args)]
+pub struct AsksArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 2.0)]
+    pub seconds: f64,
+    /// How often the ways take turns
+    #[arg(long, default_value_t = 3)]
+    pub rounds: u32,
+    #[arg(long, default_value_t = 4)]
+    pub connections: usize,
+    /// Commands in one pipeline
+    #[arg(long, default_value_t = 100)]
+    pub pipeline: usize,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 #[derive(Args)]
 pub struct OwnCounterArgs {
     /// Settings, protobuf text of chalkdeck.counter.v1.Settings
@@ -321,6 +340,7 @@
             Command::Timeline(args) => timeline::run(&args.dirs, args.svg.as_deref()),
             Command::Reconnect(args) => reconnect::run(&Program::this(before)?, &args),
             Command::Adds(args) => adds::run(&Program::this(before)?, &args),
+            Command::Asks(args) => asks::run(Program::this(before)?, &args),
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
         }
@@ -456,7 +476,8 @@
         shell.inject(fault.parse().map_err(anyhow::Error::msg)?);
     }
     let admin = shell.admin().map_or("-".to_string(), |a| a.to_string());
-    println!("ready grpc={} admin={admin}", shell.listen());
+    let resp = shell.resp_listen().map_or(String::new(), |a| format!(" resp={a}"));
+    println!("ready grpc={} admin={admin}{resp}", shell.listen());
     Ok(shell.run(&signals)?)
 }
 
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -37,7 +37,8 @@
     signals: &Signals,
 ) -> anyhow::Result<()> {
     let mut fleet = Fleet::start(program, fleet()?, dir, listen, None)?;
-    println!("ready grpc={} admin={}", fleet.gateways()[0], fleet.admin(0));
+    let resp = fleet.gateway_process(0).context("expected a gateway")?.address("resp")?;
+    println!("ready grpc={} admin={} resp={resp}", fleet.gateways()[0], fleet.admin(0));
     let span = seconds.unwrap_or(u64::from(u32::MAX));
     let mut load = (!no_load).then(|| fleet.load(span as f64, &["--lines"])).transpose()?;
     load.iter_mut().for_each(|l| l.echo());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 pub mod adds;
+pub mod asks;
 pub mod audit;
 pub mod cli;
 pub mod control;
