Requests pass the door; the loop takes what is under way before what is new

A flood of one customer made every step of the others' calls wait for a turn of thousands of events.

--- a/crates/door/src/heavy.rs
+++ b/crates/door/src/heavy.rs
@@ -27,7 +27,9 @@
 
     /// The queue of a studio's request: below `own` one of its own, else a hashed one.
     pub(crate) fn place(&mut self, now: u64, studio: u64, units: f64) -> usize {
-        if now.saturating_sub(self.drawn) >= self.reseed {
+        let crowded = self.heat.len() >= self.own * 2;
+        let span = if crowded { self.reseed / 10 } else { self.reseed };
+        if now.saturating_sub(self.drawn) >= span {
             self.draw(now);
         }
         self.seen += units;
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -30,7 +30,7 @@
         self.calls.insert(call);
         self.metrics.taken.inc();
         self.metrics.open.inc();
-        self.todo.push_back(Event::Request(arrival));
+        self.enter(arrival);
     }
 
     fn reject(&mut self, front: StreamId, id: RequestId, why: front::Rejected) {
@@ -218,6 +218,7 @@
     /// The call has its final answer or its client is gone.
     fn close_call(&mut self, id: RequestId, end: End) {
         let now = self.engine.now();
+        self.left(id);
         let Some(call) = self.calls.get(id).filter(|c| !c.is_done()) else { return };
         call.answer = Answer::Done;
         call.kept.drop_all();
@@ -321,6 +322,8 @@
         self.engine.respond(front, http::Response::from_parts(*head, ()), false);
         chunks.into_iter().for_each(|chunk| self.engine.send(front, chunk));
         self.todo.push_back(Event::StreamStarted(id));
+        // A stream may last for long; the door is for what is to be answered soon.
+        self.left(id);
         // From here on the decisions keep no deadline for it; the client's own stays.
         let left = call_deadline.saturating_sub(self.engine.now());
         self.due_in(left, Due::Deadline(id));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,8 @@
     registry: Registry,
     pub(crate) taken: Counter,
     pub(crate) resp_asks: Counter,
+    pub(crate) door_refused: Counter,
+    pub(crate) door_waiting: Gauge,
     /// By class, then plan, then end.
     ended: Vec<Vec<[Counter; 4]>>,
     attempts: ByOutcome,
@@ -60,6 +62,8 @@
             registry: Registry::with_prefix("chalkdeck"),
             taken: Counter::default(),
             resp_asks: Counter::default(),
+            door_refused: Counter::default(),
+            door_waiting: Gauge::default(),
             ended: classes.iter().map(by_plan).collect(),
             attempts: by_outcome(&attempts),
             counts: by_outcome(&counts),
@@ -74,6 +78,8 @@
         let r = &mut m.registry;
         r.register("calls_taken", "Calls taken", m.taken.clone());
         r.register("resp_asks", "Requests that came over RESP", m.resp_asks.clone());
+        r.register("door_refused", "Requests refused at the door", m.door_refused.clone());
+        r.register("door_waiting", "Requests that wait at the door", m.door_waiting.clone());
         r.register("calls_ended", "Calls by class, plan and end", ended);
         r.register("attempts", "Attempts by how they ended", attempts);
         r.register("counter_calls", "Calls to the counter by how they ended", counts);
--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -213,7 +213,7 @@
         let customer = CustomerId(crate::number_of(customer));
         resp.asks.insert(id, Ask { conn, slot: session.wait(), customer, plan, lease });
         self.metrics.resp_asks.inc();
-        self.todo.push_back(Event::Request(Arrival {
+        self.enter(Arrival {
             id,
             class: ClassId(class),
             plan,
@@ -222,12 +222,13 @@
             deadline: Micros(now + self.set.policy.classes[class].deadline.0),
             units,
             resent: false,
-        }));
+        });
     }
 
     /// Leave is given.
     pub(crate) fn granted(&mut self, id: RequestId) {
         let now = Micros(self.engine.now());
+        self.left(id);
         let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return };
         let standing = self.policy.standing(now, ask.customer, ask.plan);
         let (limit, remaining) = (standing.limit as i64, standing.remaining.max(0.0) as i64);
@@ -254,6 +255,7 @@
     pub(crate) fn resp_refused(&mut self, id: RequestId, back_in: Option<u64>) -> bool {
         let now = Micros(self.engine.now());
         let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return false };
+        self.left(id);
         let standing = self.policy.standing(now, ask.customer, ask.plan);
         let back = back_in.unwrap_or(standing.reset.0);
         let reply = match ask.lease {
@@ -354,8 +356,11 @@
         let mut gone: Vec<RequestId> = asks.chain(tickets).collect();
         gone.sort_unstable();
         for id in gone {
-            resp.asks.remove(&id);
-            resp.drop_ticket(id);
+            if let Some(resp) = &mut self.resp {
+                resp.asks.remove(&id);
+                resp.drop_ticket(id);
+            }
+            self.left(id);
             self.todo.push_back(Event::ClientGone(id));
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -66,6 +66,8 @@
     pub spread: u32,
     /// The second front; none: gRPC only.
     pub resp: Option<RespSettings>,
+    /// The door; none: requests go to the decisions as they come.
+    pub door: Option<chalkdeck_door::Settings>,
     /// The counter's parts, in the order that all gateways have; none: there is no counter.
     pub counter: Vec<SocketAddr>,
     /// The file with the server list.
@@ -247,6 +249,20 @@
     Ok(routes)
 }
 
+fn door(wire: wire::Door) -> Option<chalkdeck_door::Settings> {
+    let default = chalkdeck_door::Settings::default();
+    let or = |n: u32, default: usize| if n == 0 { default } else { n as usize };
+    let longest = if wire.longest_wait_ms == 0 { default.longest } else { millis(wire.longest_wait_ms).0 };
+    (!wire.off).then(|| chalkdeck_door::Settings {
+        inside: or(wire.inside, default.inside),
+        each_turn: or(wire.each_turn, default.each_turn),
+        waiting: or(wire.waiting, default.waiting),
+        queue: or(wire.queue, default.queue),
+        longest,
+        ..default
+    })
+}
+
 /// The second front's class is the named one with the work left to the caller.
 fn resp(
     source: &Source,
@@ -375,6 +391,7 @@
         spread: or(customers.spread, fleet).min(fleet),
         counter: parts,
         resp,
+        door: door(wire.door.unwrap_or_default()),
         endpoints: PathBuf::from(endpoints.file),
         poll: u64::from(or(endpoints.poll_ms, 200)) * 1_000,
         connect_timeout: u64::from(or(endpoints.connect_timeout_ms, 250)) * 1_000,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -6,6 +6,7 @@
 use crate::counter::Told;
 use crate::counters::{Counters, News};
 use crate::endpoints;
+use crate::entry::Entry;
 use crate::fault::Fault;
 use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
@@ -55,6 +56,7 @@
     pub(crate) calls: Calls,
     pub(crate) counter: Option<Counters>,
     pub(crate) resp: Option<Resp>,
+    pub(crate) entry: Option<Entry>,
     pub(crate) pool: Pool,
     watch: Watch,
     pub(crate) metrics: Metrics,
@@ -93,6 +95,7 @@
             calls: Calls::default(),
             counter,
             resp,
+            entry: set.door.clone().map(Entry::new),
             pool: Pool::new(set.server_connections, set.server_streams, set.keepalive),
             watch: Watch::new(set.endpoints.clone()),
             metrics: Metrics::new(&set.class_names, &set.plan_names),
@@ -179,12 +182,14 @@
     /// Waits for what happens, at most so many microseconds, and deals with it.
     pub fn turn(&mut self, most_wait: u64) -> io::Result<()> {
         let mut events = std::mem::take(&mut self.events);
-        self.engine.turn(most_wait, &mut events)?;
+        self.engine.turn(self.door_wait(most_wait), &mut events)?;
         for event in events.drain(..) {
             self.on_event(event);
             self.settle();
         }
         self.events = events;
+        self.door_turn();
+        self.settle();
         if let Shell { counter: Some(counter), engine, .. } = self {
             counter.flush(engine);
         }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,7 +7,7 @@
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
 use crate::report::Summary;
-use crate::{adds, asks, audit, counter, day, demo, library, measure, reconnect, replay, timeline};
+use crate::{adds, asks, audit, counter, day, demo, flood, library, measure, reconnect, replay, timeline};
 use anyhow::{bail, Context};
 use chalkdeck_client::Repeat;
 use chalkdeck_gateway::relay::Relay;
@@ -58,6 +58,8 @@
     Reconnect(ReconnectArgs),
     /// Adds a second of the counter by its promise, beside the stand-in and a bare loop
     Adds(AddsArgs),
+    /// One customer floods while others keep to their quotas, with the door and without
+    Flood(FloodArgs),
     /// Commands a second of the RESP front, beside ECHO on the same loop
     Asks(AsksArgs),
     /// Calls a second and core, and added latency: straight, through a bare relay, through a gateway
@@ -151,6 +153,21 @@
     pub dir: PathBuf,
 }
 
+#[derive(Args)]
+pub struct FloodArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 4.0)]
+    pub seconds: f64,
+    /// Calls that the flood keeps out
+    #[arg(long, default_value_t = 2_000)]
+    pub outstanding: usize,
+    /// Over so many connections, one run each
+    #[arg(long, value_delimiter = ',', default_values_t = [1, 10, 1_000])]
+    pub connections: Vec<usize>,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 #[derive(Args)]
 pub struct OwnCounterArgs {
     /// Settings, protobuf text of chalkdeck.counter.v1.Settings
@@ -341,6 +358,7 @@
             Command::Reconnect(args) => reconnect::run(&Program::this(before)?, &args),
             Command::Adds(args) => adds::run(&Program::this(before)?, &args),
             Command::Asks(args) => asks::run(Program::this(before)?, &args),
+            Command::Flood(args) => flood::run(&Program::this(before)?, &args),
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod day;
 pub mod demo;
 pub mod farm;
+pub mod flood;
 pub mod library;
 pub mod load;
 pub mod log;
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::conn::{Conn, Link, Speaks, Step};
 use crate::raw::Raw;
 use crate::stream::{Outgoing, Stream};
-use crate::wake::Ready;
+use crate::wake::{Ready, Turn};
 use bytes::Bytes;
 use http::{request, response, HeaderMap, Request, Response};
 use mio::net::{TcpListener, TcpStream};
@@ -120,6 +120,11 @@
     paused: bool,
 }
 
+/// Streams that one connection may open before others have their turn, and that all may open in one turn of the loop. Guards
+/// against floods: each step of the calls that are under way waits for a turn.
+const OPENS_EACH: usize = 8;
+const OPENS_TURN: usize = 64;
+
 /// Wakes a loop from another thread.
 pub type LoopWaker = mio::Waker;
 
@@ -137,6 +142,8 @@
     /// When a connection is to be pinged.
     pings: BinaryHeap<Reverse<(u64, u64)>>,
     out: VecDeque<Event>,
+    /// Streams opened in this turn.
+    opens: usize,
 }
 
 impl Engine {
@@ -159,6 +166,7 @@
             timers: BinaryHeap::new(),
             pings: BinaryHeap::new(),
             out: VecDeque::new(),
+            opens: 0,
         })
     }
 
@@ -234,7 +242,7 @@
         let id = self.id();
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(id as usize), interest)?;
-        let waker = self.ready.waker(id);
+        let waker = self.ready.waker(id, Turn::First);
         self.conns.insert(id, Conn::connecting(stream, limits, waker));
         Ok(ConnId(id))
     }
@@ -252,7 +260,7 @@
     /// Opens a stream. `ended`: it has no body. Nothing when the connection does not stand or takes no more.
     pub fn open(&mut self, conn: ConnId, head: Request<()>, ended: bool) -> Option<StreamId> {
         let id = self.next + 1;
-        let waker = self.ready.waker(id);
+        let waker = self.ready.waker(id, Turn::First);
         let link = self.conns.get_mut(&conn.0).filter(|c| c.room() > 0)?;
         let Link::Client(sender, _) = &mut link.link else { return None };
         let (answer, body) = sender.send_request(head, ended).ok()?;
@@ -408,7 +416,11 @@
         }
         self.ping_due(now);
         // Bounded, so that a busy peer does not keep timers waiting.
+        self.opens = 0;
         for _ in 0..8192 {
+            if self.opens >= OPENS_TURN {
+                break;
+            }
             let Some(key) = self.ready.pop() else { break };
             self.poll_key(key);
         }
@@ -472,6 +484,7 @@
     }
 
     fn poll_conn(&mut self, key: u64) {
+        let mut opens = 0;
         while let Some(conn) = self.conns.get_mut(&key) {
             match conn.poll() {
                 Step::Wait => return,
@@ -493,7 +506,15 @@
                 }
                 Step::Opened(request, respond) => {
                     conn.streams += 1;
+                    opens += 1;
+                    let others_turn = opens >= OPENS_EACH;
+                    if others_turn {
+                        conn.waker.wake_by_ref();
+                    }
                     self.opened(key, *request, respond);
+                    if others_turn {
+                        return;
+                    }
                 }
                 Step::Closed(why) => return self.drop_conn(key, why),
             }
@@ -509,10 +530,11 @@
         let id = self.id();
         let (head, body) = request.into_parts();
         let ended = body.is_end_stream();
-        let waker = self.ready.waker(id);
+        let waker = self.ready.waker(id, Turn::First);
         waker.wake_by_ref();
         let (stream, head) = (StreamId(id), Box::new(head));
         self.out.push_back(Event::Opened { stream, conn: ConnId(conn), head, ended });
+        self.opens += 1;
         self.streams.insert(id, Box::new(Stream::opened(stream, conn, waker, body, respond)));
     }
 
@@ -554,7 +576,7 @@
                 self.listeners.get_mut(&key).into_iter().for_each(|l| l.held -= 1);
                 continue;
             }
-            let waker = self.ready.waker(id);
+            let waker = self.ready.waker(id, Turn::Then);
             waker.wake_by_ref();
             self.conns.insert(id, Conn::accepted(stream, limits, key, speaks, waker));
             self.out.push_back(Event::Accepted { listener: ListenerId(key), conn: ConnId(id) });
