--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -33,6 +33,8 @@
 /// second that it sends on. More spreads its load better, fewer lets it learn of each in a second or two.
 const REACH_LEAST: f64 = 8.0;
 const REACH_FLOW: f64 = 1.0;
+/// Servers that one choice looks at where the part is larger than this.
+const DRAWN: usize = 48;
 /// Attempts that all gateways together may have out at one server when learning starts; no gateway starts
 /// with more than `LIMIT_START` of them. Low: a bound that must first be cut costs late answers.
 const FLEET_START: f64 = 6.0;
@@ -127,6 +129,10 @@
     customers: FxHashMap<CustomerId, Customer>,
     requests: FxHashMap<RequestId, Request>,
     servers: Servers,
+    /// Servers that may be cold.
+    cold: usize,
+    /// When the bounds of the own part were last summed, and their sum.
+    summed: (Micros, f64),
     /// Places of the listed servers, in an order that all gateways share.
     ring: Vec<usize>,
     timers: FxHashMap<TimerId, Timer>,
@@ -772,20 +778,36 @@
     /// server where each gateway sees few requests. The golden ratio spreads the parts evenly, also those of
     /// gateways in a row, through which one customer comes.
     fn own_part_first(&self) -> impl Iterator<Item = &(ServerId, Server)> + '_ {
-        let start = (f64::from(self.set.me) * 0.618_033_988_749_895).fract() * self.ring.len() as f64;
-        let (before, own) = self.ring.split_at((start as usize).min(self.ring.len()));
+        let (before, own) = self.ring.split_at(self.own_start());
         own.iter().chain(before).map(|&place| self.servers.at(place))
     }
 
+    fn own_start(&self) -> usize {
+        let start = (f64::from(self.set.me) * 0.618_033_988_749_895).fract() * self.ring.len() as f64;
+        (start as usize).min(self.ring.len())
+    }
+
+    /// The sum of the bounds of the own part's healthy servers. Over a large part it is looked at again with
+    /// each tick only, as it moves by one answer among hundreds.
+    fn most_out(&mut self, reach: usize) -> f64 {
+        if reach > DRAWN && self.now < self.summed.0 + self.set.tick {
+            return self.summed.1;
+        }
+        let scale = self.scale();
+        let fit = self.own_part_first().take(reach).map(|(_, s)| s).filter(|s| self.healthy(s));
+        let most: f64 = fit.map(|s| s.limit * scale).sum();
+        self.summed = (self.now, most);
+        most
+    }
+
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
     fn pick(&mut self, id: RequestId) -> Option<ServerId> {
         self.warm_up();
         let salt = self.rng.u64(..);
         let (reach, scale) = (self.reach(), self.scale());
-        let r = self.requests.get(&id)?;
         // Bounds may fall below one (many gateways): what is out in all stays within their sum.
-        let fit = self.own_part_first().take(reach).map(|(_, s)| s).filter(|s| self.healthy(s));
-        let most: f64 = fit.map(|s| s.limit * scale).sum();
+        let most = self.most_out(reach);
+        let r = self.requests.get(&id)?;
         let any_healthy = most > 0.0 || self.servers.values().any(|s| s.listed && self.healthy(s));
         if most > 0.0 && self.out_now >= most.max(if self.sparse() { FEW_OUT } else { 1.0 }) {
             return None;
@@ -797,29 +819,53 @@
             return None;
         }
         let mut best: Option<(f64, ServerId)> = None;
-        for (i, (sid, s)) in self.own_part_first().enumerate() {
-            if i >= reach && best.is_some() {
-                break;
-            }
-            // With nothing healthy left, one at a time to whatever is listed.
-            let most = if any_healthy { (s.limit * scale).floor().max(1.0) } else { 1.0 };
-            if s.out >= most || any_healthy && !self.healthy(s) || !self.may_send(r, s) {
-                continue;
-            }
-            let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
-            let tried = r.attempts.iter().filter(|a| a.server == *sid).count() as f64;
-            let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
-            let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
-            score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
-            // A server on trial is asked sooner, or one that failed would never be tried again.
-            score *= if s.trial && r.attempts.is_empty() { 0.3 } else { 1.0 };
-            if best.is_none_or(|(b, _)| score < b) {
+        let mut look = |(sid, s): &(ServerId, Server)| {
+            let score = self.score(r, *sid, s, scale, any_healthy, salt);
+            if let Some(score) = score.filter(|score| best.is_none_or(|(b, _)| *score < b)) {
                 best = Some((score, *sid));
             }
+            best.is_some()
+        };
+        // Of a large part some are drawn: the best of many is hardly better, and a look at all costs more
+        // the larger the fleet is. All are looked at where none of those will do.
+        let (start, len) = (self.own_start(), self.ring.len());
+        let drawn = if reach > DRAWN { DRAWN } else { 0 };
+        let places = (0..drawn).map(|i| self.ring[(start + (salt as usize + i) % reach) % len]);
+        if places.fold(false, |found, place| look(self.servers.at(place)) || found) {
+            return best.map(|(_, sid)| sid);
+        }
+        for (i, entry) in self.own_part_first().enumerate() {
+            if look(entry) && i + 1 >= reach {
+                break;
+            }
         }
         best.map(|(_, sid)| sid)
     }
 
+    /// The expected wait at a server against others; none: it may not be asked now.
+    fn score(
+        &self,
+        r: &Request,
+        sid: ServerId,
+        s: &Server,
+        scale: f64,
+        healthy: bool,
+        salt: u64,
+    ) -> Option<f64> {
+        // With nothing healthy left, one at a time to whatever is listed.
+        let most = if healthy { (s.limit * scale).floor().max(1.0) } else { 1.0 };
+        if s.out >= most || healthy && !self.healthy(s) || !self.may_send(r, s) {
+            return None;
+        }
+        let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
+        let tried = r.attempts.iter().filter(|a| a.server == sid).count() as f64;
+        let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
+        let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
+        score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
+        // A server on trial is asked sooner, or one that failed would never be tried again.
+        Some(score * if s.trial && r.attempts.is_empty() { 0.3 } else { 1.0 })
+    }
+
     fn healthy(&self, s: &Server) -> bool {
         self.now >= s.ejected_until && (!s.trial || s.out < 1.0)
     }
@@ -871,6 +917,7 @@
             let unreached = s.unreached_since.take().is_some_and(|at| now - at > EJECT_FIRST);
             if unreached && s.cold_since.is_none() {
                 s.cold_since = Some(now);
+                self.cold += 1;
                 s.cold_room = TokenBucket { level: 0.0, depth: 1.0, rate: 0.0, at: now };
             }
         }
@@ -905,7 +952,7 @@
     /// and each gateway scales its own, so the sum stays in proportion.
     fn warm_up(&mut self) {
         let (now, set) = (self.now, &self.set);
-        if self.servers.values().all(|s| s.cold_since.is_none()) {
+        if self.cold == 0 {
             return;
         }
         let many = self.sparse();
@@ -918,6 +965,7 @@
             let Some(since) = s.cold_since else { continue };
             if now >= since + set.cold {
                 s.cold_since = None;
+                self.cold -= 1;
                 continue;
             }
             let part = set.cold_from + (1.0 - set.cold_from) * ((now - since).secs() / set.cold.secs());
@@ -954,6 +1002,8 @@
             s.listed = e.listed == Listed::InService;
         }
         self.ring = self.servers.listed();
+        self.cold = self.servers.values().filter(|s| s.cold_since.is_some()).count();
+        self.summed = (Micros(0), 0.0);
         self.serve_held();
     }
 
