--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -831,7 +831,7 @@
         let (start, len) = (self.own_start(), self.ring.len());
         let drawn = if reach > DRAWN { DRAWN } else { 0 };
         let places = (0..drawn).map(|i| self.ring[(start + (salt as usize + i) % reach) % len]);
-        if places.fold(false, |found, place| look(self.servers.at(place)) || found) {
+        if places.filter(|&place| look(self.servers.at(place))).count() > 0 {
             return best.map(|(_, sid)| sid);
         }
         for (i, entry) in self.own_part_first().enumerate() {
