--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,7 +7,9 @@
 use crate::model::Build;
 use crate::process::{end_with_parent, Program};
 use crate::report::Summary;
-use crate::{adds, asks, audit, counter, day, demo, flood, library, measure, reconnect, replay, timeline};
+use crate::{
+    adds, asks, audit, counter, day, demo, flood, library, measure, reconnect, replay, returns, timeline,
+};
 use anyhow::{bail, Context};
 use chalkdeck_client::Repeat;
 use chalkdeck_gateway::relay::Relay;
@@ -58,6 +60,8 @@
     Reconnect(ReconnectArgs),
     /// Adds a second of the counter by its promise, beside the stand-in and a bare loop
     Adds(AddsArgs),
+    /// Callers over their quota that come back when they are told to
+    Returns(ReturnsArgs),
     /// One customer floods while others keep to their quotas, with the door and without
     Flood(FloodArgs),
     /// Commands a second of the RESP front, beside ECHO on the same loop
@@ -168,6 +172,20 @@
     pub dir: PathBuf,
 }
 
+#[derive(Args)]
+pub struct ReturnsArgs {
+    #[arg(long, default_value_t = 12.0)]
+    pub seconds: f64,
+    /// Callers of each of eight customers
+    #[arg(long, default_value_t = 4)]
+    pub callers: usize,
+    /// Asks a second of each caller while it is granted
+    #[arg(long, default_value_t = 40.0)]
+    pub rate: f64,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 #[derive(Args)]
 pub struct OwnCounterArgs {
     /// Settings, protobuf text of chalkdeck.counter.v1.Settings
@@ -358,6 +376,7 @@
             Command::Reconnect(args) => reconnect::run(&Program::this(before)?, &args),
             Command::Adds(args) => adds::run(&Program::this(before)?, &args),
             Command::Asks(args) => asks::run(Program::this(before)?, &args),
+            Command::Returns(args) => returns::run(Program::this(before)?, &args),
             Command::Flood(args) => flood::run(&Program::this(before)?, &args),
             Command::Measure(args) => measure::run(Program::this(before)?, &args),
             Command::Demo(args) => demo::run(Program::this(before)?, args.port, args.seconds, args.no_load),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod reconnect;
 pub mod replay;
 pub mod report;
+pub mod returns;
 pub mod timeline;
