--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod core;
 mod driver;
 mod gateways;
+mod handle;
 mod settings;
 mod stats;
 mod stream;
@@ -17,7 +18,7 @@
 mod wire;
 
 pub use crate::core::{Outcome, Repeat, Settings, SettingsError};
-pub use driver::{Call, Client, Full, Handle, Reply, StartError};
+pub use handle::{Call, Client, Full, Handle, Reply, StartError};
 pub use settings::TextError;
 pub use stats::Stats;
 pub use stream::{Stream, StreamEvent};
--- a/crates/client/src/stream.rs
+++ b/crates/client/src/stream.rs
@@ -1,7 +1,7 @@
 //! Streams of messages both ways.
 
 use crate::core::CallId;
-use crate::driver::{Command, Door, Full, Reply};
+use crate::handle::{Command, Door, Full, Reply};
 use bytes::Bytes;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
--- a/crates/client/src/tower.rs
+++ b/crates/client/src/tower.rs
@@ -5,7 +5,7 @@
 //! by the path through [`TermsLayer`].
 
 use crate::core::{Outcome, Repeat};
-use crate::driver::{Call, Client, Handle, Reply};
+use crate::handle::{Call, Client, Handle, Reply};
 use crate::stream::{Stream, StreamEvent};
 use bytes::Bytes;
 use chalkdeck_net::grpc::{self, Code, Deframer};
--- a/crates/client/src/wire.rs
+++ b/crates/client/src/wire.rs
@@ -1,7 +1,7 @@
 //! A call on the wire, and what its end there says.
 
 use crate::core::TryEnd;
-use crate::driver::Call;
+use crate::handle::Call;
 use chalkdeck_net::grpc::{self, Code};
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
