Read over: one framing, one plan look-up, no copy of a password for each command

What the change wrote again now calls one piece: gRPC frames onto a buffer (three places), a customer's plan (both fronts), the part of a name. The RESP front no longer copies its password for each command nor wakes a connection whose reading is not changed; the door looks at a queue's wait once; the writer's two channels have a type each and one wait. Unused functions are gone.

--- a/crates/counter/src/log.rs
+++ b/crates/counter/src/log.rs
@@ -120,7 +120,7 @@
 }
 
 /// Files by prefix, in their order.
-pub fn files<D: Disk>(disk: &D, prefix: &str) -> io::Result<Vec<String>> {
+fn files<D: Disk>(disk: &D, prefix: &str) -> io::Result<Vec<String>> {
     let mut names = disk.list()?;
     names.retain(|n| position_in(n, prefix).is_some());
     names.sort();
@@ -287,11 +287,6 @@
         Ok(Log { disk, file, name, len, closed: false, identity })
     }
 
-    /// Bytes of the present segment.
-    pub fn bytes(&self) -> u64 {
-        self.len
-    }
-
     /// Whether it takes no more.
     pub fn closed(&self) -> bool {
         self.closed
--- a/crates/counter/src/serve.rs
+++ b/crates/counter/src/serve.rs
@@ -9,7 +9,7 @@
 use crate::waiting::Waiting;
 use crate::writer::{Done, Promise, Writer, Written};
 use crate::{meters::Meters, snapshot};
-use bytes::{BufMut, BytesMut};
+use bytes::BytesMut;
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::signals::Signals;
 use chalkdeck_net::{ConnId, Engine, Event, Limits, ListenerId, StreamId};
@@ -332,9 +332,7 @@
             return self.engine.finish(stream, Some(grpc::trailers(Code::Ok, "")));
         }
         let out = self.answers.entry(stream).or_default();
-        out.put_u8(0);
-        out.put_u32(answer.encoded_len() as u32);
-        answer.encode(out).expect("a buffer that grows");
+        grpc::push_frame(out, &answer);
     }
 
     /// The answers of a turn go out together, a piece for each stream.
--- a/crates/counter/src/writer.rs
+++ b/crates/counter/src/writer.rs
@@ -6,7 +6,7 @@
 use crate::state::{Add, Counts};
 use chalkdeck_net::engine::LoopWaker;
 use std::io;
-use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -32,7 +32,6 @@
 enum Work {
     Batch(Batch),
     Roll(u64),
-    Snapshot(Box<Counts>),
 }
 
 /// How a batch went.
@@ -60,7 +59,7 @@
     work: Option<Sender<Work>>,
     done: Receiver<Done>,
     threads: Vec<JoinHandle<()>>,
-    snaps: Option<Sender<Work>>,
+    snaps: Option<Sender<Counts>>,
 }
 
 impl Writer {
@@ -73,7 +72,7 @@
         let identity = log.identity;
         let (snap_tell, snap_waker) = (tell.clone(), waker.clone());
         let snapshots = move || {
-            while let Ok(Work::Snapshot(counts)) = snap_inbox.recv() {
+            while let Ok(counts) = snap_inbox.recv() {
                 let written = snapshot::write(&disk, &counts, identity).and_then(|()| log::trim(&disk));
                 let _ = snap_tell.send(Done::Snapshot(written));
                 let _ = snap_waker.wake();
@@ -102,17 +101,13 @@
     /// Writes a snapshot beside the batches.
     pub fn snapshot(&self, counts: Counts) {
         if let Some(sender) = &self.snaps {
-            let _ = sender.send(Work::Snapshot(Box::new(counts)));
+            let _ = sender.send(counts);
         }
     }
     /// What was done since the last look.
     pub fn done(&self) -> Option<Done> {
         self.done.try_recv().ok()
     }
-    /// Waits for it.
-    pub fn wait(&self) -> Option<Done> {
-        self.done.recv().ok()
-    }
     fn give(&self, work: Work) {
         if let Some(sender) = &self.work {
             // The thread lives as long as this handle.
@@ -133,16 +128,8 @@
     let mut behind = false;
     let mut record = Vec::new();
     loop {
-        let work = if behind {
-            let wait = SYNC_EVERY.saturating_sub(synced.elapsed());
-            inbox.recv_timeout(wait).map_err(|e| match e {
-                std::sync::mpsc::RecvTimeoutError::Timeout => TryRecvError::Empty,
-                std::sync::mpsc::RecvTimeoutError::Disconnected => TryRecvError::Disconnected,
-            })
-        } else {
-            inbox.recv().map_err(|_| TryRecvError::Disconnected)
-        };
-        match work {
+        let wait = if behind { SYNC_EVERY.saturating_sub(synced.elapsed()) } else { Duration::MAX };
+        match inbox.recv_timeout(wait) {
             Ok(Work::Batch(batch)) => {
                 let begun = Instant::now();
                 record.clear();
@@ -155,8 +142,8 @@
                 tell(Done::Batch(Written { result: written, took, bytes }));
             }
             Ok(Work::Roll(position)) => tell(Done::Rolled(log.roll(position))),
-            Ok(Work::Snapshot(_)) | Err(TryRecvError::Empty) => {}
-            Err(TryRecvError::Disconnected) => {
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => {
                 let _ = log.sync();
                 return;
             }
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -11,7 +11,7 @@
 mod queues;
 
 use heavy::Heavy;
-use queues::{Queue, Queues};
+use queues::Queues;
 use rustc_hash::FxHashMap;
 
 /// What the door may hold.
@@ -157,8 +157,9 @@
         let longest = patience.min(self.set.longest);
         let queue = self.queues.at(place);
         let full = queue.waiting.len() >= self.set.queue;
-        if full || self.wait_in(place) > longest as f64 {
-            return Some(self.refuse(place, offer));
+        let wait = self.wait_in(place);
+        if full || wait > longest as f64 {
+            return Some(self.refuse(wait, offer));
         }
         let waiter = Waiter { offer, until: now.saturating_add(longest) };
         self.queues.push(place, waiter);
@@ -170,7 +171,8 @@
         let longest = self.queues.longest();
         let last = self.queues.pop_last(longest)?;
         self.held.remove(&last.offer.id);
-        Some(self.refuse(longest, last.offer))
+        let wait = self.wait_in(longest);
+        Some(self.refuse(wait, last.offer))
     }
 
     /// Lets a turn's requests through, and refuses those that waited too long.
@@ -183,7 +185,8 @@
             let Waiter { offer, until } = next.waiter;
             self.held.remove(&offer.id);
             if until < now {
-                out.push(self.refuse(next.place, offer));
+                let wait = self.wait_in(next.place);
+                out.push(self.refuse(wait, offer));
                 continue;
             }
             self.inside.insert(offer.id, next.place);
@@ -194,7 +197,8 @@
         }
         for late in self.queues.late(now) {
             self.held.remove(&late.waiter.offer.id);
-            out.push(self.refuse(late.place, late.waiter.offer));
+            let wait = self.wait_in(late.place);
+            out.push(self.refuse(wait, late.waiter.offer));
         }
     }
 
@@ -242,8 +246,8 @@
     }
 
     /// Never before the studio's quota has room and the queue ahead is gone; spread, so that those who return do not meet.
-    fn refuse(&mut self, place: usize, offer: Offer) -> Verdict {
-        let back = self.wait_in(place).max(offer.refill as f64).max(self.set.longest as f64 / 4.0);
+    fn refuse(&mut self, wait: f64, offer: Offer) -> Verdict {
+        let back = wait.max(offer.refill as f64).max(self.set.longest as f64 / 4.0);
         let spread = 1.0 + self.set.spread * self.rng.f64();
         Verdict::Refuse { id: offer.id, back: (back * spread) as u64 }
     }
@@ -258,9 +262,3 @@
         (self.since, self.passed) = (now, 0.0);
     }
 }
-
-impl Queue {
-    fn is_busy(&self) -> bool {
-        !self.waiting.is_empty() || self.inside > 0
-    }
-}
--- a/crates/door/src/queues.rs
+++ b/crates/door/src/queues.rs
@@ -132,7 +132,7 @@
 
     /// Queues with somebody waiting or inside.
     pub(crate) fn busy(&self) -> usize {
-        self.queues.iter().filter(|q| q.is_busy()).count()
+        self.queues.iter().filter(|q| !q.waiting.is_empty() || q.inside > 0).count()
     }
 
     /// The weights of the queues in the round.
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -5,7 +5,7 @@
 //! a new one.
 
 use crate::counters::{News, Standing};
-use bytes::{BufMut, BytesMut};
+use bytes::BytesMut;
 use chalkdeck::api::{CountName, Outcome};
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::{ConnId, Engine, Limits, StreamId};
@@ -144,7 +144,7 @@
         }
         match &mut self.link {
             Link::Connecting(_, waiting) => waiting.push(request),
-            Link::Up(..) => push(&mut self.out, &request),
+            Link::Up(..) => grpc::push_frame(&mut self.out, &request),
             Link::None => {}
         }
         Vec::new()
@@ -219,7 +219,7 @@
         self.heard = engine.now();
         self.link = Link::Up(conn, stream, Deframer::default());
         let live = waiting.into_iter().filter(|add| self.open.contains_key(&add.number));
-        live.for_each(|add| push(&mut self.out, &add));
+        live.for_each(|add| grpc::push_frame(&mut self.out, &add));
         Some(Vec::new())
     }
 
@@ -271,12 +271,6 @@
     }
 }
 
-fn push(out: &mut BytesMut, add: &AddRequest) {
-    out.put_u8(0);
-    out.put_u32(add.encoded_len() as u32);
-    add.encode(out).expect("a buffer that grows");
-}
-
 /// Above that of any earlier life, and apart from those that began in the same microsecond.
 fn incarnation(now: u64) -> u64 {
     (now << 12) | fastrand::u64(..1 << 12)
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -60,17 +60,10 @@
         (!parts.is_empty()).then_some(Counters { parts })
     }
 
-    /// See `Counter::add`.
-    pub(crate) fn add(
-        &mut self,
-        engine: &mut Engine,
-        name: CountName,
-        amount: f64,
-        life: u64,
-        until: u64,
-    ) -> Vec<Told> {
+    /// The part that a name belongs to.
+    pub(crate) fn part_of(&mut self, name: CountName) -> &mut Counter {
         let part = (name.0 % self.parts.len() as u64) as usize;
-        self.parts[part].add(engine, name, amount, life, until)
+        &mut self.parts[part]
     }
     pub(crate) fn next_timeout(&mut self) -> Option<u64> {
         self.parts.iter_mut().filter_map(Counter::next_timeout).min()
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -80,16 +80,11 @@
         wake.map_or(most, |at| at.saturating_sub(now).min(most))
     }
 
-    /// A request needs the door no more: it has its end, or goes on without one. Whether it was still at the door.
-    pub(crate) fn left(&mut self, id: RequestId) -> bool {
-        let Some(entry) = &mut self.entry else { return false };
+    /// A request needs the door no more: it has its end, or goes on without one.
+    pub(crate) fn left(&mut self, id: RequestId) {
+        let Some(entry) = &mut self.entry else { return };
         entry.door.ended(id.0);
         entry.arrivals.remove(&id);
-        entry.door.gone(id.0)
-    }
-
-    /// Requests that wait at the door.
-    pub fn waiting_at_door(&self) -> usize {
-        self.entry.as_ref().map_or(0, |e| e.door.waiting())
+        entry.door.gone(id.0);
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,7 +1,7 @@
 //! What a call's head says: its route, customer, deadline and units; or why it is no call that can be taken.
 
 use crate::settings::Settings;
-use chalkdeck::api::{Arrival, ClassId, CustomerId, Micros, PlanId, RequestId};
+use chalkdeck::api::{Arrival, ClassId, CustomerId, Micros, RequestId};
 use chalkdeck_net::grpc::{self, Code};
 use http::uri::PathAndQuery;
 use http::{request, HeaderMap, HeaderName};
@@ -61,7 +61,7 @@
     let Some(customer) = text(headers, name).filter(|c| !c.is_empty() && *c != "\u{fffd}") else {
         return reject(Code::Unauthenticated, "no_customer", format!("expected metadata {name}"));
     };
-    let Some(plan) = set.plan_of.get(customer).copied().or(set.default_plan) else {
+    let Some(plan) = set.plan_for(customer) else {
         return reject(Code::Unauthenticated, "no_customer", format!("{name}: customer without a plan"));
     };
     let timeout = match text(headers, grpc::TIMEOUT) {
@@ -93,7 +93,7 @@
     let arrival = Arrival {
         id,
         class: ClassId(class),
-        plan: PlanId(plan),
+        plan,
         customer: CustomerId(crate::number_of(customer)),
         spread: set.spread,
         deadline: Micros(now + timeout.unwrap_or(longest).min(longest)),
--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -100,7 +100,7 @@
         self.resp.as_ref().map(|r| r.listen)
     }
 
-    /// Whether the connection came in at this front.
+    /// A connection came in; if at this front, it has a session from here on.
     pub(crate) fn resp_accepted(&mut self, listener: ListenerId, conn: ConnId) {
         if let Some(resp) = self.resp.as_mut().filter(|r| r.listener == listener) {
             resp.sessions.insert(conn, Session::default());
@@ -153,6 +153,12 @@
         self.resp_flush(conn);
     }
 
+    fn resp_say(&mut self, conn: ConnId, reply: Reply) {
+        if let Some(session) = self.resp_session(conn) {
+            session.ready(reply);
+        }
+    }
+
     /// The last answer of a connection.
     fn resp_end(&mut self, conn: ConnId, reply: Reply) {
         if let Some(session) = self.resp_session(conn) {
@@ -162,8 +168,9 @@
     }
 
     fn resp_command(&mut self, conn: ConnId, words: &[Bytes]) {
-        let password = self.set.resp.as_ref().map(|r| r.password.clone()).unwrap_or_default();
-        let Some(session) = self.resp_session(conn) else { return };
+        let Shell { set, resp: Some(resp), .. } = self else { return };
+        let Some(session) = resp.sessions.get_mut(&conn) else { return };
+        let password = set.resp.as_ref().map_or("", |r| r.password.as_str());
         let command = match command::read(words) {
             Ok(command) => command,
             Err(why) => return session.ready(Reply::Error(why)),
@@ -180,22 +187,18 @@
             }
             Command::Give { ticket, units } => {
                 let given = self.resp_give(&ticket, units);
-                self.resp_session(conn).into_iter().for_each(|s| s.ready(Reply::Integer(i64::from(given))));
+                self.resp_say(conn, Reply::Integer(i64::from(given)));
             }
             Command::Peek { customer } => {
                 let reply = self.resp_peek(&customer);
-                self.resp_session(conn).into_iter().for_each(|s| s.ready(reply.clone()));
+                self.resp_say(conn, reply);
             }
             Command::Hello { .. } | Command::Auth(_) | Command::Plain(_) => {}
         }
     }
 
-    fn plan_of(&self, customer: &str) -> Option<PlanId> {
-        self.set.plan_of.get(customer).copied().or(self.set.default_plan).map(PlanId)
-    }
-
     fn resp_ask(&mut self, conn: ConnId, customer: &str, units: f64, lease: Option<u64>) {
-        let (most, plan) = (self.set.policy.most_units, self.plan_of(customer));
+        let (most, plan) = (self.set.policy.most_units, self.set.plan_for(customer));
         let class = self.set.resp.as_ref().map_or(0, |r| r.class);
         let Some(resp) = &mut self.resp else { return };
         let Some(session) = resp.sessions.get_mut(&conn) else { return };
@@ -231,7 +234,7 @@
         self.left(id);
         let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return };
         let standing = self.policy.standing(now, ask.customer, ask.plan);
-        let (limit, remaining) = (standing.limit as i64, standing.remaining.max(0.0) as i64);
+        let (limit, remaining) = (standing.limit as i64, standing.remaining as i64);
         let Some(lease) = ask.lease else {
             // A plain ask holds no place: what it was granted for is over for us.
             self.todo.push_back(Event::ClientGone(id));
@@ -292,7 +295,7 @@
     }
 
     fn resp_peek(&self, customer: &str) -> Reply {
-        let Some(plan) = self.plan_of(customer) else {
+        let Some(plan) = self.set.plan_for(customer) else {
             return Reply::Error("NOPLAN this customer has no plan".into());
         };
         let now = Micros(self.engine.now());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -216,6 +216,11 @@
         Ok(settings)
     }
 
+    /// The plan of a customer, by its name; none: it is not known here.
+    pub fn plan_for(&self, customer: &str) -> Option<api::PlanId> {
+        self.plan_of.get(customer).copied().or(self.default_plan).map(api::PlanId)
+    }
+
     /// Checks settings given as text; `file` stands in errors.
     pub fn parse(file: &str, text: &str) -> Result<Settings> {
         let source = Source { file: file.to_string(), text };
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -272,7 +272,7 @@
     fn count(&mut self, name: CountName, amount: f64, life: u64) {
         let Shell { counter: Some(counter), engine, .. } = self else { return };
         let until = engine.now() + self.set.policy.count_timeout.0;
-        let told = counter.add(engine, name, amount, life, until);
+        let told = counter.part_of(name).add(engine, name, amount, life, until);
         self.watch_counts();
         self.counted(told);
     }
--- a/crates/lab/src/adds.rs
+++ b/crates/lab/src/adds.rs
@@ -5,7 +5,7 @@
 use crate::control;
 use crate::process::{cpu_seconds, Process, Program};
 use anyhow::{bail, Context};
-use bytes::{BufMut, BytesMut};
+use bytes::BytesMut;
 use chalkdeck_net::grpc::{self, Deframer};
 use chalkdeck_net::{ConnId, Engine, Event, Limits, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
@@ -139,9 +139,7 @@
                 None => self.rng.u64(..self.args.names),
             };
             let add = AddRequest { name, amount: 1.0, lifetime_us: LIFETIME, number, caller: lane.caller };
-            bytes.put_u8(0);
-            bytes.put_u32(add.encoded_len() as u32);
-            add.encode(&mut bytes).expect("a buffer that grows");
+            grpc::push_frame(&mut bytes, &add);
             lane.out.insert(number, now);
         }
         if !bytes.is_empty() {
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -377,7 +377,7 @@
     }
     /// Reads nothing from a plain connection, or goes on.
     pub fn pause(&mut self, conn: ConnId, paused: bool) {
-        if let Some((raw, waker)) = self.raw(conn) {
+        if let Some((raw, waker)) = self.raw(conn).filter(|(raw, _)| raw.paused != paused) {
             raw.paused = paused;
             waker.wake_by_ref();
         }
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -197,6 +197,13 @@
     Some(seconds.saturating_mul(1_000_000).saturating_add(u64::try_from(delay.nanos).ok()? / 1_000))
 }
 
+/// Appends a message with its frame.
+pub fn push_frame(out: &mut BytesMut, message: &impl Message) {
+    out.put_u8(0);
+    out.put_u32(message.encoded_len() as u32);
+    message.encode(out).expect("a buffer that grows");
+}
+
 /// One message with its five bytes before it, uncompressed.
 pub fn frame(message: &[u8]) -> Bytes {
     let mut out = BytesMut::with_capacity(5 + message.len());
