--- a/crates/counter/src/serve.rs
+++ b/crates/counter/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::writer::{Done, Promise, Writer, Written};
 use crate::{meters::Meters, snapshot};
 use bytes::BytesMut;
+use chalkdeck_net::clock::incarnation;
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::signals::Signals;
 use chalkdeck_net::{ConnId, Engine, Event, Limits, ListenerId, StreamId};
@@ -75,7 +76,8 @@
     pub fn start(part: &Part, settings: &Settings) -> anyhow::Result<Service> {
         let mut engine = Engine::new()?;
         let limits = Limits { streams: 20_000, ..Limits::default() };
-        let (mut counts, mut identity) = (Counts::new(settings.limits), new_identity(&engine));
+        let (mut counts, mut identity) =
+            (Counts::new(settings.limits), Identity { incarnation: incarnation(engine.now()), epoch: 1 });
         let (mut writer, mut disk) = (None, None);
         if let Some(path) = &part.folder {
             let folder = Folder::open(path).map_err(|e| anyhow::anyhow!("folder {}: {e}", path.display()))?;
@@ -370,11 +372,6 @@
     }
 }
 
-fn new_identity(engine: &Engine) -> Identity {
-    // Grows with time, and differs between folders made in one moment.
-    Identity { incarnation: (engine.now() << 12) | fastrand::u64(..1 << 12), epoch: 1 }
-}
-
 fn code_of(refusal: Refusal) -> Code {
     match refusal {
         Refusal::Names => Code::ResourceExhausted,
--- a/crates/gateway/src/counter.rs
+++ b/crates/gateway/src/counter.rs
@@ -7,6 +7,7 @@
 use crate::counters::{News, Standing};
 use bytes::BytesMut;
 use chalkdeck::api::{CountName, Outcome};
+use chalkdeck_net::clock::incarnation;
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::{ConnId, Engine, Limits, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
@@ -271,11 +272,6 @@
     }
 }
 
-/// Above that of any earlier life, and apart from those that began in the same microsecond.
-fn incarnation(now: u64) -> u64 {
-    (now << 12) | fastrand::u64(..1 << 12)
-}
-
 fn outcome_of(answer: &AddResponse) -> Outcome {
     match Code::of(answer.status) {
         Code::Ok if answer.total.is_finite() => Outcome::Ok,
--- a/crates/lab/src/adds.rs
+++ b/crates/lab/src/adds.rs
@@ -2,7 +2,7 @@
 //! same bytes, in turns; and how long a start takes.
 
 use crate::cli::AddsArgs;
-use crate::control;
+use crate::control::metric;
 use crate::process::{cpu_seconds, Process, Program};
 use anyhow::{bail, Context};
 use bytes::BytesMut;
@@ -188,12 +188,6 @@
     Process::start(program, &args, &dir.join("counter.log"))
 }
 
-fn metric(admin: SocketAddr, name: &str) -> anyhow::Result<f64> {
-    let text = control::get(admin, "/metrics")?;
-    let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
-    Ok(line.with_context(|| format!("expected {name}"))?.parse()?)
-}
-
 /// Writes and syncs so many bytes again and again; syncs a second.
 fn bare(path: &Path, bytes: usize, seconds: f64) -> anyhow::Result<f64> {
     let mut file = std::fs::File::create(path)?;
--- a/crates/lab/src/asks.rs
+++ b/crates/lab/src/asks.rs
@@ -2,11 +2,10 @@
 
 use crate::cli::AsksArgs;
 use crate::day::{self, Fleet};
+use crate::measure;
 use crate::process::{cpu_seconds, Program};
 use anyhow::{bail, Context};
 use chalkdeck_proto::chalkdeck::config::v1::Resp;
-use chalkdeck_proto::chalkdeck::lab::v1::Day;
-use chalkdeck_proto::text;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -61,19 +60,17 @@
 
 /// Runs both ways in turns and prints a table.
 pub fn run(program: Program, args: &AsksArgs) -> anyhow::Result<()> {
-    let source = include_str!("../days/measure.txtpb");
-    let mut day: Day = text::parse(day::MESSAGE, source).map_err(|e| anyhow::anyhow!("measure day: {e}"))?;
+    let mut day = measure::fleet()?;
     day.own_counter = true;
     let gateway = day.gateway.as_mut().context("expected a gateway")?;
     let class = gateway.classes.first().map(|c| c.name.clone()).unwrap_or_default();
     gateway.resp = Some(Resp { listen: "127.0.0.1:0".into(), class, ..Resp::default() });
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(program, day, &args.dir, any, None)?;
+    let fleet = Fleet::start(program, day, &args.dir, day::any(), None)?;
     let process = fleet.gateway_process(0).context("expected a gateway")?;
     let (address, id) = (process.address("resp")?, process.id());
     let words = |w: &[&str]| w.iter().map(|w| w.to_string()).collect::<Vec<String>>();
     let ways = [
-        pipeline("echo", args.pipeline, 2, |_| words(&["ECHO", "customer-0000", "15"][..2])),
+        pipeline("echo", args.pipeline, 2, |_| words(&["ECHO", "customer-0000"])),
         pipeline("peek", args.pipeline, 4, |i| {
             words(&["CHALK.PEEK", &format!("customer-{}", i % CUSTOMERS)])
         }),
--- a/crates/lab/src/control.rs
+++ b/crates/lab/src/control.rs
@@ -36,3 +36,10 @@
     }
     Ok(body.to_string())
 }
+
+/// A metric of an admin port, by its name.
+pub fn metric(admin: SocketAddr, name: &str) -> anyhow::Result<f64> {
+    let text = get(admin, "/metrics")?;
+    let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+    Ok(line.with_context(|| format!("expected {name}"))?.parse()?)
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -222,7 +222,8 @@
     fault: Option<String>,
 }
 
-fn any() -> SocketAddr {
+/// A free port on loopback.
+pub fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
@@ -451,11 +452,16 @@
 
     /// Starts the load on all gateways.
     pub fn load(&self, seconds: f64, more: &[&str]) -> anyhow::Result<Process> {
+        self.load_of(&self.day_file, seconds, more)
+    }
+
+    /// The same with the load of another day.
+    pub fn load_of(&self, day: &Path, seconds: f64, more: &[&str]) -> anyhow::Result<Process> {
         let gateways: Vec<String> = self.gateways().iter().map(ToString::to_string).collect();
         let mut args = vec![
             "load".to_string(),
             "--day".to_string(),
-            self.day_file.display().to_string(),
+            day.display().to_string(),
             "--gateways".to_string(),
             gateways.join(","),
             "--seconds".to_string(),
--- a/crates/lab/src/flood.rs
+++ b/crates/lab/src/flood.rs
@@ -9,7 +9,6 @@
 use chalkdeck_proto::chalkdeck::config::v1::Door;
 use chalkdeck_proto::chalkdeck::lab::v1::{Customers, Day};
 use chalkdeck_proto::text;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -19,28 +18,28 @@
 const SETTLE: Duration = Duration::from_millis(500);
 
 struct Run<'a> {
-    program: &'a Program,
     dir: &'a Path,
     fleet: Fleet,
     seconds: f64,
 }
 
 impl Run<'_> {
-    fn load(&self, name: &str, day: &Path, more: &[String]) -> anyhow::Result<(Process, PathBuf)> {
+    fn load(
+        &self,
+        name: &str,
+        day: &Path,
+        seconds: f64,
+        more: &[&str],
+    ) -> anyhow::Result<(Process, PathBuf)> {
         let out = self.dir.join(format!("{name}.json"));
-        let gateway = self.fleet.gateways().first().context("expected a gateway")?.to_string();
-        let mut args: Vec<String> =
-            ["load", "--gateways", &gateway, "--prefix", name].map(String::from).into();
-        args.extend(["--day".to_string(), day.display().to_string()]);
-        args.extend(["--out".to_string(), out.display().to_string()]);
-        args.extend_from_slice(more);
-        Ok((Process::start(self.program, &args, &self.dir.join("load.log"))?, out))
+        let text = out.display().to_string();
+        let own = ["--prefix", name, "--out", &text];
+        Ok((self.fleet.load_of(day, seconds, &[&own, more].concat())?, out))
     }
 
     /// The others' calls for a while.
     fn others(&self, name: &str) -> anyhow::Result<Summary> {
-        let more = ["--seconds".to_string(), self.seconds.to_string()];
-        let (mut load, out) = self.load(name, &self.dir.join("day.txtpb"), &more)?;
+        let (mut load, out) = self.load(name, &self.dir.join("day.txtpb"), self.seconds, &[])?;
         if !load.wait() {
             bail!("the load ended badly, see {}", self.dir.join("load.log").display());
         }
@@ -95,28 +94,20 @@
     dir: &Path,
 ) -> anyhow::Result<()> {
     let day = fleet(door)?;
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(program.clone(), day.clone(), dir, any, None)?;
+    let fleet = Fleet::start(program.clone(), day.clone(), dir, day::any(), None)?;
     let id = fleet.gateway_process(0).context("expected a gateway")?.id();
-    let run = Run { program, dir, fleet, seconds: args.seconds };
+    let run = Run { dir, fleet, seconds: args.seconds };
     let flood = flood_day(dir, &day)?;
     run.others("warm")?;
     let before = run.others("before")?;
     let rss = memory_kib(id)?;
-    let more = [
-        ("--seconds", (args.seconds + 4.0).to_string()),
-        ("--outstanding", args.outstanding.to_string()),
-        ("--connections", connections.to_string()),
-    ];
-    let more: Vec<String> = more.into_iter().flat_map(|(n, v)| [n.to_string(), v]).collect();
-    let (mut load, out) = run.load("flood", &flood, &more)?;
+    let (outstanding, connections_text) = (args.outstanding.to_string(), connections.to_string());
+    let more = ["--outstanding", &outstanding, "--connections", &connections_text];
+    let (mut load, out) = run.load("flood", &flood, args.seconds + 4.0, &more)?;
     std::thread::sleep(SETTLE);
     let during = run.others("during")?;
     let grown = memory_kib(id)?;
-    let refused = control::get(run.fleet.admin(0), "/metrics")?;
-    let refused =
-        refused.lines().find_map(|l| l.strip_prefix("chalkdeck_door_refused_total ")).unwrap_or("0");
-    let refused = refused.to_string();
+    let refused = control::metric(run.fleet.admin(0), "chalkdeck_door_refused_total")?;
     load.wait();
     let flood: Summary = serde_json::from_str(&std::fs::read_to_string(out)?)?;
     let ms = |us: u64| us as f64 / 1e3;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -46,12 +46,16 @@
     seconds: f64,
 }
 
+/// A fleet whose servers answer at once, and customers within their quotas.
+pub fn fleet() -> anyhow::Result<Day> {
+    let source = include_str!("../days/measure.txtpb");
+    text::parse(day::MESSAGE, source).map_err(|e| anyhow::anyhow!("measure day: {e}"))
+}
+
 /// Runs all of it and prints tables.
 pub fn run(program: Program, args: &MeasureArgs) -> anyhow::Result<()> {
-    let source = include_str!("../days/measure.txtpb");
-    let day: Day = text::parse(day::MESSAGE, source).map_err(|e| anyhow::anyhow!("measure day: {e}"))?;
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(program.clone(), day.clone(), &args.dir, any, None)?;
+    let day = fleet()?;
+    let fleet = Fleet::start(program.clone(), day.clone(), &args.dir, day::any(), None)?;
     let servers = fleet.servers();
     let list: Vec<String> = servers.iter().map(ToString::to_string).collect();
     let relay_args = ["relay".to_string(), "--servers".to_string(), list.join(",")];
@@ -84,8 +88,7 @@
     day.load.iter_mut().flat_map(|l| &mut l.mix).for_each(|m| m.timeout_ms = 90_000);
     let classes = day.gateway.iter_mut().flat_map(|g| &mut g.classes);
     classes.for_each(|c| (c.aim_ms, c.deadline_ms) = (60_000, 90_000));
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(program.clone(), day, dir, any, None)?;
+    let fleet = Fleet::start(program.clone(), day, dir, day::any(), None)?;
     let id = fleet.gateway_process(0).context("expected a gateway")?.id();
     let before = memory_kib(id)?;
     let held_text = held.to_string();
--- a/crates/lab/src/reconnect.rs
+++ b/crates/lab/src/reconnect.rs
@@ -2,7 +2,7 @@
 //! again every 10 ms; all of them share one loop, so that thousands fit into one process. Those that are back call on.
 
 use crate::cli::ReconnectArgs;
-use crate::day::{Act, Fleet};
+use crate::day::{self, Act, Fleet};
 use crate::demo;
 use crate::plot::{self, Curve};
 use crate::process::Program;
@@ -223,8 +223,7 @@
 fn play(program: &Program, args: &ReconnectArgs, naive: bool) -> anyhow::Result<Begun> {
     let mut day = demo::fleet()?;
     day.gateways = 1;
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let mut fleet = Fleet::start(program.clone(), day, &args.dir, any, None)?;
+    let mut fleet = Fleet::start(program.clone(), day, &args.dir, day::any(), None)?;
     let address = *fleet.gateways().first().context("expected a gateway")?;
     let mut crowd = Crowd::new(args, address, naive)?;
     crowd.start();
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/returns.rs
@@ -2,7 +2,7 @@
 //! evenly customers fare. Over RESP, through one gateway.
 
 use crate::cli::ReturnsArgs;
-use crate::day::Fleet;
+use crate::day::{self, Fleet};
 use crate::demo;
 use crate::process::Program;
 use anyhow::{bail, Context};
@@ -97,8 +97,7 @@
 pub fn run(program: Program, args: &ReturnsArgs) -> anyhow::Result<()> {
     let mut day = demo::fleet()?;
     day.gateways = 1;
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(program, day, &args.dir, any, None)?;
+    let fleet = Fleet::start(program, day, &args.dir, day::any(), None)?;
     let address = fleet.gateway_process(0).context("expected a gateway")?.address("resp")?;
     let pause = Duration::from_secs_f64(1.0 / args.rate);
     let mut by_customer = Vec::new();
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -14,6 +14,12 @@
     read(ClockId::Monotonic)
 }
 
+/// A number for one life of a process that began at `now`: above that of any earlier life, and apart from those that began in
+/// the same microsecond.
+pub fn incarnation(now: u64) -> u64 {
+    (now << 12) | fastrand::u64(..1 << 12)
+}
+
 /// Time since the Unix epoch as it was at the start, moved on by the monotonic clock, so that it never steps.
 #[derive(Clone, Debug)]
 pub struct Clock {
