--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,8 +1,10 @@
 //! `chalkdeck`: the gateway, its checks and its demo.
 #![forbid(unsafe_code)]
 
-use chalkdeck_gateway::Settings;
+use chalkdeck_gateway::{logs, Settings};
 use chalkdeck_lab::cli::{exit, serve, Command as Lab, DemoArgs, ServeArgs};
+use chalkdeck_net::signals::Signals;
+use chalkdeck_platform::{Config, Shell};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,6 +21,8 @@
 enum Command {
     /// Run a gateway
     Serve(ServeArgs),
+    /// Run a gateway of the platform, as ROUTER_CONFIG tells
+    Platform,
     /// Check settings without starting
     Check { config: PathBuf },
     /// Gateways, counter, servers and a small load with no settings
@@ -31,9 +35,18 @@
     Lab(Lab),
 }
 
+fn platform() -> anyhow::Result<()> {
+    logs::start("info", false);
+    let config = Config::from_env()?;
+    let signals = Signals::take()?;
+    tracing::info!(name = config.name, listen = %config.listen, "starts");
+    Ok(Shell::start(config)?.run(&signals)?)
+}
+
 fn main() -> ExitCode {
     exit(match Cli::parse().command {
         Command::Serve(args) => serve(&args),
+        Command::Platform => platform(),
         Command::Check { config } => {
             Settings::load(&config).map(|_| println!("{}: ok", config.display())).map_err(Into::into)
         }
--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,122 @@
+//! The settings of a gateway under the names of the operators' wire. Nothing here decides.
+
+use crate::fields::{Fields, Result, WireError};
+use chalkdeck::api::*;
+use std::collections::HashMap;
+
+/// What was read: the settings, and the places of the names in them.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// What the decisions take.
+    pub settings: Settings,
+    /// Places of the classes by their names.
+    pub classes: HashMap<String, usize>,
+    /// Places of the plans by their names.
+    pub plans: HashMap<String, usize>,
+    /// Numbers of the zones by their names.
+    pub zones: HashMap<String, u32>,
+}
+
+/// Reads settings that are told in another form, as text values by their paths (`classes.count`, `classes.0.name`). Errors name
+/// the path, what was expected and what was found.
+pub fn read_paths(paths: &HashMap<String, String>) -> std::result::Result<Read, WireError> {
+    let pairs = paths.iter().map(|(k, v)| (k.as_str(), v.as_str())).collect();
+    read(&Fields { at: 0, message: "settings", pairs })
+}
+
+/// The number of a server's name, the same at every gateway: its FNV-1a hash.
+pub fn server_id(name: &str) -> ServerId {
+    let step = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+    ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, step))
+}
+
+/// The number of a zone's name; a new name gets the next one.
+pub fn zone_id(zones: &mut HashMap<String, u32>, name: &str) -> ZoneId {
+    let next = zones.len() as u32;
+    ZoneId(*zones.entry(name.to_string()).or_insert(next))
+}
+
+/// Reads the settings out of their paths.
+pub(crate) fn read(f: &Fields) -> Result<Read> {
+    let list = |prefix: &str| -> Result<usize> {
+        let count = f.whole_or(&format!("{prefix}.count"), 0)?;
+        if count > 10_000 {
+            return f.fail(&format!("{prefix}.count"), "at most 10000");
+        }
+        Ok(count as usize)
+    };
+    let (mut classes, mut class_list) = (HashMap::new(), Vec::new());
+    for i in 0..list("classes")? {
+        let key = |k: &str| format!("classes.{i}.{k}");
+        classes.insert(f.text(&key("name"))?.to_string(), i);
+        let deadline = Micros(f.whole(&key("deadline"))?);
+        class_list.push(Class {
+            aim: f.micros_or(&key("on_time"), deadline.0)?,
+            deadline,
+            worth: f.real_or(&key("credit"), 1.0)?,
+            late_worth: f.real_or(&key("late_share"), 0.0)?,
+            effect: match f.pairs.get(key("effect").as_str()) {
+                Some(&"pure") => Effect::Safe,
+                Some(&"token") => Effect::Keyed,
+                Some(&"side_effect") | None => Effect::Unsafe,
+                Some(_) => return f.fail(&key("effect"), "pure, token or side_effect"),
+            },
+            group: match f.pairs.get(key("key_scope").as_str()) {
+                Some(&"all") => Group::All,
+                Some(&"zone") => Group::Zone,
+                Some(&"cell") | None => Group::Cell,
+                Some(_) => return f.fail(&key("key_scope"), "all, zone or cell"),
+            },
+            window: f.micros_or(&key("window"), 0)?,
+            stream: f.flag_or(&key("streaming"), false)?,
+            by_caller: false,
+        });
+    }
+    let (mut plans, mut plan_list) = (HashMap::new(), Vec::new());
+    for i in 0..list("plans")? {
+        let key = |k: &str| format!("plans.{i}.{k}");
+        let real = |k: &str, default| f.real_or(&key(k), default);
+        plans.insert(f.text(&key("name"))?.to_string(), i);
+        plan_list.push(Plan {
+            rate: real("per_second", 0.0)?,
+            burst: real("peak_units", 0.0)?,
+            open: real("open", 0.0)?,
+            price: real("price", 1.0)?,
+            over_worth: real("extra_worth", 0.0)?,
+            over_cost: real("excess_cost", 0.0)?,
+            ceiling_rate: real("ceiling_rate", 0.0)?,
+            ceiling_burst: real("cap_depth", 0.0)?,
+            ceiling_slack: real("tolerance", 0.0)?,
+        });
+    }
+    let mut zones = HashMap::new();
+    for name in f.pairs.get("zones").into_iter().flat_map(|z| z.split(',')) {
+        let next = zones.len() as u32;
+        zones.entry(name.to_string()).or_insert(next);
+    }
+    let zone = zone_id(&mut zones, f.pairs.get("zone").copied().unwrap_or(""));
+    let settings = Settings {
+        gateways: f.whole_or("balancers", 1)?.min(u32::MAX.into()) as u32,
+        me: f.whole_or("my_number", 0)?.min(u32::MAX.into()) as u32,
+        zone,
+        classes: class_list,
+        plans: plan_list,
+        max_attempts: f.whole_or("bounds.max_attempts", 1)? as usize,
+        second_copies: f.flag_or("bounds.second_copies", false)?,
+        may_cancel: f.flag_or("bounds.may_cancel", false)?,
+        probes: f.flag_or("bounds.probing", false)?,
+        retry_after: f.flag_or("bounds.retry_after", false)?,
+        max_retry_after: f.micros_or("bounds.max_retry_after", 0)?,
+        counter: f.flag_or("specifics.counter", false)?,
+        count_timeout: f.micros_or("specifics.count_limit", 0)?,
+        most_units: f.real_or("specifics.units_top", 1.0)?,
+        must_subscribe: f.pairs.get("membership_mode") == Some(&"subscribe"),
+        answer_slack: f.micros_or("rules.answer_slack", 0)?,
+        cold_from: f.real_or("rules.cold_from", 1.0)?,
+        cold: f.micros_or("rules.cold", 0)?,
+        fall_multiple: f.real_or("rules.fall_multiple", 1.0)?,
+        tip_after: f.micros_or("rules.tip_after", 0)?,
+        tick: f.micros_or("tick", 0)?,
+    };
+    Ok(Read { settings, classes, plans, zones })
+}
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -1,114 +1,16 @@
 //! The text protocol of the drill, to and from the types of `api.rs`. Nothing here decides.
 
+use crate::fields::Fields;
+use crate::settings::{self, zone_id, Read};
 use chalkdeck::api::*;
 use chalkdeck::rules::Gateway;
 use std::collections::{BTreeMap, HashMap};
-use std::fmt::{Display, Write};
-use std::str::FromStr;
+use std::fmt::Write;
 
-/// What was wrong with a line.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WireError(pub String);
-
-impl Display for WireError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-impl std::error::Error for WireError {}
+pub use crate::fields::WireError;
 
 type Result<T> = std::result::Result<T, WireError>;
 
-/// The name=value parts of one line.
-struct Fields<'a> {
-    at: u64,
-    message: &'a str,
-    pairs: HashMap<&'a str, &'a str>,
-}
-
-impl<'a> Fields<'a> {
-    fn parse(at: u64, line: &'a str) -> Result<Fields<'a>> {
-        let mut parts = line.split(' ');
-        let message = parts.next().unwrap_or("");
-        let mut pairs = HashMap::new();
-        for part in parts {
-            let Some((name, value)) = part.split_once('=') else {
-                return Err(WireError(format!("line {at}: {message}: expected name=value, found '{part}'")));
-            };
-            pairs.insert(name, value);
-        }
-        Ok(Fields { at, message, pairs })
-    }
-    fn fail<T>(&self, name: &str, wanted: &str) -> Result<T> {
-        let found = self.pairs.get(name).map_or("nothing".to_string(), |v| format!("'{v}'"));
-        let Fields { at, message, .. } = self;
-        Err(WireError(format!("line {at}: {message}: {name}: expected {wanted}, found {found}")))
-    }
-    fn read<T: FromStr>(&self, name: &str, wanted: &str) -> Result<Option<T>> {
-        match self.pairs.get(name) {
-            None => Ok(None),
-            Some(text) => text.parse().map(Some).or_else(|_| self.fail(name, wanted)),
-        }
-    }
-    fn whole(&self, name: &str) -> Result<u64> {
-        self.read(name, "a whole number")?.map_or_else(|| self.fail(name, "a whole number"), Ok)
-    }
-    fn whole_or(&self, name: &str, default: u64) -> Result<u64> {
-        Ok(self.read(name, "a whole number")?.unwrap_or(default))
-    }
-    fn small(&self, name: &str) -> Result<u32> {
-        self.read(name, "a small whole number")?.map_or_else(|| self.fail(name, "a small whole number"), Ok)
-    }
-    fn real_or(&self, name: &str, default: f64) -> Result<f64> {
-        match self.read::<f64>(name, "a number")? {
-            Some(v) if !v.is_finite() => self.fail(name, "a finite number"),
-            v => Ok(v.unwrap_or(default)),
-        }
-    }
-    fn micros_or(&self, name: &str, default: u64) -> Result<Micros> {
-        self.whole_or(name, default).map(Micros)
-    }
-    fn flag_or(&self, name: &str, default: bool) -> Result<bool> {
-        match self.pairs.get(name) {
-            None => Ok(default),
-            Some(&"1") | Some(&"true") => Ok(true),
-            Some(&"0") | Some(&"false") => Ok(false),
-            Some(_) => self.fail(name, "1 or 0"),
-        }
-    }
-    fn text(&self, name: &str) -> Result<&'a str> {
-        self.pairs.get(name).copied().map_or_else(|| self.fail(name, "a text"), Ok)
-    }
-    fn outcome(&self) -> Result<Outcome> {
-        Ok(match self.text("how")? {
-            "200" => Outcome::Ok,
-            "500" => Outcome::Error,
-            "503" => Outcome::Full,
-            "504" => Outcome::Timeout,
-            "502" => Outcome::ConnectFailed,
-            "598" => Outcome::Reset,
-            "499" => Outcome::Cancelled,
-            "410" => Outcome::Moot,
-            _ => return self.fail("how", "one of 200 410 499 500 502 503 504 598"),
-        })
-    }
-    fn report(&self) -> Result<Report> {
-        let mut report = Report::default();
-        for pair in self.pairs.get("report").into_iter().flat_map(|r| r.split(',')) {
-            let value = pair.split_once(':').and_then(|(k, v)| Some((k, v.parse::<f64>().ok()?)));
-            match value {
-                Some(("concurrent", v)) => report.inflight = Some(v),
-                Some(("depth", v)) => report.queue = Some(v),
-                Some(("load_share", v)) => report.busy = Some(v),
-                Some(_) => {}
-                None if pair.is_empty() => {}
-                None => return self.fail("report", "name:number pairs"),
-            }
-        }
-        Ok(report)
-    }
-}
-
 /// One gateway with the names by which the wire knows what it is told of.
 struct Instance {
     gateway: Gateway,
@@ -122,97 +24,16 @@
 impl Instance {
     fn start(f: &Fields) -> Result<Instance> {
         let seed = f.whole("rng_seed")?;
-        let list = |prefix: &str| -> Result<usize> {
-            let count = f.whole_or(&format!("{prefix}.count"), 0)?;
-            if count > 10_000 {
-                return f.fail(&format!("{prefix}.count"), "at most 10000");
-            }
-            Ok(count as usize)
-        };
-        let (mut classes, mut class_list) = (HashMap::new(), Vec::new());
-        for i in 0..list("classes")? {
-            let key = |k: &str| format!("classes.{i}.{k}");
-            classes.insert(f.text(&key("name"))?.to_string(), i);
-            let deadline = Micros(f.whole(&key("deadline"))?);
-            class_list.push(Class {
-                aim: f.micros_or(&key("on_time"), deadline.0)?,
-                deadline,
-                worth: f.real_or(&key("credit"), 1.0)?,
-                late_worth: f.real_or(&key("late_share"), 0.0)?,
-                effect: match f.pairs.get(key("effect").as_str()) {
-                    Some(&"pure") => Effect::Safe,
-                    Some(&"token") => Effect::Keyed,
-                    Some(&"side_effect") | None => Effect::Unsafe,
-                    Some(_) => return f.fail(&key("effect"), "pure, token or side_effect"),
-                },
-                group: match f.pairs.get(key("key_scope").as_str()) {
-                    Some(&"all") => Group::All,
-                    Some(&"zone") => Group::Zone,
-                    Some(&"cell") | None => Group::Cell,
-                    Some(_) => return f.fail(&key("key_scope"), "all, zone or cell"),
-                },
-                window: f.micros_or(&key("window"), 0)?,
-                stream: f.flag_or(&key("streaming"), false)?,
-                by_caller: false,
-            });
-        }
-        let (mut plans, mut plan_list) = (HashMap::new(), Vec::new());
-        for i in 0..list("plans")? {
-            let key = |k: &str| format!("plans.{i}.{k}");
-            let real = |k: &str, default| f.real_or(&key(k), default);
-            plans.insert(f.text(&key("name"))?.to_string(), i);
-            plan_list.push(Plan {
-                rate: real("per_second", 0.0)?,
-                burst: real("peak_units", 0.0)?,
-                open: real("open", 0.0)?,
-                price: real("price", 1.0)?,
-                over_worth: real("extra_worth", 0.0)?,
-                over_cost: real("excess_cost", 0.0)?,
-                ceiling_rate: real("ceiling_rate", 0.0)?,
-                ceiling_burst: real("cap_depth", 0.0)?,
-                ceiling_slack: real("tolerance", 0.0)?,
-            });
-        }
-        let mut zones = HashMap::new();
-        for name in f.pairs.get("zones").into_iter().flat_map(|z| z.split(',')) {
-            let next = zones.len() as u32;
-            zones.entry(name.to_string()).or_insert(next);
-        }
-        let zone = zone_id(&mut zones, f.pairs.get("zone").copied().unwrap_or(""));
-        let settings = Settings {
-            gateways: f.whole_or("balancers", 1)?.min(u32::MAX.into()) as u32,
-            me: f.whole_or("my_number", 0)?.min(u32::MAX.into()) as u32,
-            zone,
-            classes: class_list.clone(),
-            plans: plan_list,
-            max_attempts: f.whole_or("bounds.max_attempts", 1)? as usize,
-            second_copies: f.flag_or("bounds.second_copies", false)?,
-            may_cancel: f.flag_or("bounds.may_cancel", false)?,
-            probes: f.flag_or("bounds.probing", false)?,
-            retry_after: f.flag_or("bounds.retry_after", false)?,
-            max_retry_after: f.micros_or("bounds.max_retry_after", 0)?,
-            counter: f.flag_or("specifics.counter", false)?,
-            count_timeout: f.micros_or("specifics.count_limit", 0)?,
-            most_units: f.real_or("specifics.units_top", 1.0)?,
-            must_subscribe: f.pairs.get("membership_mode") == Some(&"subscribe"),
-            answer_slack: f.micros_or("rules.answer_slack", 0)?,
-            cold_from: f.real_or("rules.cold_from", 1.0)?,
-            cold: f.micros_or("rules.cold", 0)?,
-            fall_multiple: f.real_or("rules.fall_multiple", 1.0)?,
-            tip_after: f.micros_or("rules.tip_after", 0)?,
-            tick: f.micros_or("tick", 0)?,
-        };
+        let Read { settings, classes, plans, zones } = settings::read(f)?;
+        let class_list = settings.classes.clone();
         let gateway = Gateway::new(seed, settings)
             .map_err(|e| WireError(format!("line {}: START: settings: {e}", f.at)))?;
         let addresses = HashMap::new();
         Ok(Instance { gateway, classes, plans, zones, addresses, class_list })
     }
     fn server(&mut self, address: &str) -> ServerId {
-        // The FNV-1a hash: the same number at every gateway; the next free one on a clash.
-        let hash = address
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
-        let mut id = ServerId(hash);
+        // The next free one on a clash.
+        let mut id = settings::server_id(address);
         while self.addresses.get(&id).is_some_and(|known| known != address) {
             id = ServerId(id.0.wrapping_add(1));
         }
@@ -304,11 +125,6 @@
     }
 }
 
-fn zone_id(zones: &mut HashMap<String, u32>, name: &str) -> ZoneId {
-    let next = zones.len() as u32;
-    ZoneId(*zones.entry(name.to_string()).or_insert(next))
-}
-
 /// A list event whose entry lines are still coming.
 struct OpenList {
     scope: ListScope,
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -14,7 +14,7 @@
 type ClientHandshake = Pin<Box<dyn Future<Output = Result<ClientLink, h2::Error>> + Send>>;
 
 pub(crate) enum Link {
-    Connecting(Option<TcpStream>),
+    Connecting(Option<TcpStream>, Speaks),
     Greeting(ClientHandshake),
     Client(h2::client::SendRequest<Bytes>, Box<h2::client::Connection<Io, Bytes>>),
     Welcome(Box<h2::server::Handshake<Io, Bytes>>),
@@ -59,8 +59,8 @@
     Opened(Box<http::Request<h2::RecvStream>>, h2::server::SendResponse<Bytes>),
     /// A GET on a side port.
     Get(String),
-    /// Plain bytes.
-    Bytes(Bytes),
+    /// Plain bytes, and whether there may be more to read at once.
+    Bytes(Bytes, bool),
     /// It is over.
     Closed(String),
 }
@@ -92,8 +92,8 @@
         }
     }
 
-    pub(crate) fn connecting(stream: TcpStream, limits: Limits, waker: Waker) -> Conn {
-        let link = Link::Connecting(Some(stream));
+    pub(crate) fn connecting(stream: TcpStream, limits: Limits, speaks: Speaks, waker: Waker) -> Conn {
+        let link = Link::Connecting(Some(stream), speaks);
         Conn {
             link,
             waker,
@@ -134,11 +134,15 @@
         }
         loop {
             match &mut self.link {
-                Link::Connecting(stream) => match reached(stream) {
+                Link::Connecting(stream, speaks) => match reached(stream) {
                     Poll::Pending => return Step::Wait,
                     Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
                     Poll::Ready(Ok(stream)) => {
                         self.reached = true;
+                        if *speaks == Speaks::Raw {
+                            self.link = Link::Raw(Raw::new(stream));
+                            return Step::Connected;
+                        }
                         let handshake = client_builder(&self.limits).handshake(Io(stream));
                         self.link = Link::Greeting(Box::pin(handshake));
                     }
@@ -177,7 +181,7 @@
                 },
                 Link::Raw(raw) => match raw.poll() {
                     crate::raw::Step::Wait => return Step::Wait,
-                    crate::raw::Step::Bytes(bytes) => return Step::Bytes(bytes),
+                    crate::raw::Step::Bytes(bytes, more) => return Step::Bytes(bytes, more),
                     crate::raw::Step::Close(why) => return Step::Closed(why),
                 },
                 Link::Closed => return Step::Wait,
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -5,7 +5,6 @@
 
 use crate::clock::Clock;
 use crate::conn::{Conn, Link, Speaks, Step};
-use crate::raw::Raw;
 use crate::stream::{Outgoing, Stream};
 use crate::wake::{Ready, Turn};
 use bytes::Bytes;
@@ -18,7 +17,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::task::Waker;
 use std::time::Duration;
 
 macro_rules! id {
@@ -90,8 +88,8 @@
     Accepted { listener: ListenerId, conn: ConnId },
     /// A connection that was asked for stands.
     Connected { conn: ConnId },
-    /// A connection is over. `reached`: it once stood.
-    Closed { conn: ConnId, reached: bool, why: String },
+    /// A connection is over. `reached`: it once stood. `unsent`: bytes queued on a plain one that were never written.
+    Closed { conn: ConnId, reached: bool, unsent: usize, why: String },
     /// A client opened a stream. `ended`: it has no body.
     Opened { stream: StreamId, conn: ConnId, head: Box<request::Parts>, ended: bool },
     /// The head of an answer came.
@@ -138,7 +136,7 @@
     clock: Clock,
     next: u64,
     listeners: FxHashMap<u64, Listener>,
-    conns: FxHashMap<u64, Conn>,
+    pub(crate) conns: FxHashMap<u64, Conn>,
     streams: FxHashMap<u64, Box<Stream>>,
     timers: BinaryHeap<Reverse<(u64, u64)>>,
     /// When a connection is to be pinged.
@@ -148,6 +146,8 @@
     opens: usize,
     /// Listeners with more connections to take in.
     accepting: Vec<u64>,
+    /// Plain connections with bytes queued in this turn; they are written before the next wait.
+    pub(crate) dirty: Vec<u64>,
 }
 
 impl Engine {
@@ -172,6 +172,7 @@
             out: VecDeque::new(),
             opens: 0,
             accepting: Vec::new(),
+            dirty: Vec::new(),
         })
     }
 
@@ -242,13 +243,22 @@
 
     /// Begins a connection; `Connected` or `Closed` follows. Errors: no socket, or refused at once.
     pub fn connect(&mut self, address: SocketAddr, limits: Limits) -> io::Result<ConnId> {
+        self.dial(address, limits, Speaks::Http2)
+    }
+
+    /// The same for a connection of plain bytes, on which nothing may be queued before `Connected`.
+    pub fn connect_raw(&mut self, address: SocketAddr) -> io::Result<ConnId> {
+        self.dial(address, Limits::default(), Speaks::Raw)
+    }
+
+    fn dial(&mut self, address: SocketAddr, limits: Limits, speaks: Speaks) -> io::Result<ConnId> {
         let mut stream = TcpStream::connect(address)?;
         let _ = stream.set_nodelay(true);
         let id = self.id();
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(id as usize), interest)?;
         let waker = self.ready.waker(id, Turn::First);
-        self.conns.insert(id, Conn::connecting(stream, limits, waker));
+        self.conns.insert(id, Conn::connecting(stream, limits, speaks, waker));
         Ok(ConnId(id))
     }
 
@@ -357,39 +367,6 @@
         }
     }
 
-    fn raw(&mut self, conn: ConnId) -> Option<(&mut Raw, &Waker)> {
-        match self.conns.get_mut(&conn.0) {
-            Some(Conn { link: Link::Raw(raw), waker, .. }) => Some((raw, waker)),
-            _ => None,
-        }
-    }
-
-    /// Queues bytes on a plain connection.
-    pub fn write(&mut self, conn: ConnId, bytes: &[u8]) {
-        if let Some((raw, waker)) = self.raw(conn) {
-            raw.write(bytes);
-            waker.wake_by_ref();
-        }
-    }
-    /// Bytes queued on a plain connection that its peer has not taken.
-    pub fn unsent(&mut self, conn: ConnId) -> usize {
-        self.raw(conn).map_or(0, |(raw, _)| raw.unsent())
-    }
-    /// Reads nothing from a plain connection, or goes on.
-    pub fn pause(&mut self, conn: ConnId, paused: bool) {
-        if let Some((raw, waker)) = self.raw(conn).filter(|(raw, _)| raw.paused != paused) {
-            raw.paused = paused;
-            waker.wake_by_ref();
-        }
-    }
-    /// Ends a plain connection once its queued bytes are out.
-    pub fn end(&mut self, conn: ConnId) {
-        if let Some((raw, waker)) = self.raw(conn) {
-            raw.ending = true;
-            waker.wake_by_ref();
-        }
-    }
-
     /// `Event::Timer(token)` at that time. Timers are not taken back; stale ones are the caller's to ignore.
     pub fn timer(&mut self, at: u64, token: u64) {
         self.timers.push(Reverse((at, token)));
@@ -397,6 +374,7 @@
 
     /// Waits until something happens, at most so many microseconds, and hands over what did.
     pub fn turn(&mut self, most_wait: u64, events: &mut Vec<Event>) -> io::Result<()> {
+        self.write_dirty();
         let idle = self.ready.is_empty() && self.out.is_empty() && self.accepting.is_empty();
         let next =
             [self.timers.peek(), self.pings.peek()].into_iter().flatten().map(|Reverse((at, _))| *at).min();
@@ -407,7 +385,15 @@
             other => other?,
         }
         let mut touched = std::mem::take(&mut self.accepting);
-        touched.extend(self.readiness.iter().map(|e| e.token().0 as u64));
+        for event in &self.readiness {
+            let key = event.token().0 as u64;
+            touched.push(key);
+            if event.is_read_closed() || event.is_error() {
+                if let Some(Conn { link: Link::Raw(raw), .. }) = self.conns.get_mut(&key) {
+                    raw.ends = true;
+                }
+            }
+        }
         for key in touched {
             if self.listeners.contains_key(&key) {
                 self.accept(key);
@@ -505,10 +491,15 @@
                     self.out.push_back(Event::Get { conn: ConnId(key), path });
                     return;
                 }
-                Step::Bytes(data) => {
+                Step::Bytes(data, more) => {
                     // One piece a turn, so that no connection keeps the others waiting.
-                    conn.waker.wake_by_ref();
-                    return self.out.push_back(Event::Bytes { conn: ConnId(key), data });
+                    if more {
+                        conn.waker.wake_by_ref();
+                    }
+                    if !data.is_empty() {
+                        self.out.push_back(Event::Bytes { conn: ConnId(key), data });
+                    }
+                    return;
                 }
                 Step::Opened(request, respond) => {
                     conn.streams += 1;
@@ -552,7 +543,8 @@
                 self.accept(conn.listener.unwrap_or(0));
             }
         }
-        self.out.push_back(Event::Closed { conn: ConnId(key), reached: conn.reached, why });
+        let unsent = if let Link::Raw(raw) = &conn.link { raw.unsent() } else { 0 };
+        self.out.push_back(Event::Closed { conn: ConnId(key), reached: conn.reached, unsent, why });
     }
 
     fn accept(&mut self, key: u64) {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod clock;
 mod conn;
+pub mod due;
 pub mod engine;
 pub mod grpc;
 mod http1;
 mod io;
+mod plain;
 mod raw;
 pub mod signals;
 mod stream;
--- /dev/null
+++ b/crates/net/src/plain.rs
@@ -0,0 +1,65 @@
+//! What the loop does for plain connections: bytes queued and written, their ends, and what waits on an idle one.
+
+use crate::conn::{Conn, Link};
+use crate::engine::{ConnId, Engine};
+use crate::raw::{Ending, Raw};
+use std::task::Waker;
+
+impl Engine {
+    fn raw(&mut self, conn: ConnId) -> Option<(&mut Raw, &Waker)> {
+        match self.conns.get_mut(&conn.0) {
+            Some(Conn { link: Link::Raw(raw), waker, .. }) => Some((raw, waker)),
+            _ => None,
+        }
+    }
+
+    /// Queues bytes on a plain connection.
+    pub fn write(&mut self, conn: ConnId, bytes: &[u8]) {
+        if let Some((raw, _)) = self.raw(conn) {
+            if raw.write(bytes) {
+                self.dirty.push(conn.0);
+            }
+        }
+    }
+    /// Bytes queued on a plain connection that its peer has not taken.
+    pub fn unsent(&mut self, conn: ConnId) -> usize {
+        self.raw(conn).map_or(0, |(raw, _)| raw.unsent())
+    }
+    /// Reads nothing from a plain connection, or goes on.
+    pub fn pause(&mut self, conn: ConnId, paused: bool) {
+        if let Some((raw, waker)) = self.raw(conn).filter(|(raw, _)| raw.paused != paused) {
+            raw.paused = paused;
+            waker.wake_by_ref();
+        }
+    }
+    /// Ends a plain connection once its queued bytes are out.
+    pub fn end(&mut self, conn: ConnId) {
+        if let Some((raw, waker)) = self.raw(conn) {
+            raw.ending = Ending::Close;
+            waker.wake_by_ref();
+        }
+    }
+    /// Ends our direction of a plain connection once its queued bytes are out, then drops what comes until the peer ends
+    /// it or `close`: a close over unread bytes would take the last answer from the peer.
+    pub fn linger(&mut self, conn: ConnId) {
+        if let Some((raw, waker)) = self.raw(conn) {
+            raw.ending = Ending::Linger;
+            waker.wake_by_ref();
+        }
+    }
+    /// Whether a plain connection stands with nothing to read: no end, no error and no bytes that nobody asked for.
+    pub fn is_quiet(&mut self, conn: ConnId) -> bool {
+        self.raw(conn).is_some_and(|(raw, _)| raw.is_quiet())
+    }
+
+    pub(crate) fn write_dirty(&mut self) {
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(Conn { link: Link::Raw(raw), waker, .. }) = self.conns.get_mut(&key) else { continue };
+            raw.dirty = false;
+            // An error is met again and told when the connection is polled.
+            if raw.flush().is_err() {
+                waker.wake_by_ref();
+            }
+        }
+    }
+}
--- a/crates/net/src/raw.rs
+++ b/crates/net/src/raw.rs
@@ -3,49 +3,83 @@
 use bytes::{Buf, Bytes, BytesMut};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
+use std::net::Shutdown;
 
 /// Bytes that one read takes at the most.
 const CHUNK: usize = 16 << 10;
+/// Reads of bytes that nobody wants, before others have their turn.
+const DROPS: usize = 16;
+
+/// How our direction ends, once the queued bytes are out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// It does not.
+    No,
+    /// With the connection.
+    Close,
+    /// Alone: what comes is dropped until the peer ends too.
+    Linger,
+}
 
 pub(crate) struct Raw {
     stream: TcpStream,
     out: BytesMut,
     pub(crate) paused: bool,
-    pub(crate) ending: bool,
+    pub(crate) ending: Ending,
+    /// Our direction was ended.
+    shut: bool,
+    /// Bytes are queued that no write was tried for.
+    pub(crate) dirty: bool,
+    /// The peer's end, or an error, was seen: a short read is not the last.
+    pub(crate) ends: bool,
 }
 
 pub(crate) enum Step {
     Wait,
-    Bytes(Bytes),
+    /// Bytes, and whether there may be more to read at once.
+    Bytes(Bytes, bool),
     Close(String),
 }
 
 impl Raw {
     pub(crate) fn new(stream: TcpStream) -> Raw {
-        Raw { stream, out: BytesMut::new(), paused: false, ending: false }
+        let (out, ending) = (BytesMut::new(), Ending::No);
+        Raw { stream, out, paused: false, ending, shut: false, dirty: false, ends: false }
     }
-    pub(crate) fn write(&mut self, bytes: &[u8]) {
+    /// Queues bytes; returns whether the connection was not dirty before.
+    pub(crate) fn write(&mut self, bytes: &[u8]) -> bool {
         self.out.extend_from_slice(bytes);
+        !std::mem::replace(&mut self.dirty, true)
     }
     pub(crate) fn unsent(&self) -> usize {
         self.out.len()
     }
+    pub(crate) fn is_quiet(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
 
     pub(crate) fn poll(&mut self) -> Step {
         if let Err(e) = self.flush() {
             return Step::Close(e.to_string());
         }
-        if self.ending && self.out.is_empty() {
-            return Step::Close("closed here".to_string());
-        }
-        if self.paused || self.ending {
-            return Step::Wait;
+        match self.ending {
+            Ending::No if self.paused => Step::Wait,
+            Ending::No => self.read(),
+            _ if !self.out.is_empty() => Step::Wait,
+            Ending::Close => Step::Close("closed here".to_string()),
+            Ending::Linger => self.drop_input(),
         }
+    }
+
+    fn read(&mut self) -> Step {
         let mut chunk = [0; CHUNK];
         loop {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Step::Close("closed by the peer".to_string()),
-                Ok(n) => return Step::Bytes(Bytes::copy_from_slice(&chunk[..n])),
+                // Readiness is told once: a short read emptied the socket, what comes later is told anew.
+                Ok(n) => {
+                    return Step::Bytes(Bytes::copy_from_slice(&chunk[..n]), n == CHUNK || self.ends);
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Step::Wait,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Step::Close(e.to_string()),
@@ -53,7 +87,20 @@
         }
     }
 
-    fn flush(&mut self) -> io::Result<()> {
+    fn drop_input(&mut self) -> Step {
+        if !std::mem::replace(&mut self.shut, true) && self.stream.shutdown(Shutdown::Write).is_err() {
+            return Step::Close("closed by the peer".to_string());
+        }
+        for _ in 0..DROPS {
+            match self.read() {
+                Step::Bytes(..) => {}
+                step => return step,
+            }
+        }
+        Step::Bytes(Bytes::new(), true)
+    }
+
+    pub(crate) fn flush(&mut self) -> io::Result<()> {
         while !self.out.is_empty() {
             match self.stream.write(&self.out) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
--- /dev/null
+++ b/crates/platform/src/backends.rs
@@ -0,0 +1,304 @@
+//! Connections to the backends, one request on each at a time: giving an attempt up closes its connection, and with it
+//! whatever else waits there. The one fact that counts of a broken one: whether the last byte of its request was written.
+
+use crate::list::{List, Server};
+use crate::outcome::{answered, Answered};
+use crate::request::Command;
+use bytes::{Bytes, BytesMut};
+use chalkdeck::api::{Listed, Outcome, Report, RequestId, ServerId};
+use chalkdeck_net::{ConnId, Engine};
+use chalkdeck_resp::{take_reply, Bounds, Reply};
+use rustc_hash::FxHashMap;
+use std::net::SocketAddr;
+
+/// What is read of a backend's answer: a value of 64 KiB, figures on use, a load report.
+const BOUNDS: Bounds = Bounds { words: 8, word: 64 << 10, message: 72 << 10, inline: false };
+/// A kept connection is let go this part of its idle time before the backend closes it.
+const IDLE_PART: f64 = 0.8;
+/// The longest that a kept connection stays unused, in microseconds.
+const IDLE_MOST: u64 = 10_000_000;
+/// A second copy or noise right behind an answer has come by then, in microseconds; until then its connection is not used
+/// again.
+const SETTLE: u64 = 2_000;
+
+/// One attempt of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct AttemptId {
+    pub(crate) request: RequestId,
+    pub(crate) number: usize,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    pub(crate) attempt: AttemptId,
+    pub(crate) server: ServerId,
+    pub(crate) outcome: Outcome,
+    pub(crate) took: u64,
+    pub(crate) report: Report,
+    /// What a served client gets.
+    pub(crate) value: Option<Bytes>,
+}
+
+/// What sending an attempt led to at once.
+pub(crate) enum Sent {
+    /// It is on its way.
+    Under(Option<ConnId>),
+    /// It ended.
+    Ended(Ended),
+}
+
+struct Out {
+    attempt: AttemptId,
+    since: u64,
+    until: u64,
+    /// What is written once the connection stands.
+    command: Option<Command>,
+}
+
+struct Link {
+    server: ServerId,
+    address: SocketAddr,
+    bytes: BytesMut,
+    out: Option<Out>,
+    /// Since when it is not in use.
+    idle: u64,
+}
+
+/// All connections to backends. Bound: `most` of them; each holds one answer's bytes at the most.
+pub(crate) struct Backends {
+    servers: FxHashMap<ServerId, SocketAddr>,
+    links: FxHashMap<ConnId, Link>,
+    out: FxHashMap<AttemptId, ConnId>,
+    /// Kept connections, the one used last at the end.
+    idle: FxHashMap<ServerId, Vec<ConnId>>,
+    most: usize,
+    keep: u64,
+}
+
+impl Backends {
+    /// `idle`: when a backend closes a connection that is not used; 0: never.
+    pub(crate) fn new(most: usize, idle: u64) -> Backends {
+        let keep = if idle > 0 { (idle as f64 * IDLE_PART) as u64 } else { IDLE_MOST };
+        Backends {
+            servers: FxHashMap::default(),
+            links: FxHashMap::default(),
+            out: FxHashMap::default(),
+            idle: FxHashMap::default(),
+            most,
+            keep: keep.min(IDLE_MOST),
+        }
+    }
+
+    /// Takes news of the list. Kept connections to what is gone, drained or moved are closed; what is under way goes on.
+    pub(crate) fn update(&mut self, engine: &mut Engine, list: &List) {
+        let mut old: Vec<ServerId> = Vec::new();
+        if list.snapshot {
+            old = self.servers.keys().copied().collect();
+            self.servers.clear();
+        }
+        for Server { address, entry } in &list.servers {
+            old.push(entry.server);
+            if entry.listed == Listed::Gone {
+                self.servers.remove(&entry.server);
+            } else {
+                self.servers.insert(entry.server, *address);
+            }
+        }
+        let usable: FxHashMap<ServerId, SocketAddr> = self.servers.clone();
+        let drained = |id: ServerId| {
+            list.servers.iter().any(|s| s.entry.server == id && s.entry.listed != Listed::InService)
+        };
+        for id in old {
+            let Some(kept) = self.idle.get(&id) else { continue };
+            let stale = |c: &ConnId| {
+                drained(id) || self.links.get(c).is_none_or(|l| usable.get(&id) != Some(&l.address))
+            };
+            let stale: Vec<ConnId> = kept.iter().copied().filter(|c| stale(c)).collect();
+            stale.into_iter().for_each(|conn| self.drop_idle(engine, conn));
+        }
+    }
+
+    /// Sends an attempt to a backend, to be given up at `until`.
+    pub(crate) fn send(
+        &mut self,
+        engine: &mut Engine,
+        attempt: AttemptId,
+        server: ServerId,
+        until: u64,
+        command: &Command,
+    ) -> Sent {
+        let now = engine.now();
+        let out = Out { attempt, since: now, until, command: None };
+        if let Some(conn) = self.take_idle(engine, server) {
+            write(engine, conn, command, until);
+            self.out.insert(attempt, conn);
+            self.links.entry(conn).and_modify(|l| l.out = Some(out));
+            return Sent::Under(None);
+        }
+        let not = |outcome| {
+            Sent::Ended(Ended { attempt, server, outcome, took: 0, report: Report::default(), value: None })
+        };
+        let Some(address) = self.servers.get(&server).copied() else { return not(Outcome::ConnectFailed) };
+        if self.links.len() >= self.most && !self.drop_longest_idle(engine) {
+            return not(Outcome::Moot);
+        }
+        let Ok(conn) = engine.connect_raw(address) else { return not(Outcome::ConnectFailed) };
+        let out = Some(Out { command: Some(command.clone()), ..out });
+        self.links.insert(conn, Link { server, address, bytes: BytesMut::new(), out, idle: 0 });
+        self.out.insert(attempt, conn);
+        Sent::Under(Some(conn))
+    }
+
+    /// A kept connection that still stands and is quiet. One that ended, or that brings what nobody asked for, goes.
+    fn take_idle(&mut self, engine: &mut Engine, server: ServerId) -> Option<ConnId> {
+        let now = engine.now();
+        loop {
+            let kept = self.idle.get(&server)?;
+            let settled = |c: &&ConnId| self.links.get(c).is_some_and(|l| now >= l.idle + SETTLE);
+            let conn = *kept.iter().rev().find(settled)?;
+            let fresh = self.links.get(&conn).is_some_and(|l| now < l.idle + self.keep);
+            if fresh && engine.is_quiet(conn) {
+                self.idle.entry(server).and_modify(|kept| kept.retain(|c| *c != conn));
+                return Some(conn);
+            }
+            self.drop_idle(engine, conn);
+        }
+    }
+
+    fn drop_idle(&mut self, engine: &mut Engine, conn: ConnId) {
+        self.unlink(conn);
+        engine.close(conn);
+    }
+
+    /// Forgets a connection.
+    fn unlink(&mut self, conn: ConnId) -> Option<Link> {
+        let link = self.links.remove(&conn)?;
+        if let Some(kept) = self.idle.get_mut(&link.server) {
+            kept.retain(|c| *c != conn);
+            if kept.is_empty() {
+                self.idle.remove(&link.server);
+            }
+        }
+        if let Some(out) = &link.out {
+            self.out.remove(&out.attempt);
+        }
+        Some(link)
+    }
+
+    /// Makes room for a connection to another backend.
+    fn drop_longest_idle(&mut self, engine: &mut Engine) -> bool {
+        let idle = self.links.iter().filter(|(_, l)| l.out.is_none());
+        let Some(conn) = idle.min_by_key(|(conn, l)| (l.idle, **conn)).map(|(conn, _)| *conn) else {
+            return false;
+        };
+        self.drop_idle(engine, conn);
+        true
+    }
+
+    /// Closes kept connections that were not used for long.
+    pub(crate) fn sweep(&mut self, engine: &mut Engine) {
+        let now = engine.now();
+        let old = |l: &Link| l.out.is_none() && now >= l.idle + self.keep;
+        let stale: Vec<ConnId> = self.links.iter().filter(|(_, l)| old(l)).map(|(c, _)| *c).collect();
+        stale.into_iter().for_each(|conn| self.drop_idle(engine, conn));
+    }
+
+    pub(crate) fn owns(&self, conn: ConnId) -> bool {
+        self.links.contains_key(&conn)
+    }
+
+    /// A connection stands.
+    pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) {
+        let Some(out) = self.links.get_mut(&conn).and_then(|l| l.out.as_mut()) else { return };
+        if let Some(command) = out.command.take() {
+            write(engine, conn, &command, out.until);
+        }
+    }
+
+    /// Bytes came.
+    pub(crate) fn bytes(&mut self, engine: &mut Engine, conn: ConnId, data: &[u8]) -> Option<Ended> {
+        let link = self.links.get_mut(&conn)?;
+        if link.out.is_none() {
+            // Nobody asked for them.
+            self.drop_idle(engine, conn);
+            return None;
+        }
+        link.bytes.extend_from_slice(data);
+        let said = match take_reply(&mut link.bytes, &BOUNDS) {
+            Reply::Partial => return None,
+            Reply::Whole(frame) => answered(frame),
+            Reply::Bad(_) => Answered::Spoilt,
+        };
+        // More than one answer, or bytes that no backend sends: of no further use.
+        let over = said == Answered::Spoilt || !link.bytes.is_empty() || engine.unsent(conn) > 0;
+        let out = link.out.take()?;
+        let server = link.server;
+        self.out.remove(&out.attempt);
+        let (outcome, report, value) = match said {
+            Answered::Served(value, report) => (Outcome::Ok, report, Some(value)),
+            Answered::Not(outcome, report) => (outcome, report, None),
+            // It has run, and what it made is lost.
+            Answered::Spoilt => (Outcome::Error, Report::default(), None),
+        };
+        let now = engine.now();
+        if over {
+            self.drop_idle(engine, conn);
+        } else {
+            self.keep(now, conn);
+        }
+        let took = now.saturating_sub(out.since);
+        Some(Ended { attempt: out.attempt, server, outcome, took, report, value })
+    }
+
+    fn keep(&mut self, now: u64, conn: ConnId) {
+        let Some(link) = self.links.get_mut(&conn) else { return };
+        link.idle = now;
+        // A large answer's room is given back.
+        link.bytes = BytesMut::new();
+        self.idle.entry(link.server).or_default().push(conn);
+    }
+
+    /// A connection is over.
+    pub(crate) fn closed(&mut self, now: u64, conn: ConnId, unsent: usize) -> Option<Ended> {
+        let link = self.unlink(conn)?;
+        let out = link.out?;
+        let written = out.command.is_none() && unsent == 0;
+        let outcome = if written { Outcome::Reset } else { Outcome::ConnectFailed };
+        let took = now.saturating_sub(out.since);
+        let (attempt, report) = (out.attempt, Report::default());
+        Some(Ended { attempt, server: link.server, outcome, took, report, value: None })
+    }
+
+    /// Gives an attempt up: its connection is closed. `how`: the end of one that was written whole.
+    pub(crate) fn give_up(&mut self, engine: &mut Engine, attempt: AttemptId, how: Outcome) -> Option<Ended> {
+        let conn = *self.out.get(&attempt)?;
+        let unsent = engine.unsent(conn);
+        let mut ended = self.closed(engine.now(), conn, unsent)?;
+        engine.close(conn);
+        ended.outcome = match (ended.outcome, how) {
+            (Outcome::Reset, how) => how,
+            (_, Outcome::Cancelled) => Outcome::Moot,
+            (outcome, _) => outcome,
+        };
+        Some(ended)
+    }
+
+    /// A connection was not made in time.
+    pub(crate) fn dial_over(&mut self, engine: &mut Engine, conn: ConnId) -> Option<Ended> {
+        let waits = |l: &Link| l.out.as_ref().is_some_and(|o| o.command.is_some());
+        if !self.links.get(&conn).is_some_and(waits) {
+            return None;
+        }
+        let ended = self.closed(engine.now(), conn, 0);
+        engine.close(conn);
+        ended
+    }
+}
+
+fn write(engine: &mut Engine, conn: ConnId, command: &Command, until: u64) {
+    let wait_ms = (until.saturating_sub(engine.now()) / 1_000).max(1);
+    let mut out = BytesMut::new();
+    command.push(&mut out, wait_ms);
+    engine.write(conn, &out);
+}
--- /dev/null
+++ b/crates/platform/src/config.rs
@@ -0,0 +1,247 @@
+//! What the platform tells a gateway: variables and one JSON file. The settings go through the drill's own reader.
+
+use crate::list::{self, List};
+use chalkdeck::api::Settings;
+use chalkdeck_drill::settings::{self, Read};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// The variable that names the file.
+pub const FILE: &str = "ROUTER_CONFIG";
+/// The longest file that is read.
+const MOST_BYTES: u64 = 16 << 20;
+
+/// What is wrong with a configuration, and where.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{place}: {what}")]
+pub struct ConfigError {
+    /// The variable or the file.
+    pub place: String,
+    /// What was found there and what was expected.
+    pub what: String,
+}
+
+/// What the platform grants a gateway.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// Memory in MB; beyond, the gateway is killed.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
+    /// File descriptors.
+    #[serde(default = "default_sockets")]
+    pub sockets: usize,
+}
+
+fn default_memory() -> f64 {
+    192.0
+}
+fn default_sockets() -> usize {
+    1024
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: default_memory(), sockets: default_sockets() }
+    }
+}
+
+/// The file as it stands.
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: String,
+    discovery: String,
+    counter: Option<String>,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<Value>,
+    settings: Value,
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where it was read, and where it is read again.
+    pub file: PathBuf,
+    /// The gateway's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Where the counter answers; none: there is none.
+    pub counter: Option<SocketAddr>,
+    /// The seed of random numbers.
+    pub seed: u64,
+    /// What the platform grants.
+    pub limits: Limits,
+    /// The backends as this gateway last had them; none: the list could not be read.
+    pub known: Option<List>,
+    /// What the decisions take, and the names in it.
+    pub read: Read,
+    /// A connection to a backend or the counter not made by then has failed, in microseconds.
+    pub dial_timeout: u64,
+    /// A backend closes a connection that was idle for so long, in microseconds; 0: never.
+    pub idle: u64,
+}
+
+impl Config {
+    /// Reads the file that the environment names. Errors: the variable is missing; see `load`.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        match std::env::var_os(FILE) {
+            Some(file) if !file.is_empty() => Config::load(Path::new(&file)),
+            _ => {
+                Err(ConfigError { place: FILE.into(), what: "expected the path of the configuration".into() })
+            }
+        }
+    }
+
+    /// Reads a file. Errors name the field, what was expected and what was found.
+    pub fn load(file: &Path) -> Result<Config, ConfigError> {
+        let fail = |what: String| ConfigError { place: file.display().to_string(), what };
+        let size = std::fs::metadata(file).map_err(|e| fail(e.to_string()))?.len();
+        if size > MOST_BYTES {
+            return Err(fail(format!("expected at most {MOST_BYTES} bytes, found {size}")));
+        }
+        let text = std::fs::read(file).map_err(|e| fail(e.to_string()))?;
+        Config::parse(file, &text).map_err(fail)
+    }
+
+    fn parse(file: &Path, text: &[u8]) -> Result<Config, String> {
+        let told: File =
+            serde_json::from_slice(text).map_err(|e| format!("expected a configuration: {e}"))?;
+        let paths = flatten(&told.settings);
+        let mut read = settings::read_paths(&paths).map_err(|e| e.to_string())?;
+        read.settings.check().map_err(|e| format!("settings: {e}"))?;
+        let micros = |path: &str, default: u64| match paths.get(path) {
+            None => Ok(default),
+            Some(text) => text.parse::<u64>().map_err(|_| {
+                format!("settings: {path}: expected a whole number of microseconds, found '{text}'")
+            }),
+        };
+        let known = told.known.as_ref().map(|k| list::read(k, &mut read.zones)).transpose();
+        if let Err(e) = &known {
+            tracing::warn!("known: {e}: starts with no list");
+        }
+        Ok(Config {
+            file: file.to_path_buf(),
+            name: told.name,
+            listen: address("listen", &told.listen)?,
+            discovery: address("discovery", &told.discovery)?,
+            counter: told.counter.as_deref().map(|a| address("counter", a)).transpose()?,
+            seed: seed(&told.seed)?,
+            limits: told.limits,
+            known: known.unwrap_or_default(),
+            dial_timeout: micros("bounds.dial_timeout", 250_000)?,
+            idle: micros("bounds.conn_idle", 0)?,
+            read,
+        })
+    }
+
+    /// What the decisions take.
+    pub fn settings(&self) -> &Settings {
+        &self.read.settings
+    }
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{field}: expected ip:port, found '{text}'"))
+}
+
+fn seed(text: &str) -> Result<u64, String> {
+    match text {
+        "" => Ok(0),
+        text => {
+            u64::from_str_radix(text, 16).map_err(|_| format!("seed: expected hex digits, found '{text}'"))
+        }
+    }
+}
+
+/// Nested JSON as the paths that the drill's wire has: a list of objects puts its length under `.count`, plain lists are joined
+/// with commas, and spaces and commas inside a text turn into `_`.
+fn flatten(settings: &Value) -> HashMap<String, String> {
+    let mut paths = HashMap::new();
+    put(&mut paths, String::new(), settings);
+    paths
+}
+
+fn put(paths: &mut HashMap<String, String>, path: String, value: &Value) {
+    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| put(paths, below(name), v)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            paths.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| put(paths, below(&i.to_string()), v));
+        }
+        Value::Array(items) => {
+            paths.insert(path, items.iter().filter_map(plain).collect::<Vec<_>>().join(","));
+        }
+        value => paths.extend(plain(value).map(|text| (path, text))),
+    }
+}
+
+fn plain(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(text.replace([' ', ','], "_")),
+        Value::Number(n) => Some(n.to_string()),
+        Value::Bool(b) => Some(b.to_string()),
+        _ => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn file(settings: &str) -> String {
+        format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","counter":"127.0.0.1:3","seed":"ff",
+            "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
+            "known":{{"index":4,"snapshot":true,"endpoints":[{{"name":"s-1","address":"127.0.0.1:9","zone":"south hall",
+            "group":2,"status":"ready","weight":2.0,"since_ms":0}}]}},"settings":{settings}}}"#
+        )
+    }
+    const SETTINGS: &str = r#"{"balancers":3,"my_number":1,"tick":2000,"zone":"north hall","zones":["north hall","south hall"],
+        "bounds":{"max_attempts":6,"dial_timeout":250000,"conn_idle":30000000,"second_copies":true},
+        "classes":[{"name":"view","deadline":3000000,"effect":"pure","credit":2.0}],
+        "plans":[{"name":"mbegu","per_second":3.5,"peak_units":12.0}],"rules":{"cold":18000000}}"#;
+
+    #[test]
+    fn settings_are_read_under_the_names_of_the_drills_wire() {
+        let config = Config::parse(Path::new("c.json"), file(SETTINGS).as_bytes()).expect("it is sound");
+        let set = config.settings();
+        assert_eq!((set.gateways, set.me, set.max_attempts, set.second_copies), (3, 1, 6, true));
+        assert_eq!((set.plans[0].rate, set.classes[0].worth, set.cold.0), (3.5, 2.0, 18_000_000));
+        assert_eq!((config.seed, config.limits.sockets, config.idle), (255, 256, 30_000_000));
+        let known = config.known.expect("the list is sound");
+        let zone = config.read.zones["south_hall"];
+        assert_eq!((known.index, known.servers[0].entry.zone.0), (4, zone));
+        assert_eq!(set.zone.0, config.read.zones["north_hall"]);
+    }
+
+    #[test]
+    fn errors_name_the_field_and_what_was_expected() {
+        let load = |text: &str| Config::parse(Path::new("c.json"), text.as_bytes()).map(|_| ());
+        for (text, want) in [
+            ("{", "expected a configuration"),
+            (&file("{\"balancers\":\"x\"}"), "settings: balancers: expected a whole number, found 'x'"),
+            (&file("{\"balancers\":0}"), "settings: gateways: expected at least one"),
+            (
+                &file(SETTINGS).replace("127.0.0.1:2", "nowhere"),
+                "discovery: expected ip:port, found 'nowhere'",
+            ),
+            (&file(SETTINGS).replace("\"ff\"", "\"zz\""), "seed: expected hex digits"),
+        ] {
+            let error = load(text).expect_err(text);
+            assert!(error.contains(want), "{error}");
+        }
+        let missing = Config::load(Path::new("nowhere/c.json")).expect_err("there is no file");
+        assert!(missing.to_string().starts_with("nowhere/c.json: "), "{missing}");
+    }
+}
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,85 @@
+//! The list of backends as discovery tells it.
+
+use chalkdeck::api::{CellId, Listed, Micros, ServerEntry};
+use chalkdeck_drill::settings::{server_id, zone_id};
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// The most backends of one list.
+pub const MOST: usize = 10_000;
+
+/// One backend: where this gateway reaches it, and what the decisions are told of it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its line of the list.
+    pub entry: ServerEntry,
+}
+
+/// One answer of discovery.
+#[derive(Clone, Debug)]
+pub struct List {
+    /// Its version.
+    pub index: u64,
+    /// It is the whole list, not changes alone.
+    pub snapshot: bool,
+    /// Its lines.
+    pub servers: Vec<Server>,
+}
+
+#[derive(Deserialize)]
+struct Wire {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+}
+
+#[derive(Deserialize)]
+struct Endpoint {
+    name: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    group: u64,
+    status: String,
+    weight: Option<f64>,
+    #[serde(default)]
+    since_ms: u64,
+}
+
+/// Reads an answer. A list with one line that cannot be read is not taken at all: the last good one is the better guess.
+pub fn read(value: &Value, zones: &mut HashMap<String, u32>) -> Result<List, String> {
+    let wire = Wire::deserialize(value).map_err(|e| format!("expected a list of endpoints: {e}"))?;
+    if wire.endpoints.len() > MOST {
+        return Err(format!("endpoints: expected at most {MOST}, found {}", wire.endpoints.len()));
+    }
+    let servers = wire.endpoints.iter().map(|e| server(e, zones)).collect::<Result<_, _>>()?;
+    Ok(List { index: wire.index, snapshot: wire.snapshot, servers })
+}
+
+fn server(e: &Endpoint, zones: &mut HashMap<String, u32>) -> Result<Server, String> {
+    let listed = match e.status.as_str() {
+        "ready" => Listed::InService,
+        "draining" => Listed::Draining,
+        "gone" => Listed::Gone,
+        other => {
+            return Err(format!("{}: status: expected ready, draining or gone, found '{other}'", e.name))
+        }
+    };
+    let Ok(address) = e.address.parse() else {
+        return Err(format!("{}: address: expected ip:port, found '{}'", e.name, e.address));
+    };
+    let entry = ServerEntry {
+        server: server_id(&e.name),
+        zone: zone_id(zones, &e.zone.replace([' ', ','], "_")),
+        cell: CellId(e.group),
+        listed,
+        weight: e.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
+        started: (e.since_ms > 0).then(|| Micros(e.since_ms.saturating_mul(1_000))),
+    };
+    Ok(Server { address, entry })
+}
--- /dev/null
+++ b/crates/platform/src/request.rs
@@ -0,0 +1,137 @@
+//! A client's command read as a request. Nothing here decides: what cannot be read is an error line.
+
+use bytes::Bytes;
+use chalkdeck::api::{Arrival, ClassId, CustomerId, Effect, Micros, PlanId, RequestId, Settings};
+use chalkdeck_drill::settings::Read;
+use chalkdeck_resp::push_command;
+
+/// The longest id.
+const MOST_ID: usize = 64;
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+
+/// A command that can be passed on: its words, and where in the list of names the time stands.
+#[derive(Clone, Debug)]
+pub struct Command {
+    words: Vec<Bytes>,
+    /// Place of the value of `d` in the list.
+    time: std::ops::Range<usize>,
+}
+
+impl Command {
+    /// The request's id as the client gave it.
+    pub fn id(&self) -> &Bytes {
+        &self.words[2]
+    }
+    /// Appends the command with the time that the gateway will wait, in milliseconds.
+    pub fn push(&self, out: &mut bytes::BytesMut, wait_ms: u64) {
+        let (list, wait) = (&self.words[3], wait_ms.to_string());
+        let timed = [&list[..self.time.start], wait.as_bytes(), &list[self.time.end..]];
+        let plain: Vec<[&[u8]; 1]> = self.words.iter().map(|w| [&w[..]]).collect();
+        let mut words: Vec<&[&[u8]]> = plain.iter().map(|w| &w[..]).collect();
+        words[3] = &timed;
+        push_command(out, &words);
+    }
+}
+
+/// The values of the list that matter here.
+#[derive(Default)]
+struct Fields<'a> {
+    class: Option<&'a str>,
+    plan: Option<&'a str>,
+    time: Option<&'a str>,
+    key: Option<&'a str>,
+    units: Option<&'a str>,
+    spread: Option<&'a str>,
+    first: Option<&'a str>,
+    retry: Option<&'a str>,
+}
+
+fn fields(list: &str) -> Result<Fields<'_>, String> {
+    let mut fields = Fields::default();
+    for pair in list.split(',') {
+        let Some((name, value)) = pair.split_once('=') else {
+            return Err(format!("expected name=value, found '{}'", pair.escape_debug()));
+        };
+        let place = match name {
+            "c" => &mut fields.class,
+            "t" => &mut fields.plan,
+            "d" => &mut fields.time,
+            "k" => &mut fields.key,
+            "units" => &mut fields.units,
+            "spread" => &mut fields.spread,
+            "first" => &mut fields.first,
+            "r" => &mut fields.retry,
+            _ => continue,
+        };
+        if place.replace(value).is_some() {
+            return Err(format!("{name}: expected once"));
+        }
+    }
+    Ok(fields)
+}
+
+fn whole(name: &str, text: Option<&str>, from: u64, to: u64) -> Result<u64, String> {
+    let digits = text.filter(|t| !t.is_empty() && t.bytes().all(|b| b.is_ascii_digit()));
+    match digits.and_then(|t| t.parse().ok()).filter(|n| (from..=to).contains(n)) {
+        Some(n) => Ok(n),
+        None => Err(format!("{name}: expected a whole number from {from} to {to}")),
+    }
+}
+
+/// Reads a command that came at `now`; the gateway knows the request by `id`. Errors say what was expected.
+pub fn read(words: Vec<Bytes>, id: RequestId, now: u64, names: &Read) -> Result<(Command, Arrival), String> {
+    let set: &Settings = &names.settings;
+    let write = match (words.first().map(|w| &w[..]), words.len()) {
+        (Some(b"API.READ"), 4) => false,
+        (Some(b"API.WRITE"), 5) => true,
+        (Some(b"API.READ" | b"API.WRITE"), _) => return Err("wrong number of arguments".into()),
+        _ => return Err("unknown command".into()),
+    };
+    let hex = std::str::from_utf8(&words[1]).ok().filter(|t| t.len() == 16 && !t.starts_with('+'));
+    let customer = hex.and_then(|t| u64::from_str_radix(t, 16).ok()).filter(|c| *c < CUSTOMERS);
+    let Some(customer) = customer else { return Err("customer: expected 16 hex digits below 2^33".into()) };
+    let sound = |b: &u8| b.is_ascii_graphic();
+    if words[2].is_empty() || words[2].len() > MOST_ID || !words[2].iter().all(sound) {
+        return Err(format!("id: expected 1 to {MOST_ID} letters or digits"));
+    }
+    let Ok(list) = std::str::from_utf8(&words[3]) else { return Err("expected names and values".into()) };
+    let f = fields(list)?;
+    let class = f.class.and_then(|c| names.classes.get(c)).ok_or("c: expected a class of the settings")?;
+    let plan = f.plan.and_then(|t| names.plans.get(t)).ok_or("t: expected a plan of the settings")?;
+    let kind = &set.classes[*class];
+    if write == (kind.effect == Effect::Safe) {
+        return Err("expected API.READ for a class that is safe to repeat, API.WRITE for others".into());
+    }
+    if kind.effect == Effect::Keyed && f.key.is_none_or(str::is_empty) {
+        return Err("k: expected a key in a keyed class".into());
+    }
+    let time = f.time.ok_or("d: expected milliseconds")?;
+    let wait = whole("d", Some(time), 1, u64::MAX / 1_000)?.saturating_mul(1_000).min(kind.deadline.0);
+    let units = f.units.and_then(|u| u.parse::<f64>().ok()).filter(|u| *u > 0.0 && *u <= set.most_units);
+    let Some(units) = units else {
+        return Err(format!("units: expected above 0, at most {}", set.most_units));
+    };
+    let gateways = u64::from(set.gateways);
+    let spread = whole("spread", f.spread, 1, gateways)?;
+    whole("first", f.first, 0, gateways - 1)?;
+    let resent = match f.retry {
+        None | Some("0") => false,
+        Some("1") => true,
+        _ => return Err("r: expected 1".into()),
+    };
+    // `time` is a part of the list, so its place is a difference of addresses.
+    let start = time.as_ptr() as usize - list.as_ptr() as usize;
+    let range = start..start + time.len();
+    let arrival = Arrival {
+        id,
+        class: ClassId(*class),
+        plan: PlanId(*plan),
+        customer: CustomerId(customer),
+        spread: spread as u32,
+        deadline: Micros(now + wait),
+        units,
+        resent,
+    };
+    Ok((Command { words, time: range }, arrival))
+}
--- /dev/null
+++ b/crates/platform/src/shell.rs
@@ -0,0 +1,452 @@
+//! One gateway on the platform: the decisions' events are raised from what happened on its sockets, and their actions are
+//! carried out. Nothing is sent, refused, failed, repeated or called off here that was not decided there.
+
+use crate::backends::{AttemptId, Backends, Ended, Sent};
+use crate::config::{Config, ConfigError};
+use crate::counter::{Counter, Told};
+use crate::discovery::{Discovery, News};
+use crate::front::{error, Came, Front};
+use crate::list::List;
+use crate::request::{self, Command};
+use bytes::Bytes;
+use chalkdeck::api::{
+    Action, AttemptEnd, Event, ListScope, Micros, Outcome, Report, RequestId, ServerId, TimerId,
+};
+use chalkdeck::desk::Desk;
+use chalkdeck::rules::Gateway;
+use chalkdeck_net::due::Dues;
+use chalkdeck_net::signals::Signals;
+use chalkdeck_net::{ConnId, Engine, Event as NetEvent, Limits, ListenerId};
+use chalkdeck_resp::Frame;
+use rustc_hash::FxHashMap;
+use std::io;
+use std::net::SocketAddr;
+
+/// The longest sleep of the loop; signals are looked at that often. In microseconds, as all of these.
+const LONGEST_WAIT: u64 = 100_000;
+/// How often connections are looked at that stand still.
+const SWEEP: u64 = 250_000;
+/// New connections still come so long after SIGTERM, and are served.
+const STOP_SERVES: u64 = 550_000;
+/// Descriptors set aside for the loop, logs, the listener, discovery and the counter (old and new addresses).
+const SET_ASIDE: usize = 32;
+/// Of the others so many hundredths are clients'; the rest are the backends'.
+const CLIENTS_PART: usize = 55;
+/// Of the memory granted, this part may be held as bytes of commands under way.
+const BYTES_PART: f64 = 0.125;
+
+/// What a timer of the loop is for.
+enum Due {
+    Policy(TimerId),
+    GiveUp(AttemptId),
+    Dial(ConnId),
+    Count,
+    Look(u64),
+    Sweep,
+}
+
+/// A request without its final answer.
+struct Call {
+    conn: ConnId,
+    slot: u64,
+    command: Command,
+    bytes: usize,
+    attempts: usize,
+}
+
+/// A running gateway.
+pub struct Shell {
+    engine: Engine,
+    desk: Desk,
+    config: Config,
+    listener: ListenerId,
+    listen: SocketAddr,
+    dues: Dues<Due>,
+    front: Front,
+    calls: FxHashMap<RequestId, Call>,
+    /// Open requests by the ids that clients gave them.
+    ids: FxHashMap<Bytes, RequestId>,
+    next_id: u64,
+    backends: Backends,
+    counter: Option<Counter>,
+    /// A timer for the next call to the counter that ends unanswered is under way.
+    counts_watched: bool,
+    discovery: Discovery,
+    events: Vec<NetEvent>,
+    /// When SIGTERM came, and whether clients are being let go.
+    stop: Option<(u64, bool)>,
+}
+
+impl Shell {
+    /// Binds the listener and begins to ask discovery. Errors: an address that cannot be bound, settings that make no sense.
+    pub fn start(config: Config) -> io::Result<Shell> {
+        let mut engine = Engine::new()?;
+        let sockets = config.limits.sockets.saturating_sub(SET_ASIDE).max(16);
+        let clients = sockets * CLIENTS_PART / 100;
+        // A few beyond the bound, so that a new client can take the place of an idle one.
+        let limits = Limits { connections: clients + SET_ASIDE / 4, ..Limits::default() };
+        let (listener, listen) = engine.listen_raw(config.listen, limits)?;
+        let gateway = Gateway::new(config.seed, config.settings().clone()).map_err(io::Error::other)?;
+        let most_bytes = (config.limits.memory_mb * BYTES_PART * 1e6) as usize;
+        let counter = config.counter.map(|a| Counter::new(a, config.settings().count_timeout.0));
+        let mut shell = Shell {
+            engine,
+            desk: Desk::new(gateway),
+            listener,
+            listen,
+            dues: Dues::default(),
+            front: Front::new(clients, most_bytes),
+            calls: FxHashMap::default(),
+            ids: FxHashMap::default(),
+            next_id: 0,
+            backends: Backends::new(sockets - clients, config.idle),
+            counter,
+            counts_watched: false,
+            discovery: Discovery::new(config.discovery),
+            events: Vec::new(),
+            stop: None,
+            config,
+        };
+        if let Some(known) = shell.config.known.take() {
+            shell.listed(known);
+        }
+        let news = shell.discovery.dial(&mut shell.engine);
+        shell.news(news);
+        shell.due_in(SWEEP, Due::Sweep);
+        shell.settle();
+        Ok(shell)
+    }
+
+    /// Where clients come in.
+    pub fn listen(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Serves until it is asked to stop and all it took is answered.
+    pub fn run(&mut self, signals: &Signals) -> io::Result<()> {
+        loop {
+            self.turn(LONGEST_WAIT)?;
+            if signals.reload() {
+                self.reload();
+            }
+            if signals.stop() && self.stop.is_none() {
+                tracing::info!(open = self.calls.len(), "stopping: serves what still comes, then ends");
+                self.stop = Some((self.engine.now(), false));
+            }
+            if self.stopped() {
+                tracing::info!("stopped");
+                return Ok(());
+            }
+        }
+    }
+
+    /// Lets clients go when no new ones come any more; whether all is done.
+    fn stopped(&mut self) -> bool {
+        let Some((since, letting_go)) = self.stop else { return false };
+        let gone = self.engine.now().saturating_sub(since);
+        if gone < STOP_SERVES {
+            return false;
+        }
+        if !letting_go {
+            self.stop = Some((since, true));
+            self.front.stop(&mut self.engine);
+            self.engine.unlisten(self.listener);
+        }
+        let longest = self.config.settings().classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
+        letting_go && self.front.len() == 0 || gone >= STOP_SERVES + longest
+    }
+
+    /// Waits for what happens, at most so many microseconds, and deals with it.
+    pub fn turn(&mut self, most_wait: u64) -> io::Result<()> {
+        let mut events = std::mem::take(&mut self.events);
+        self.engine.turn(most_wait, &mut events)?;
+        for event in events.drain(..) {
+            self.on_event(event);
+            self.settle();
+        }
+        self.events = events;
+        Ok(())
+    }
+
+    fn on_event(&mut self, event: NetEvent) {
+        match event {
+            NetEvent::Accepted { conn, .. } => self.front.accepted(&mut self.engine, conn),
+            NetEvent::Connected { conn } => self.on_connected(conn),
+            NetEvent::Bytes { conn, data } => self.on_bytes(conn, &data),
+            NetEvent::Closed { conn, unsent, .. } => self.on_closed(conn, unsent),
+            NetEvent::Timer(token) => self.on_due(token),
+            // Streams are HTTP/2's, and there is no side port.
+            _ => {}
+        }
+    }
+
+    fn on_connected(&mut self, conn: ConnId) {
+        let Shell { engine, backends, counter, discovery, .. } = self;
+        if backends.owns(conn) {
+            backends.connected(engine, conn);
+        } else if !discovery.connected(engine, conn) {
+            counter.as_mut().into_iter().for_each(|c| c.connected(engine, conn));
+        }
+    }
+
+    fn on_bytes(&mut self, conn: ConnId, data: &[u8]) {
+        let Shell { engine, backends, counter, discovery, front, config, .. } = self;
+        if front.owns(conn) {
+            front.bytes(engine, conn, data);
+            return self.commands(conn);
+        }
+        if backends.owns(conn) {
+            let ended = backends.bytes(engine, conn, data);
+            return ended.into_iter().for_each(|e| self.ended(e));
+        }
+        if let Some(told) = counter.as_mut().and_then(|c| c.bytes(engine, conn, data)) {
+            return self.counted(told);
+        }
+        let news = discovery.bytes(engine, conn, data, &mut config.read.zones);
+        news.into_iter().flatten().for_each(|n| self.news(n));
+    }
+
+    fn on_closed(&mut self, conn: ConnId, unsent: usize) {
+        if self.front.owns(conn) {
+            for id in self.front.closed(conn) {
+                self.forget(id);
+                self.desk.tell(Event::ClientGone(id));
+            }
+        } else if self.backends.owns(conn) {
+            let ended = self.backends.closed(self.engine.now(), conn, unsent);
+            ended.into_iter().for_each(|e| self.ended(e));
+        } else if let Some(told) = self.counter.as_mut().and_then(|c| c.closed(conn, unsent)) {
+            self.counted(told);
+        } else if let Some(news) = self.discovery.closed(conn) {
+            self.news(news);
+        }
+    }
+
+    fn due_in(&mut self, after: u64, due: Due) {
+        self.dues.set(&mut self.engine, after, due);
+    }
+
+    fn on_due(&mut self, token: u64) {
+        match self.dues.take(token) {
+            Some(Due::Policy(timer)) => self.desk.tell(Event::Timer(timer)),
+            Some(Due::GiveUp(attempt)) => self.give_up(attempt, Outcome::Timeout),
+            Some(Due::Dial(conn)) => {
+                let ended = self.backends.dial_over(&mut self.engine, conn);
+                ended.into_iter().for_each(|e| self.ended(e));
+                let Shell { engine, counter: Some(counter), .. } = self else { return };
+                let told = counter.dial_over(engine, conn);
+                self.counted(told);
+            }
+            Some(Due::Count) => self.count_times_out(),
+            Some(Due::Look(call)) => {
+                let news = self.discovery.due(&mut self.engine, call);
+                news.into_iter().for_each(|n| self.news(n));
+            }
+            Some(Due::Sweep) => {
+                self.due_in(SWEEP, Due::Sweep);
+                self.backends.sweep(&mut self.engine);
+                let resume = self.front.sweep(&mut self.engine);
+                resume.into_iter().for_each(|conn| self.commands(conn));
+            }
+            None => {}
+        }
+    }
+
+    // ---- between the decisions and the sockets ----
+
+    fn settle(&mut self) {
+        while let Some(action) = self.desk.next(Micros(self.engine.now())) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send(id, server, until) => self.send(id, server, until.0),
+            Action::Refuse(id, back) => {
+                let line = match back {
+                    Some(after) => format!("BUSY {}", after.0.div_ceil(1_000)),
+                    None => "BUSY".to_string(),
+                };
+                self.answer(id, Frame::Error(line.into()));
+            }
+            Action::Fail(id) => {
+                self.answer(id, error("failed"));
+            }
+            Action::Cancel(request, number) => {
+                self.give_up(AttemptId { request, number }, Outcome::Cancelled);
+            }
+            Action::Count(name, amount, life) => {
+                let Shell { engine, counter: Some(counter), .. } = self else { return };
+                let (told, dialled) = counter.add(engine, name, amount, life.0);
+                let dial_timeout = self.config.dial_timeout;
+                dialled.into_iter().for_each(|conn| self.due_in(dial_timeout, Due::Dial(conn)));
+                self.watch_counts();
+                self.counted(told);
+            }
+            Action::SetTimer(timer, after) => self.due_in(after.0, Due::Policy(timer)),
+            Action::Probe(server) => {
+                self.desk.tell(Event::Probed(server, Outcome::Moot, Report::default()));
+            }
+            // No class of this platform leaves the work to its caller, and the list is watched in any case.
+            Action::Grant(_) | Action::Subscribe | Action::FetchList => {}
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, until: u64) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let attempt = AttemptId { request: id, number: call.attempts };
+        call.attempts += 1;
+        match self.backends.send(&mut self.engine, attempt, server, until, &call.command) {
+            Sent::Under(dialled) => {
+                let wait = until.saturating_sub(self.engine.now());
+                self.due_in(wait, Due::GiveUp(attempt));
+                let dial_timeout = self.config.dial_timeout;
+                dialled.into_iter().for_each(|conn| self.due_in(dial_timeout, Due::Dial(conn)));
+            }
+            Sent::Ended(ended) => self.ended(ended),
+        }
+    }
+
+    fn give_up(&mut self, attempt: AttemptId, how: Outcome) {
+        let ended = self.backends.give_up(&mut self.engine, attempt, how);
+        ended.into_iter().for_each(|e| self.ended(e));
+    }
+
+    /// An attempt ended. A value goes to the client at once; all else is the decisions'.
+    fn ended(&mut self, end: Ended) {
+        let Ended { attempt, server, outcome, took, report, value } = end;
+        let served = value.is_some_and(|value| self.answer(attempt.request, Frame::BulkString(value)));
+        self.desk.tell(Event::AttemptEnded(AttemptEnd {
+            id: attempt.request,
+            attempt: attempt.number,
+            server,
+            outcome,
+            took: Micros(took),
+            ended: served,
+            settled: None,
+            report,
+        }));
+    }
+
+    fn forget(&mut self, id: RequestId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        self.ids.remove(call.command.id());
+        self.front.ended(call.conn, id, call.bytes);
+        Some(call)
+    }
+
+    /// The final answer of a request; whether it had none yet.
+    fn answer(&mut self, id: RequestId, answer: Frame) -> bool {
+        let Some(call) = self.forget(id) else { return false };
+        self.front.answer(call.conn, call.slot, answer);
+        if self.front.flush(&mut self.engine, call.conn) {
+            self.commands(call.conn);
+        }
+        true
+    }
+
+    // ---- clients ----
+
+    /// Takes what a connection has sent.
+    fn commands(&mut self, conn: ConnId) {
+        while let Some(Came { slot, words }) = self.front.next(&mut self.engine, conn) {
+            if let Some(answer) = self.command(conn, slot, words) {
+                self.front.answer(conn, slot, answer);
+            }
+        }
+        self.front.flush(&mut self.engine, conn);
+    }
+
+    /// A command: its answer, or none when it is a request, whose answer comes later.
+    fn command(&mut self, conn: ConnId, slot: u64, words: Vec<Bytes>) -> Option<Frame> {
+        let name = words[0].to_ascii_uppercase();
+        match &name[..] {
+            b"PING" => return Some(Frame::SimpleString(Bytes::from_static(b"PONG"))),
+            b"CLIENT" | b"SELECT" => return Some(Frame::SimpleString(Bytes::from_static(b"OK"))),
+            b"QUIT" => {
+                self.front.quit(conn);
+                return Some(Frame::SimpleString(Bytes::from_static(b"OK")));
+            }
+            _ => {}
+        }
+        let id = RequestId(self.next_id + 1);
+        let bytes = words.iter().map(Bytes::len).sum();
+        let (command, arrival) = match request::read(words, id, self.engine.now(), &self.config.read) {
+            Ok(read) => read,
+            Err(why) => return Some(error(&why)),
+        };
+        if self.ids.contains_key(command.id()) {
+            return Some(error("id: expected one that no open request has"));
+        }
+        self.next_id += 1;
+        self.ids.insert(command.id().clone(), id);
+        self.front.opened(conn, id, bytes);
+        self.calls.insert(id, Call { conn, slot, command, bytes, attempts: 0 });
+        self.desk.tell(Event::Request(arrival));
+        None
+    }
+
+    // ---- the counter ----
+
+    fn counted(&mut self, told: Vec<Told>) {
+        for Told { name, outcome, total } in told {
+            self.desk.tell(Event::Counted(name, outcome, total));
+        }
+    }
+
+    /// All calls have the same time, so the first of them ends first and one timer serves all.
+    fn watch_counts(&mut self) {
+        let Some(until) = self.counter.as_ref().and_then(Counter::next_timeout) else { return };
+        if !std::mem::replace(&mut self.counts_watched, true) {
+            self.due_in(until.saturating_sub(self.engine.now()), Due::Count);
+        }
+    }
+
+    fn count_times_out(&mut self) {
+        self.counts_watched = false;
+        let now = self.engine.now();
+        let Some(counter) = &mut self.counter else { return };
+        let told = counter.timed_out(now);
+        self.watch_counts();
+        self.counted(told);
+    }
+
+    // ---- the list, the configuration ----
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::List(list) => self.listed(list),
+            News::Look(after, call) => self.due_in(after, Due::Look(call)),
+        }
+    }
+
+    fn listed(&mut self, list: List) {
+        self.backends.update(&mut self.engine, &list);
+        let scope = if list.snapshot { ListScope::Whole } else { ListScope::Changes };
+        let entries: Vec<_> = list.servers.into_iter().map(|s| s.entry).collect();
+        if scope == ListScope::Whole || !entries.is_empty() {
+            self.desk.tell(Event::Servers(scope, entries));
+        }
+    }
+
+    /// Takes over the addresses of discovery and the counter from the file; the rest needs a new start. A file that cannot be
+    /// read changes nothing.
+    fn reload(&mut self) {
+        let new = match Config::load(&self.config.file) {
+            Ok(new) => new,
+            Err(ConfigError { place, what }) => {
+                return tracing::error!("{place}: {what}: the earlier configuration stays");
+            }
+        };
+        tracing::info!(discovery = %new.discovery, "configuration read again");
+        let news = self.discovery.moved(&mut self.engine, new.discovery);
+        news.into_iter().for_each(|n| self.news(n));
+        if let (Some(address), Shell { counter: Some(counter), engine, .. }) = (new.counter, &mut *self) {
+            let told = counter.moved(engine, address);
+            self.counted(told);
+        }
+        (self.config.discovery, self.config.counter) = (new.discovery, new.counter);
+        self.settle();
+    }
+}
