Module: an attempt that alone is late is no jam and goes again; silent counter links are left

Checked by a probe of each attempt's end: 126 of 4000 attempts called off after 1.2 s on connections that fell silent, while 3700 others at the same servers were quick; each cut its server's bound by 0.7 and a server of bound one, with no other answer meanwhile, was ejected. Counter: 15 connections that fell silent kept their names' calls for 1 s, 93 calls timed out in a row and opened the breaker. At fault: judge() in rules.rs (a called-off attempt past the aim always counts as a jam); SILENT in counter.rs. Change: a server counts its early answers; an attempt with three of them since it was sent is astray alone: it neither cuts the bound nor counts as a failure, and a safe one is called off after six times the usual time and goes again. A counter connection silent since a call was sent whose time is up gets no further calls.

--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -1,7 +1,9 @@
 //! Calls to the counter, written one behind another on a few connections and answered in order. Calls of one name share a
 //! connection, so their answers are told in the order of the calls.
 //!
-//! A call ends by its answer, by its time or by its connection's end; an answer that comes later is passed over.
+//! A call ends by its answer, by its time or by its connection's end; an answer that comes later is passed over. A connection
+//! on which nothing was heard since a call was sent whose time is up may be dead without a word: the next call takes a new
+//! one, and calls under way end on the old.
 
 use crate::outcome::counted;
 use bytes::{Bytes, BytesMut};
@@ -16,9 +18,8 @@
 const LINKS: usize = 4;
 /// Calls of one connection without an answer; further ones are never sent.
 const MOST_OPEN: usize = 4_096;
-/// A connection on which nothing was heard for so long, with calls out, is given up: it may be dead without a word. In
-/// microseconds.
-const SILENT: u64 = 1_000_000;
+/// Connections that only wait for the ends of their calls.
+const MOST_OLD: usize = 12;
 /// What is read of an answer.
 const BOUNDS: Bounds = Bounds { words: 1, word: 1_024, message: 2_048, inline: false };
 
@@ -94,20 +95,28 @@
             return Vec::new();
         }
         self.address = address;
+        for place in 0..LINKS {
+            self.retire(place);
+        }
+        self.let_go(engine)
+    }
+
+    /// New calls of these names take a new connection.
+    fn retire(&mut self, place: usize) {
+        let link = std::mem::take(&mut self.links[place]);
+        self.old.push(link);
+    }
+
+    /// Closes old connections on which nothing is waited for any more, and those beyond the bound.
+    fn let_go(&mut self, engine: &mut Engine) -> Vec<Told> {
+        let beyond = self.old.len().saturating_sub(MOST_OLD);
         let mut told = Vec::new();
-        for mut link in std::mem::take(&mut self.links) {
-            if link.calls.is_empty() {
-                cut(engine, &mut link);
-            } else {
-                self.old.push(link);
+        for (i, link) in self.old.iter_mut().enumerate() {
+            if i < beyond || link.told == link.calls.len() {
+                told.extend(cut(engine, link));
             }
         }
-        self.links = (0..LINKS).map(|_| Link::default()).collect();
-        // Bounded: what is older than the last address is given up.
-        while self.old.len() > LINKS {
-            let mut link = self.old.remove(0);
-            told.extend(cut(engine, &mut link));
-        }
+        self.old.retain(|l| l.conn.is_some());
         told
     }
 
@@ -123,10 +132,6 @@
         let place = (name.0 % LINKS as u64) as usize;
         let link = &mut self.links[place];
         let mut told = Vec::new();
-        let oldest = link.calls.front().map_or(now, |c| c.sent);
-        if link.up && now >= link.heard.max(oldest) + SILENT {
-            told.extend(cut(engine, link));
-        }
         if link.calls.len() >= MOST_OPEN {
             told.push(Told::not(name, Outcome::Full));
             return (told, None);
@@ -164,27 +169,35 @@
     }
 
     /// Ends the calls whose time is up. Those that wait for a connection were never sent.
-    pub(crate) fn timed_out(&mut self, now: u64) -> Vec<Told> {
+    pub(crate) fn timed_out(&mut self, engine: &mut Engine) -> Vec<Told> {
+        let now = engine.now();
         let mut told = Vec::new();
-        for link in self.all() {
+        let mut silent = Vec::new();
+        for (place, link) in self.all().enumerate() {
             while let Some(call) = link.calls.get(link.told).filter(|c| c.until <= now) {
-                let sent = call.command.is_none();
+                let (sent, call_sent) = (call.command.is_none(), call.sent);
                 let outcome = if sent { Outcome::Timeout } else { Outcome::ConnectFailed };
                 told.push(Told::not(call.name, outcome));
                 if sent {
                     link.told += 1;
+                    if link.heard <= call_sent {
+                        silent.push(place);
+                    }
                 } else {
                     link.calls.remove(link.told);
                 }
             }
         }
+        silent.dedup();
+        silent.into_iter().filter(|place| *place < LINKS).for_each(|place| self.retire(place));
+        told.extend(self.let_go(engine));
         told
     }
 
     /// A connection stands; one that is not the counter's is passed over.
     pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) {
         let Some(link) = self.link(conn) else { return };
-        (link.up, link.heard) = (true, engine.now());
+        link.up = true;
         for call in &mut link.calls {
             if let Some(command) = call.command.take() {
                 queue(engine, conn, &mut link.queued, call, &command);
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -418,9 +418,8 @@
 
     fn count_times_out(&mut self) {
         self.counts_watched = false;
-        let now = self.engine.now();
-        let Some(counter) = &mut self.counter else { return };
-        let told = counter.timed_out(now);
+        let Shell { engine, counter: Some(counter), .. } = self else { return };
+        let told = counter.timed_out(engine);
         self.watch_counts();
         self.counted(told);
     }
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -77,6 +77,11 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Part of the aim left for a further attempt when the first is given up early, and tried at the least.
 const SPARE_PART: f64 = 0.3;
+/// Quick answers of a server since an attempt was sent there that prove that the attempt went astray alone,
+/// how many times its usual time the server is given before that, and the least wait as part of the aim.
+const QUICK_SINCE: u64 = 3;
+const STRAY_TIMES: f64 = 6.0;
+const STRAY_PART: f64 = 0.35;
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
@@ -214,6 +219,7 @@
             // Every request has its answer by its deadline.
             Some(Timer::Deadline(id)) if self.requests.get(&id).is_none_or(|r| r.done || r.streaming) => {}
             Some(Timer::Deadline(id)) => self.refuse(id),
+            Some(Timer::Stray(id, attempt)) => self.stray(id, attempt),
             Some(Timer::Held) => {
                 self.hold_timer = false;
                 self.serve_held();
@@ -651,10 +657,15 @@
             && self.servers.get(server).is_some_and(|s| s.trial || s.fail_share > 2.0 * self.fail_share);
         let early = r.arrived + class.aim.times(1.0 - SPARE_PART);
         let until = if again && early > now + class.aim.times(SPARE_PART) { early } else { r.a.deadline };
-        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false });
+        let s = self.servers.get(server);
+        let (quick, usual) = s.map_or((0, 0.0), |s| (s.quick, s.latency));
+        r.attempts.push(Attempt { server, sent: now, out: true, may_have_run: false, quick });
+        let number = r.attempts.len() - 1;
         r.held_since = None;
         r.counted = None;
         let (units, until) = (r.a.units, until.min(r.a.deadline));
+        let look = Micros((usual * STRAY_TIMES) as u64).max(class.aim.times(STRAY_PART));
+        let look = (class.effect == Effect::Safe && !class.stream && now + look < early).then_some(look);
         self.flow.level = self.flow_rate() * FLOW_SPAN + units;
         self.flow.at = now;
         if let Some(s) = self.servers.get_mut(server) {
@@ -663,6 +674,24 @@
             s.cold_room.level -= units;
         }
         self.out.push(Action::Send(id, server, until));
+        look.into_iter().for_each(|look| self.timer(Timer::Stray(id, number), look));
+    }
+
+    /// Whether an attempt alone is late, not its server, which answered others quickly since it was sent.
+    fn is_stray(&self, a: &Attempt) -> bool {
+        self.servers.get(a.server).is_some_and(|s| s.quick >= a.quick + QUICK_SINCE)
+    }
+
+    /// Calls an attempt off that went astray, so that the request goes again. Guards against connections that
+    /// fall silent while their servers work; never acts where all answers are late, as in a jam. May hurt
+    /// one long piece of work among short ones.
+    fn stray(&mut self, id: RequestId, attempt: usize) {
+        let Some(r) = self.requests.get(&id).filter(|r| !r.done && !r.streaming) else { return };
+        let astray = r.attempts.get(attempt).is_some_and(|a| a.out && self.is_stray(a));
+        let room = r.attempts.len() < self.set.max_attempts && self.retries >= 1.0;
+        if astray && room && self.set.may_cancel {
+            self.out.push(Action::Cancel(id, attempt));
+        }
     }
 
     fn serve_held(&mut self) {
@@ -734,6 +763,7 @@
         let Some(a) = named.filter(|a| a.out && a.server == end.server) else { return };
         a.out = false;
         a.may_have_run = !outcome.never_ran();
+        let sent = a.clone();
         let (aim, was_done) = (self.set.classes[r.a.class.0].aim, r.done);
         r.done |= end.ended || outcome == Outcome::Ok;
         let (answered, in_time) = (r.done, self.now < r.arrived + aim);
@@ -742,7 +772,8 @@
                 c.window.owed += true_units - r.a.units;
             }
         }
-        self.judge(end.server, outcome, end.took, aim);
+        let stray = outcome != Outcome::Ok && self.is_stray(&sent);
+        self.judge(end.server, outcome, end.took, aim, stray);
         if answered {
             self.let_go(id);
         } else if in_time && self.may_repeat(id) && self.retries >= 1.0 {
@@ -872,7 +903,7 @@
 
     // ---- health and cold starts ----
 
-    fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros) {
+    fn judge(&mut self, server: ServerId, outcome: Outcome, took: Micros, aim: Micros, stray: bool) {
         let now = self.now;
         let (jitter, scale, overloaded) = (0.75 + 0.5 * self.rng.f64(), self.scale(), self.overloaded());
         let Some(s) = self.servers.get_mut(server) else { return };
@@ -882,7 +913,9 @@
         // their own: the bound gives way fast and comes back slowly. May hurt just after short stalls.
         let held = took + Micros(2 * s.latency as u64);
         let late = matches!(outcome, Outcome::Ok | Outcome::Cancelled) && held > aim.times(LATE_PART);
-        let jammed = late || matches!(outcome, Outcome::Full | Outcome::Timeout);
+        let unheard = matches!(outcome, Outcome::Cancelled | Outcome::Timeout) && stray;
+        let jammed = !unheard && (late || matches!(outcome, Outcome::Full | Outcome::Timeout));
+        s.quick += u64::from(outcome == Outcome::Ok && took < aim.times(GROW_PART));
         self.pass = if jammed { self.pass * PASS_CUT } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
@@ -893,7 +926,8 @@
             s.limit += LIMIT_GROW;
             self.calm_out *= if overloaded { CALM_GROW } else { 1.0 };
         }
-        let bad = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
+        let ill = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
+        let bad = ill && !unheard;
         self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
         // Guards against jams at single servers that nobody notices: late answers count against a server
         // as failures do, and the longer ago the last evidence, the more the newest weighs, so a gateway
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -104,6 +104,8 @@
     pub(crate) sent: Micros,
     pub(crate) out: bool,
     pub(crate) may_have_run: bool,
+    /// Quick answers of its server when it was sent.
+    pub(crate) quick: u64,
 }
 
 #[derive(Debug, Default)]
@@ -146,6 +148,8 @@
     pub(crate) ejected_until: Micros,
     pub(crate) ejections: u32,
     pub(crate) trial: bool,
+    /// Its answers early against the aim.
+    pub(crate) quick: u64,
     pub(crate) unreached_since: Option<Micros>,
     pub(crate) cold_since: Option<Micros>,
     pub(crate) cold_room: TokenBucket,
@@ -190,6 +194,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Timer {
     Deadline(RequestId),
+    /// Look whether an attempt went astray.
+    Stray(RequestId, usize),
     Held,
     Resubscribe,
     Sweep,
