--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -179,3 +179,65 @@
     assert_eq!(server, silent, "it is tried again");
     assert!(wait < 800 * MS, "and not for the whole time: {wait}");
 }
+
+/// Sends one request that stays out while others are answered after `took`; returns it, its server and what that led to
+/// within half a second.
+fn one_astray(took: u64) -> (Rig, RequestId, ServerId, Vec<Action>) {
+    let mut rig = Rig::new(settings(), 1);
+    let (id, server) = rig.sent(0);
+    let begun = rig.now;
+    let mut led = Vec::new();
+    while rig.now < begun + 500 * MS {
+        let (other, out) = rig.request(0, 3, 9, 1.0);
+        led.extend(rig.pass(took));
+        sends(&out).iter().for_each(|(_, s)| drop(rig.ended(other, 0, *s, Outcome::Ok)));
+    }
+    (rig, id, server, led)
+}
+
+#[test]
+fn an_attempt_that_alone_is_late_is_called_off_and_goes_again() {
+    let (mut rig, id, server, led) = one_astray(20 * MS);
+    assert!(led.contains(&Action::Cancel(id, 0)));
+    let (outcome, report, took) = (Outcome::Cancelled, Report::default(), Micros(300 * MS));
+    let end = AttemptEnd { id, attempt: 0, server, outcome, took, ended: false, settled: None, report };
+    let out = rig.tell(Event::AttemptEnded(end));
+    assert_eq!(sends(&out), [(id, server)], "the server is neither cut nor put aside");
+}
+
+#[test]
+fn where_all_answers_are_late_nothing_is_called_off() {
+    let (_, _, _, led) = one_astray(300 * MS);
+    assert!(!led.iter().any(|a| matches!(a, Action::Cancel(..))), "{led:?}");
+}
+
+#[test]
+fn strays_at_a_server_that_answers_quickly_do_not_cut_its_bound() {
+    let mut rig = Rig::new(settings(), 1);
+    let out_at_once = |rig: &mut Rig| {
+        let asked: Vec<_> = (0..8).map(|_| rig.request(2, 3, 9, 1.0)).collect();
+        let sent: Vec<_> = asked.iter().flat_map(|(_, out)| sends(out)).collect();
+        for (id, _) in asked.iter().filter(|(id, _)| !sent.iter().any(|s| s.0 == *id)) {
+            rig.tell(Event::ClientGone(*id));
+        }
+        for (id, server) in &sent {
+            rig.ended(*id, 0, *server, Outcome::Ok);
+        }
+        rig.pass(S);
+        sent.len()
+    };
+    let before = out_at_once(&mut rig);
+    for _ in 0..10 {
+        // Unsafe: it waits until its client goes.
+        let (id, server) = rig.sent(2);
+        for _ in 0..5 {
+            let (other, _) = rig.request(0, 3, 9, 1.0);
+            rig.pass(20 * MS);
+            rig.ended(other, 0, server, Outcome::Ok);
+        }
+        rig.pass(1_200 * MS);
+        rig.tell(Event::ClientGone(id));
+        rig.ended_after(id, 0, server, Outcome::Cancelled, 1_300 * MS);
+    }
+    assert!(out_at_once(&mut rig) >= before, "{before} before");
+}
