Module: the customer's store is followed by totals; a refusal names the refill

A test counts 49 units where the store has 40. Retry-after named the window's end, when all come back at once. At fault: room() and roll() in rules.rs; the wait in refuse(). Change: each total heard moves the store as known here; a request goes on if the store holds its units; a refusal names the time of the refill, spread by chance where servers are short.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -252,19 +252,18 @@
     /// Brings a customer's counts to the present window and epoch.
     fn roll(&mut self, id: CustomerId) {
         let Some(c) = self.customers.get(&id) else { return };
-        let (rated, burst) = (self.set.plans[c.plan].rate > 0.0, self.set.plans[c.plan].burst);
-        let (length, quota) = if rated { self.window_of(c.plan) } else { (EPOCH, 0.0) };
+        let (now, p) = (self.now, &self.set.plans[c.plan]);
+        let (rate, burst) = (p.rate, p.burst);
+        let length = if rate > 0.0 { self.window_of(c.plan).0 } else { EPOCH };
         let (span, epoch) = (self.span(id, length).0, self.span(id, EPOCH).0);
         let Some(c) = self.customers.get_mut(&id) else { return };
         if c.window.span != span {
             c.heard =
                 (c.heard.0 * (1.0 - CARRY) + c.window.posted, c.heard.1 * (1.0 - CARRY) + c.window.seen);
-            // What the windows left, as far as they were followed here, else a share of the store: gateways
-            // that see a customer seldom must not each believe it full.
-            let follows = c.window.span + 1 == span;
-            let left = c.window.left + quota - c.window.known();
-            let left = if follows { left.clamp(0.0, burst) } else { burst / c.spread };
-            c.window = Tally { span, left, ..Tally::default() };
+            // The store as followed here from the last window; after a gap the window's plain allowance speaks.
+            let (follows, known) = (c.window.span + 1 == span, c.window.known());
+            let store = if follows { c.window.level(now, known, rate, burst) } else { burst };
+            c.window = Tally { span, store, at: now, ..Tally::default() };
         }
         if let Some(c) = self.customers.get_mut(&id).filter(|c| c.epoch.span != epoch) {
             c.epoch = Tally { span: epoch, owed: c.out, ..Tally::default() };
@@ -320,14 +319,11 @@
         self.set.retry_after.then_some(wait.max(self.set.tick).min(self.set.max_retry_after))
     }
 
-    /// What a customer's quota has room for in this window by a total of the shared count: the window's plain
-    /// allowance, or the store as it is with what the last window left, where this gateway knows. Guards
-    /// against refusing inside the quota: the plain window forgets what the last one left.
+    /// What a customer's quota has room for by a total of the shared count.
     fn room(&self, customer: CustomerId, total: f64) -> f64 {
         let Some(c) = self.customers.get(&customer) else { return 0.0 };
-        let (length, quota) = self.window_of(c.plan);
-        let refill = quota * (1.0 - self.span(customer, length).1.secs() / length.secs());
-        (c.window.left + refill).max(quota) - total
+        let p = &self.set.plans[c.plan];
+        c.window.level(self.now, total, p.rate, p.burst)
     }
 
     /// The counter says nothing of this customer for a while: then the local bucket alone decides.
@@ -423,6 +419,7 @@
         call.request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking -= 1);
         self.roll(call.customer);
         let plan = self.customers.get(&call.customer).map_or(0, |c| c.plan);
+        let (now, rate, burst) = (self.now, self.set.plans[plan].rate, self.set.plans[plan].burst);
         let Some(c) = self.customers.get_mut(&call.customer) else { return };
         let tally = if call.purpose == Purpose::Window { &mut c.window } else { &mut c.epoch };
         let current = tally.span == call.span;
@@ -441,6 +438,9 @@
                     c.beyond.level -= lost; // Others may spend it again: under a ceiling that is paid for.
                 }
                 tally.seen = total;
+                let known = tally.known();
+                tally.store = tally.level(now, known, rate, burst);
+                (tally.base, tally.at) = (known, now);
             }
             heard = Some(total + if current { tally.owed + tally.posting } else { 0.0 });
             c.breaker.success(call.probe);
@@ -496,9 +496,9 @@
         let ok = match heard {
             _ if done => return,
             // Under a ceiling what a counter forgot is paid off first.
+            Some(total) if self.room(customer, total) < 0.0 => false,
             Some(total) if total <= self.window_of(plan).1 => self.beyond_take(customer, plan, 0.0),
-            Some(total) if self.room(customer, total) >= 0.0 => self.beyond_take(customer, plan, units),
-            Some(_) => false,
+            Some(_) => self.beyond_take(customer, plan, units),
             // A repeat was refused a moment ago, here or elsewhere: it must be heard.
             None if resent && !self.silent(customer) => false,
             None => self.beyond_take(customer, plan, units) && self.local_take(customer, plan, units),
@@ -717,9 +717,13 @@
 
     /// Refuses with a retry-after where that is allowed, or fails.
     fn refuse(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get(&id) else { return };
-        let wait = (self.set.retry_after && self.set.plans[r.a.plan.0].rate > 0.0)
-            .then(|| self.span(r.a.customer, self.window_of(r.a.plan.0).0).1.min(self.set.max_retry_after));
+        let Some(class) = self.requests.get(&id).map(|r| r.a.class) else { return };
+        let soon = self.soon(class);
+        let r = &self.requests[&id];
+        let (p, c) = (&self.set.plans[r.a.plan.0], &self.customers[&r.a.customer]);
+        let short = r.a.units - c.window.level(self.now, c.window.known(), p.rate, p.burst);
+        let refill = Micros((short.max(0.0) / p.rate * 1e6) as u64);
+        let wait = soon.filter(|_| p.rate > 0.0).map(|s| s.max(refill).min(self.set.max_retry_after));
         let answer = if self.may_refuse(r) { Action::Refuse(id, wait) } else { Action::Fail(id) };
         if let Some(c) = self.customers.get_mut(&r.a.customer) {
             c.refused = Some(Refusal { class: r.a.class, units: r.a.units, at: self.now });
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -59,8 +59,10 @@
     pub(crate) posting: f64,
     /// The last total heard.
     pub(crate) seen: f64,
-    /// What the window before left of its allowance, as far as is known.
-    pub(crate) left: f64,
+    /// The customer's store when the total was `base`, at that time.
+    pub(crate) store: f64,
+    pub(crate) base: f64,
+    pub(crate) at: Micros,
 }
 
 impl Tally {
@@ -68,6 +70,10 @@
     pub(crate) fn known(&self) -> f64 {
         self.seen + self.owed + self.posting
     }
+    /// The store by a total, filled at `rate` up to `burst` since it was last looked at.
+    pub(crate) fn level(&self, now: Micros, total: f64, rate: f64, burst: f64) -> f64 {
+        (self.store + rate * (now - self.at).secs()).min(burst) - (total - self.base)
+    }
 }
 
 /// What was refused last, by which a repeat is known.
