Kept connections by what resets teach; one connect that fails alone says nothing of its server

Checked by a probe of the age of each reused connection: resets within 2 ms of the write at 10% of those unused for 10 to 50 ms, 27% at 50 to 200, 45% at 200 to 500; a look before the write shows nothing. Checked by the reason of each refusal: held with two attempts out and free servers of bound 2.8 beside. Ruled out: connection caps (31 failed connects in 25 s), time-outs (2), the counter. At fault: judge() in rules.rs: any failed connect (here one broken while its request went out, which by the protocol is the same) ejected the server for 1 to 8 s, and the first answer after made it pass for restarted and cold for 18 s, so nearly all were "cold". Change: backends.rs learns how long a connection may be kept; the module takes one failed connect as its connection's fault, two in a row as the server's, and failures over 0.7 s without an answer between as a restart.

--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -24,6 +24,14 @@
 /// again.
 const SETTLE: u64 = 2_000;
 
+/// A write to a kept connection that ends as a reset within this time met one that its backend had closed unseen.
+const UNSEEN: u64 = 5_000;
+/// After that, connections are kept for this part of the time that one was unused, and never shorter than the least; each answer
+/// on one that was unused for half of the time lengthens it by so much.
+const KEEP_CUT: f64 = 0.5;
+const KEEP_LEAST: u64 = 5_000;
+const KEEP_GROW: f64 = 1.02;
+
 /// One attempt of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct AttemptId {
@@ -64,10 +72,18 @@
     address: SocketAddr,
     bytes: BytesMut,
     out: Option<Out>,
-    /// Since when it is not in use.
+    /// Since when it is not in use, or was not before its request; 0: never before.
     idle: u64,
 }
 
+impl Link {
+    /// How long it was unused before its request; none: it is new.
+    fn rested(&self) -> Option<u64> {
+        let out = self.out.as_ref().filter(|_| self.idle > 0)?;
+        Some(out.since.saturating_sub(self.idle))
+    }
+}
+
 /// All connections to backends. Bounds: `most` of them, and `most_held` bytes of answers that are still coming in.
 pub(crate) struct Backends {
     servers: FxHashMap<ServerId, SocketAddr>,
@@ -79,6 +95,8 @@
     bounds: Bounds,
     most_held: usize,
     held: usize,
+    /// How long a connection is kept unused: at most, and as resets have taught.
+    most_keep: u64,
     keep: u64,
 }
 
@@ -86,7 +104,7 @@
     /// `memory`: bytes granted. `idle`: when a backend closes a connection that is not used; 0: never.
     pub(crate) fn new(most: usize, memory: f64, idle: u64) -> Backends {
         let word = (memory * VALUE_PART) as usize;
-        let keep = if idle > 0 { (idle as f64 * IDLE_PART) as u64 } else { IDLE_MOST };
+        let most_keep = if idle > 0 { (idle as f64 * IDLE_PART) as u64 } else { IDLE_MOST }.min(IDLE_MOST);
         Backends {
             servers: FxHashMap::default(),
             links: FxHashMap::default(),
@@ -96,7 +114,8 @@
             bounds: Bounds { words: ITEMS, word, message: word + (8 << 10), inline: false },
             most_held: (memory * VALUES_PART) as usize,
             held: 0,
-            keep: keep.min(IDLE_MOST),
+            most_keep,
+            keep: most_keep,
         }
     }
 
@@ -249,6 +268,9 @@
         // More than one answer, or bytes that no backend sends: of no further use.
         self.held -= before.min(self.held);
         let over = said == Answered::Spoilt || !link.bytes.is_empty() || engine.unsent(conn) > 0;
+        if link.rested().is_some_and(|rested| rested >= self.keep / 2) {
+            self.keep = ((self.keep as f64 * KEEP_GROW) as u64).min(self.most_keep);
+        }
         let out = link.out.take()?;
         let server = link.server;
         self.out.remove(&out.attempt);
@@ -280,6 +302,17 @@
 
     /// A connection is over.
     pub(crate) fn closed(&mut self, now: u64, conn: ConnId, unsent: usize) -> Option<Ended> {
+        let rested = self.links.get(&conn)?.rested();
+        let ended = self.end(now, conn, unsent)?;
+        // Guards against backends that close kept connections early and unseen: its request may have run for all that is known.
+        if let Some(rested) = rested.filter(|_| ended.outcome == Outcome::Reset && ended.took < UNSEEN) {
+            self.keep = ((rested as f64 * KEEP_CUT) as u64).max(KEEP_LEAST).min(self.keep);
+        }
+        Some(ended)
+    }
+
+    /// Forgets a connection and tells how the attempt on it ended.
+    fn end(&mut self, now: u64, conn: ConnId, unsent: usize) -> Option<Ended> {
         let link = self.unlink(conn)?;
         let out = link.out?;
         let written = out.command.is_none() && unsent == 0;
@@ -293,7 +326,7 @@
     pub(crate) fn give_up(&mut self, engine: &mut Engine, attempt: AttemptId, how: Outcome) -> Option<Ended> {
         let conn = *self.out.get(&attempt)?;
         let unsent = engine.unsent(conn);
-        let mut ended = self.closed(engine.now(), conn, unsent)?;
+        let mut ended = self.end(engine.now(), conn, unsent)?;
         engine.close(conn);
         ended.outcome = match (ended.outcome, how) {
             (Outcome::Reset, how) => how,
@@ -309,7 +342,7 @@
         if !self.links.get(&conn).is_some_and(waits) {
             return None;
         }
-        let ended = self.closed(engine.now(), conn, 0);
+        let ended = self.end(engine.now(), conn, 0);
         engine.close(conn);
         ended
     }
--- a/crates/platform/tests/peers.rs
+++ b/crates/platform/tests/peers.rs
@@ -102,6 +102,34 @@
     stage.hears(client, "$3\r\nnew\r\n");
 }
 
+#[test]
+fn backends_that_close_kept_connections_unseen_are_dialled_sooner() {
+    let mut stage = Stage::new(1, WIDE);
+    let client = stage.client();
+    let serve = |stage: &mut Stage, id: &str, rest: i64| {
+        stage.ask(client, id, VIEW);
+        let (backend, _) = stage.arrived();
+        stage.served(backend, "ok");
+        stage.hears(client, "$2\r\nok\r\n");
+        stage.jumps.jump(rest);
+        backend
+    };
+    let first = serve(&mut stage, "o1", 400_000);
+    // It goes out on the kept connection, which breaks at once: it went unseen that its backend had closed it.
+    stage.ask(client, "o2", VIEW);
+    let (stale, _) = stage.arrived();
+    assert_eq!(stale, first);
+    stage.engine.close(stale);
+    let (second, _) = stage.arrived();
+    stage.served(second, "ok");
+    stage.hears(client, "$2\r\nok\r\n");
+    stage.jumps.jump(400_000);
+    let third = serve(&mut stage, "o3", 20_000);
+    assert_ne!(third, second, "unused for as long as the one that broke");
+    let fourth = serve(&mut stage, "o4", 0);
+    assert_eq!(fourth, third, "unused for a short while");
+}
+
 #[test]
 fn a_break_after_the_last_byte_may_have_run_a_refused_connection_never_did() {
     let mut stage = Stage::new(1, WIDE);
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -68,6 +68,8 @@
 const EJECT_SHARE: f64 = 0.3;
 const EJECT_FIRST: Micros = Micros(1_000_000);
 const EJECT_DOUBLINGS: u32 = 3;
+/// Connects to a server that fail for longer than this, with no answer between, tell of a restart.
+const UNREACHED: Micros = Micros(700_000);
 /// A server that turned a request away is left alone for this long.
 const REST: Micros = Micros(100_000);
 /// How long leave to send to a cold server holds where many gateways share it.
@@ -931,7 +933,13 @@
             self.calm_out *= if overloaded { CALM_GROW } else { 1.0 };
         }
         let ill = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
-        let bad = ill && !unheard;
+        // A single connection may break while a request goes out: the second one in a row tells of the server.
+        let unmade = outcome == Outcome::ConnectFailed;
+        let alone = unmade && s.unreached.is_none();
+        if unmade {
+            s.unreached = Some((s.unreached.map_or(now, |(first, _)| first), now));
+        }
+        let bad = ill && !unheard && !alone;
         self.fail_share += SMOOTH / 3.0 * (f64::from(u8::from(bad)) - self.fail_share);
         // Guards against jams at single servers that nobody notices: late answers count against a server
         // as failures do, and the longer ago the last evidence, the more the newest weighs, so a gateway
@@ -950,9 +958,9 @@
             } else if !bad {
                 s.ejections = 0;
             }
-            // Guards against a restart that the list has not told yet: connects failed for a while and now it
-            // answers, so it is taken to be cold.
-            let unreached = s.unreached_since.take().is_some_and(|at| now - at > EJECT_FIRST);
+            // Guards against a restart that the list has not told yet: connects failed for a while, no answer
+            // between, and now it answers, so it is taken to be cold.
+            let unreached = s.unreached.take().is_some_and(|(first, last)| last - first > UNREACHED);
             if unreached && s.cold_since.is_none() {
                 s.cold_since = Some(now);
                 self.cold += 1;
@@ -966,13 +974,9 @@
             s.ejected_until = s.ejected_until.max(now + REST);
             return;
         }
-        if outcome == Outcome::ConnectFailed {
-            s.unreached_since.get_or_insert(now);
-        }
         // Outlier ejection. Guards against servers that fail fast, hang or are unreachable; a server is out
         // of line only against the others, or overload would eject them one by one.
-        let out_of_line =
-            outcome == Outcome::ConnectFailed || s.fail_share > EJECT_SHARE.max(2.0 * self.fail_share);
+        let out_of_line = unmade || s.fail_share > EJECT_SHARE.max(2.0 * self.fail_share);
         if now >= s.ejected_until && (out_of_line || s.trial) {
             s.ejected_until = now + EJECT_FIRST.times(f64::from(1 << s.ejections) * jitter);
             s.ejections = (s.ejections + 1).min(EJECT_DOUBLINGS);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -156,7 +156,8 @@
     pub(crate) trial: bool,
     /// Its answers early against the aim.
     pub(crate) quick: u64,
-    pub(crate) unreached_since: Option<Micros>,
+    /// The first and the last of the failed connects since it answered.
+    pub(crate) unreached: Option<(Micros, Micros)>,
     pub(crate) cold_since: Option<Micros>,
     pub(crate) cold_room: TokenBucket,
 }
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -241,3 +241,22 @@
     }
     assert!(out_at_once(&mut rig) >= before, "{before} before");
 }
+
+#[test]
+fn a_connect_that_fails_alone_neither_ejects_nor_makes_a_server_cold() {
+    let mut rig = Rig::new(settings(), 2);
+    let turn = |rig: &mut Rig, breaks: bool| {
+        rig.pass(10 * MS);
+        let (id, server) = rig.sent(0);
+        let broken = breaks && server == ServerId(0);
+        let out = rig.ended(id, 0, server, if broken { Outcome::ConnectFailed } else { Outcome::Ok });
+        sends(&out).iter().for_each(|(id, s)| drop(rig.ended(*id, 1, *s, Outcome::Ok)));
+        (server == ServerId(0), broken)
+    };
+    (0..200).for_each(|_| drop(turn(&mut rig, false)));
+    for _ in 0..5 {
+        while !turn(&mut rig, true).1 {}
+        let share = (0..300).filter(|_| turn(&mut rig, false).0).count();
+        assert!(share > 100, "{share} of 300 went to the server one connection of which broke");
+    }
+}
