Breaker: a call its connection took along is no failure of a counter heard; slow answers cut asking

Checked by a probe of each call's end with the breaker's state: one call in five reset with its connection, each cut the share that asks by 0.8 while an answer raises it by 0.02, so it stood at 0.05 for 15 s with the counter well. Ruled out: silent links.

--- a/crates/platform/src/outcome.rs
+++ b/crates/platform/src/outcome.rs
@@ -70,11 +70,11 @@
             let total = std::str::from_utf8(text).ok().and_then(|t| t.parse::<f64>().ok());
             match total.filter(|t| t.is_finite()) {
                 Some(total) => (Outcome::Ok, total, true),
-                None => (Outcome::Timeout, 0.0, false),
+                None => (Outcome::Error, 0.0, false),
             }
         }
         Frame::Error(line) if line.split(' ').next() == Some("BUSY") => (Outcome::Full, 0.0, true),
         Frame::Error(line) if line.starts_with("ERR") => (Outcome::Full, 0.0, true),
-        _ => (Outcome::Timeout, 0.0, false),
+        _ => (Outcome::Error, 0.0, false),
     }
 }
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -14,6 +14,8 @@
 const ASK_CUT: f64 = 0.8;
 const ASK_GROW: f64 = 1.02;
 const LEAST_PART: f64 = 0.05;
+/// An answer that took more than this part of the calls' time counts as a failed one for that share.
+const ASK_SLOW: f64 = 0.5;
 /// The share with which asking begins again when a probe was answered.
 const ASK_AGAIN: f64 = 0.5;
 /// The share of repeats that ask is the share of first tries to this power.
@@ -132,6 +134,8 @@
     /// Share of requests that ask the counter.
     ask: f64,
     last_failed: Option<CustomerId>,
+    /// When the counter last answered.
+    heard_at: Micros,
     calls: FxHashMap<CountName, VecDeque<Call>>,
     customers: FxHashMap<CustomerId, Customer>,
     requests: FxHashMap<RequestId, Request>,
@@ -395,7 +399,8 @@
         let name = CountName(mix(mix(id.0) ^ mix(span << 1 | u64::from(purpose == Purpose::Open))) >> 1);
         let probe = request.is_some() && (self.breaker.probing || self.customers[&id].breaker.probing);
         let (amount, customer) = (units + extra, id);
-        let call = Call { purpose, customer, span, request, amount, extra, probe };
+        let sent = self.now;
+        let call = Call { sent, purpose, customer, span, request, amount, extra, probe };
         self.calls.entry(name).or_default().push_back(call);
         request.and_then(|id| self.requests.get_mut(&id)).into_iter().for_each(|r| r.asking += 1);
         self.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
@@ -403,8 +408,13 @@
 
     /// Guards against one hot name that fills its part of the counter: failures of the same customer in a row
     /// count once for the common breaker, while that customer's own breaker opens.
-    fn call_failed(&mut self, customer: CustomerId, probe: bool) {
+    fn call_failed(&mut self, customer: CustomerId, outcome: Outcome, probe: bool) {
         let now = self.now;
+        // A call that its connection took along says nothing of a counter that answered others a moment ago.
+        let broken = !matches!(outcome, Outcome::Timeout | Outcome::Full);
+        if broken && !probe && now < self.heard_at + self.set.count_timeout {
+            return;
+        }
         self.ask = (self.ask * ASK_CUT).max(LEAST_PART);
         if self.last_failed != Some(customer) || probe {
             self.breaker.failure(now, probe);
@@ -449,15 +459,18 @@
             if c.spread * self.set.most_units <= self.set.plans[plan].burst {
                 c.bucket = None;
             }
-            self.ask = (self.ask * ASK_GROW).min(1.0).max(if call.probe { ASK_AGAIN } else { 0.0 });
-            self.last_failed = None;
+            // A line is building up at the counter: asking less before calls fail.
+            let slow = now - call.sent > self.set.count_timeout.times(ASK_SLOW);
+            self.ask = (self.ask * if slow { ASK_CUT } else { ASK_GROW }).clamp(LEAST_PART, 1.0);
+            self.ask = self.ask.max(if call.probe { ASK_AGAIN } else { 0.0 });
+            (self.last_failed, self.heard_at) = (None, now);
             self.breaker.success(call.probe);
             if let Some(r) = call.request.and_then(|id| self.requests.get_mut(&id)) {
                 r.counted = (call.purpose == Purpose::Window).then_some(call.span);
             }
         } else {
-            tally.owed += if current && outcome != Outcome::Timeout { call.extra } else { 0.0 };
-            self.call_failed(call.customer, call.probe);
+            tally.owed += if current && outcome.never_ran() { call.extra } else { 0.0 };
+            self.call_failed(call.customer, outcome, call.probe);
         }
         if let Some(id) = call.request {
             self.decide(id, call.purpose, heard);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -37,6 +37,7 @@
 /// One call to the counter whose answer is still to come.
 #[derive(Debug)]
 pub(crate) struct Call {
+    pub(crate) sent: Micros,
     pub(crate) purpose: Purpose,
     pub(crate) customer: CustomerId,
     pub(crate) span: u64,
--- a/crates/policy/tests/breaker.rs
+++ b/crates/policy/tests/breaker.rs
@@ -120,3 +120,43 @@
     rig.pass(5 * S);
     assert!(failing(&mut rig, 9), "the probe was given back");
 }
+
+#[test]
+fn calls_that_their_connection_took_along_open_it_only_where_nothing_is_heard() {
+    let heard = |heard: bool| {
+        let mut rig = Rig::new(settings(), 4);
+        let mut asked = 0;
+        for customer in 1..=40 {
+            let (_, out) = rig.request(0, 0, customer, 1.0);
+            for (name, _) in counts(&out) {
+                asked += 1;
+                // One in two breaks; the counter may answer the others.
+                let answered = heard && customer % 2 == 0;
+                let (outcome, total) = if answered { (Outcome::Ok, 1.0) } else { (Outcome::Reset, 0.0) };
+                rig.tell(Event::Counted(name, outcome, total));
+            }
+            rig.pass(10 * MS);
+        }
+        asked
+    };
+    // The first breaks before anything was heard, and may cost one of the next their call.
+    assert!(heard(true) >= 35, "{}", heard(true));
+    assert!(heard(false) <= 8, "{}", heard(false));
+}
+
+#[test]
+fn slow_answers_cut_the_share_that_asks_before_calls_fail() {
+    let asked = |took: u64| {
+        let mut rig = Rig::new(settings(), 4);
+        let mut asked = 0;
+        for customer in 1..=200 {
+            let (_, out) = rig.request(0, 0, customer, 1.0);
+            rig.pass(took);
+            counts(&out).iter().for_each(|(name, _)| drop(rig.tell(Event::Counted(*name, Outcome::Ok, 1.0))));
+            asked += counts(&out).len();
+        }
+        asked
+    };
+    assert_eq!(asked(2 * MS), 200);
+    assert!((10..100).contains(&asked(60 * MS)), "{}", asked(60 * MS));
+}
