--- a/crates/gateway/src/resp/session.rs
+++ b/crates/gateway/src/resp/session.rs
@@ -41,7 +41,7 @@
     /// The answers that can be sent.
     pub(crate) fn take_ready(&mut self) -> BytesMut {
         let mut out = BytesMut::new();
-        while let Some(reply) = self.answers.next() {
+        while let Some(reply) = self.answers.take() {
             encode(&mut out, reply, self.resp3);
         }
         out
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -215,7 +215,7 @@
 
     /// Tells the decisions what happened and carries out what follows, until nothing follows.
     fn settle(&mut self) {
-        while let Some(action) = self.desk.next(Micros(self.engine.now())) {
+        while let Some(action) = self.desk.follow(Micros(self.engine.now())) {
             self.act(action);
         }
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -158,7 +158,7 @@
     pub(crate) fn flush(&mut self, engine: &mut Engine, conn: ConnId) -> bool {
         let Some(session) = self.sessions.get_mut(&conn) else { return false };
         let mut out = BytesMut::new();
-        while let Some(answer) = session.answers.next() {
+        while let Some(answer) = session.answers.take() {
             encode(&mut out, &answer);
         }
         if !out.is_empty() {
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -268,7 +268,7 @@
     // ---- between the decisions and the sockets ----
 
     fn settle(&mut self) {
-        while let Some(action) = self.desk.next(Micros(self.engine.now())) {
+        while let Some(action) = self.desk.follow(Micros(self.engine.now())) {
             self.act(action);
         }
     }
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -28,7 +28,7 @@
         self.events.is_empty() && self.actions.is_empty()
     }
     /// The next action to carry out. The actions on one event come before the next event is told; none: all is done.
-    pub fn next(&mut self, now: Micros) -> Option<Action> {
+    pub fn follow(&mut self, now: Micros) -> Option<Action> {
         loop {
             if let Some(action) = self.actions.pop_front() {
                 return Some(action);
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -253,7 +253,9 @@
         sends(&out).iter().for_each(|(id, s)| drop(rig.ended(*id, 1, *s, Outcome::Ok)));
         (server == ServerId(0), broken)
     };
-    (0..200).for_each(|_| drop(turn(&mut rig, false)));
+    for _ in 0..200 {
+        turn(&mut rig, false);
+    }
     for _ in 0..5 {
         while !turn(&mut rig, true).1 {}
         let share = (0..300).filter(|_| turn(&mut rig, false).0).count();
--- a/crates/resp/src/answers.rs
+++ b/crates/resp/src/answers.rs
@@ -38,7 +38,7 @@
         }
     }
     /// The next answer that can be sent.
-    pub fn next(&mut self) -> Option<T> {
+    pub fn take(&mut self) -> Option<T> {
         let answer = self.slots.front_mut().and_then(Option::take)?;
         self.slots.pop_front();
         self.first += 1;
--- a/crates/resp/tests/replies.rs
+++ b/crates/resp/tests/replies.rs
@@ -61,10 +61,10 @@
     let (a, b) = (answers.wait(), answers.wait());
     answers.ready(3);
     answers.answer(b, 2);
-    assert_eq!((answers.next(), answers.pending()), (None, 3));
+    assert_eq!((answers.take(), answers.pending()), (None, 3));
     answers.answer(a, 1);
     assert_eq!(
-        [answers.next(), answers.next(), answers.next(), answers.next()],
+        [answers.take(), answers.take(), answers.take(), answers.take()],
         [Some(1), Some(2), Some(3), None]
     );
     answers.answer(a, 9);
