--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -946,7 +946,7 @@
             self.calm_out *= if overloaded { CALM_GROW } else { 1.0 };
         }
         let ill = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) || took > aim;
-        // A single connection may break while a request goes out: the second one in a row tells of the server.
+        // One connection may break while a request goes out: the second in a row tells of the server.
         let unmade = outcome == Outcome::ConnectFailed;
         let alone = unmade && s.unreached.is_none();
         if unmade {
