--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -266,7 +266,7 @@
         if c.window.span != span {
             c.heard =
                 (c.heard.0 * (1.0 - CARRY) + c.window.posted, c.heard.1 * (1.0 - CARRY) + c.window.seen);
-            // The store as followed here from the last window; after a gap the window's plain allowance speaks.
+            // The store as followed from the last window; after a gap the window's plain allowance speaks.
             let (follows, known) = (c.window.span + 1 == span, c.window.known());
             let store = if follows { c.window.level(now, known, rate, burst) } else { burst };
             c.window = Tally { span, store, at: now, ..Tally::default() };
