Counter links: half an answer ends its link; broken calls are told as broken

Ruled out: the counter's capacity (80 calls a second and gateway went well before). At fault: timed_out() in counter.rs keeps a link whose answer stands half; Link::end() tells Timeout. Change: a link with half an answer at a time-out is left; broken and spoilt calls are told as Reset and Error. The test fails without it.

--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -2,8 +2,8 @@
 //! connection, so their answers are told in the order of the calls.
 //!
 //! A call ends by its answer, by its time or by its connection's end; an answer that comes later is passed over. A connection
-//! on which nothing was heard since a call was sent whose time is up may be dead without a word: the next call takes a new
-//! one, and calls under way end on the old.
+//! on which nothing was heard since a call was sent whose time is up, or half an answer, may be dead without a word: the next
+//! call takes a new one, and calls under way end on the old.
 
 use crate::outcome::counted;
 use bytes::{Bytes, BytesMut};
@@ -65,7 +65,7 @@
     fn end(&mut self, unsent: usize) -> Vec<Told> {
         let written = self.queued.saturating_sub(unsent as u64);
         let outcome = |c: &Call| match c.command.is_none() && c.end <= written {
-            true => Outcome::Timeout,
+            true => Outcome::Reset,
             false => Outcome::ConnectFailed,
         };
         let told = self.calls.iter().skip(self.told).map(|c| Told::not(c.name, outcome(c))).collect();
@@ -180,7 +180,8 @@
                 told.push(Told::not(call.name, outcome));
                 if sent {
                     link.told += 1;
-                    if link.heard <= call_sent {
+                    // Silent, or half an answer stands before all others.
+                    if link.heard <= call_sent || !link.bytes.is_empty() {
                         silent.push(place);
                     }
                 } else {
@@ -216,7 +217,7 @@
             let (outcome, total, sound) = match take_reply(&mut link.bytes, &BOUNDS) {
                 Reply::Partial => return Some(told),
                 Reply::Whole(frame) => counted(&frame),
-                Reply::Bad(_) => (Outcome::Timeout, 0.0, false),
+                Reply::Bad(_) => (Outcome::Error, 0.0, false),
             };
             match link.calls.pop_front() {
                 Some(_) if link.told > 0 => link.told -= 1,
--- a/crates/platform/tests/peers.rs
+++ b/crates/platform/tests/peers.rs
@@ -228,6 +228,34 @@
     assert!(stage.counted >= 1 && calls(&stage).iter().any(|c| !silent.contains(c)));
 }
 
+#[test]
+fn half_an_answer_of_the_counter_does_not_swallow_the_next_ones() {
+    let mut stage = Stage::new(1, WIDE);
+    let client = stage.client();
+    stage.mute = true;
+    stage.ask(client, "p1", VIEW);
+    let counter = stage.counter.0;
+    let conn = stage.until("the call comes", |s| {
+        let conns: Vec<_> = s.at.iter().filter(|(_, l)| **l == counter).map(|(c, _)| *c).collect();
+        conns.into_iter().find(|c| s.command(*c).is_some())
+    });
+    // More is announced than ever comes.
+    stage.say(conn, b"$400\r\n1");
+    stage.quiet();
+    stage.jumps.jump(100_000);
+    let (backend, _) = stage.arrived();
+    stage.served(backend, "own");
+    stage.hears(client, "$3\r\nown\r\n");
+    stage.mute = false;
+    let before = stage.counted;
+    stage.ask(client, "p2", VIEW);
+    stage.until("the next call takes another connection", |s| (s.counted > before).then_some(()));
+    let (backend, _) = stage.arrived();
+    stage.served(backend, "heard");
+    stage.hears(client, "$5\r\nheard\r\n");
+    assert!(stage.closed.contains(&conn));
+}
+
 #[test]
 fn a_drained_server_gets_nothing_new_and_an_address_under_a_new_name_is_another_server() {
     let mut stage = Stage::new(2, WIDE);
