Lines of backends hold 1 KiB: spoilt ones no longer take the gateway's memory

Ruled out: clients (64 descriptors), counter (2 KiB a link). At fault: item() in guard.rs used the bound of a word for lines; VALUE_PART and VALUES_PART in backends.rs. Change: a bound of its own for lines, 1 KiB; a value takes a 64th of the memory granted, all a eighth. The test fails without it.

--- a/crates/gateway/src/resp/wire.rs
+++ b/crates/gateway/src/resp/wire.rs
@@ -6,7 +6,8 @@
 use redis_protocol::resp3;
 
 /// What is read of a command.
-pub(crate) const BOUNDS: Bounds = Bounds { words: 64, word: 4 << 10, message: 64 << 10, inline: true };
+pub(crate) const BOUNDS: Bounds =
+    Bounds { words: 64, word: 4 << 10, line: 0, message: 64 << 10, inline: true };
 
 /// An answer.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -14,8 +14,10 @@
 /// What is read of a backend's answer: a value, figures on use, a load report. A value may take so large a part of the memory
 /// granted, all answers that are still coming in so large a one.
 const ITEMS: usize = 8;
-const VALUE_PART: f64 = 1.0 / 32.0;
-const VALUES_PART: f64 = 1.0 / 4.0;
+const VALUE_PART: f64 = 1.0 / 64.0;
+const VALUES_PART: f64 = 1.0 / 8.0;
+/// An error line with a report behind it.
+const LINE: usize = 1_024;
 /// A kept connection is let go this part of its idle time before the backend closes it.
 const IDLE_PART: f64 = 0.8;
 /// The longest that a kept connection stays unused, in microseconds.
@@ -111,7 +113,7 @@
             out: FxHashMap::default(),
             idle: FxHashMap::default(),
             most,
-            bounds: Bounds { words: ITEMS, word, message: word + (8 << 10), inline: false },
+            bounds: Bounds { words: ITEMS, word, line: LINE, message: word + (8 << 10), inline: false },
             most_held: (memory * VALUES_PART) as usize,
             held: 0,
             most_keep,
--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -21,7 +21,7 @@
 /// Connections that only wait for the ends of their calls.
 const MOST_OLD: usize = 12;
 /// What is read of an answer.
-const BOUNDS: Bounds = Bounds { words: 1, word: 1_024, message: 2_048, inline: false };
+const BOUNDS: Bounds = Bounds { words: 1, word: 1_024, line: 1_024, message: 2_048, inline: false };
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -10,7 +10,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 /// What is read of a command: a body of 64 KiB beside an id, a customer and a list of names.
-const BOUNDS: Bounds = Bounds { words: 16, word: 64 << 10, message: 80 << 10, inline: false };
+const BOUNDS: Bounds = Bounds { words: 16, word: 64 << 10, line: 0, message: 80 << 10, inline: false };
 /// Commands of one connection whose answers are still to come; beyond, nothing is read from it.
 const MOST_PENDING: usize = 64;
 /// Bytes that a client may leave unread; beyond, nothing is read from it.
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
-const BOUNDS: Bounds = Bounds { words: 16, word: 1 << 20, message: 2 << 20, inline: true };
+const BOUNDS: Bounds = Bounds { words: 16, word: 1 << 20, line: 0, message: 2 << 20, inline: true };
 pub const SECOND: i64 = 1_000_000;
 
 /// A backend of the list.
--- a/crates/platform/tests/peers.rs
+++ b/crates/platform/tests/peers.rs
@@ -38,6 +38,22 @@
     }
 }
 
+#[test]
+fn a_line_without_end_is_told_before_it_takes_room() {
+    let mut stage = Stage::new(1, WIDE);
+    let client = stage.client();
+    stage.ask(client, "a1", SALE);
+    let (backend, _) = stage.arrived();
+    stage.say(backend, &[b'-'; 4 << 10]);
+    // Long before its deadline, by which it would be given up in any case.
+    let closed = (0..5_000).any(|_| {
+        stage.turn();
+        stage.closed.contains(&backend)
+    });
+    assert!(closed, "it was waited on");
+    stage.hears(client, "-ERR failed\r\n");
+}
+
 #[test]
 fn a_value_beyond_the_stated_64_kib_is_served_as_it_came() {
     let mut stage = Stage::new(1, WIDE);
--- a/crates/resp/src/guard.rs
+++ b/crates/resp/src/guard.rs
@@ -5,8 +5,10 @@
 pub struct Bounds {
     /// The most words of a command, or items of a reply.
     pub words: usize,
-    /// The most bytes of one word, item or line.
+    /// The most bytes of one word or item.
     pub word: usize,
+    /// The most bytes of a line: a reply without a length.
+    pub line: usize,
     /// The most bytes of a message.
     pub message: usize,
     /// Commands may come as a line of words, as typed by hand.
@@ -113,7 +115,7 @@
     match bytes.get(at) {
         None => Extent::Partial,
         Some(b'$') => bulk(bytes, at + 1, bounds, true),
-        Some(b'+' | b'-' | b':') => line(bytes, at + 1, bounds.word),
+        Some(b'+' | b'-' | b':') => line(bytes, at + 1, bounds.line),
         Some(other) => bad(&format!("expected a reply, got '{}'", other.escape_ascii())),
     }
 }
--- a/crates/resp/tests/commands.rs
+++ b/crates/resp/tests/commands.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use chalkdeck_resp::{take, Bounds, Front};
 
-const BOUNDS: Bounds = Bounds { words: 64, word: 4 << 10, message: 64 << 10, inline: true };
+const BOUNDS: Bounds = Bounds { words: 64, word: 4 << 10, line: 0, message: 64 << 10, inline: true };
 
 fn words(front: Front) -> Vec<String> {
     let Front::Command(words) = front else { panic!("expected a command, found {front:?}") };
--- a/crates/resp/tests/replies.rs
+++ b/crates/resp/tests/replies.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-const BOUNDS: Bounds = Bounds { words: 4, word: 64, message: 256, inline: false };
+const BOUNDS: Bounds = Bounds { words: 4, word: 64, line: 64, message: 256, inline: false };
 
 /// All replies of some bytes that come in pieces, and whether the rest can be read on from.
 fn replies(pieces: &[&[u8]]) -> (Vec<Frame>, bool) {
