--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -50,6 +50,8 @@
     pub totals: HashMap<Bytes, f64>,
     /// The counter is silent.
     pub mute: bool,
+    /// Discovery is silent.
+    pub hush: bool,
     pub counted: usize,
 }
 
@@ -116,6 +118,7 @@
             told,
             totals,
             mute: false,
+            hush: false,
             counted: 0,
         };
         stage.until("the list is told", |s| s.told.values().any(|v| *v == s.index).then_some(()));
@@ -184,7 +187,7 @@
         for conn in self.of(self.discovery.0) {
             let asked = self.heard.get(&conn).is_some_and(|b| b.ends_with(b"\r\n\r\n"));
             let news = self.told.get(&conn) != Some(&self.index);
-            if !asked || !news || self.closed.contains(&conn) {
+            if self.hush || !asked || !news || self.closed.contains(&conn) {
                 continue;
             }
             self.heard.remove(&conn);
--- a/crates/platform/tests/peers.rs
+++ b/crates/platform/tests/peers.rs
@@ -384,3 +384,51 @@
     stage.until("all is over", |s| s.shell.stopped().then_some(()));
     assert!(stage.closed.contains(&busy) || stage.heard.is_empty() || !stage.heard.contains_key(&busy));
 }
+
+#[test]
+fn without_discovery_and_counter_the_known_list_and_the_local_share_serve() {
+    let mut stage = Stage::new(1, WIDE);
+    let (discovery, counter) = (stage.discovery.0, stage.counter.0);
+    stage.engine.unlisten(discovery);
+    stage.engine.unlisten(counter);
+    let known = format!(
+        r#""known":{{"index":4,"snapshot":true,"endpoints":[{{"name":"s-0","address":"{}","status":"ready"}}]}},"settings""#,
+        stage.backends[0].1
+    );
+    let text =
+        config("127.0.0.1:0", stage.discovery.1, stage.counter.1, WIDE).replacen("\"settings\"", &known, 1);
+    std::fs::write(&stage.file, text).expect("the file");
+    let set = chalkdeck_platform::Config::load(&stage.file).expect("a sound configuration");
+    stage.shell = chalkdeck_platform::Shell::start(set).expect("a free port");
+    let client = stage.client();
+    stage.ask(client, "q1", VIEW);
+    let (backend, _) = stage.arrived();
+    stage.served(backend, "known");
+    stage.hears(client, "$5\r\nknown\r\n");
+}
+
+#[test]
+fn a_version_that_goes_back_is_taken_as_a_whole_list_and_never_as_changes() {
+    let mut stage = Stage::new(2, WIDE);
+    stage.index = 50;
+    stage.tell(stage.list.clone());
+    let discovery = stage.discovery.0;
+    let watch = |s: &Stage| {
+        let open = s.at.iter().filter(|(c, l)| **l == discovery && !s.closed.contains(c));
+        open.map(|(c, _)| *c).max().filter(|c| s.heard.get(c).is_some_and(|b| !b.is_empty()))
+    };
+    let conn = stage.until("a watch waits", |s| watch(s));
+    stage.hush = true;
+    // Changes to an older version: not built on, the whole list is asked for.
+    let body = r#"{"index":3,"snapshot":false,"endpoints":[{"name":"s-0","address":"127.0.0.1:1","status":"gone"}]}"#;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stage.say(conn, (head + body).as_bytes());
+    stage.until("it is dialled again", |s| s.closed.contains(&conn).then_some(()));
+    stage.jumps.jump(200_000);
+    let asked = stage.until("and asked again", |s| {
+        let open = s.at.iter().filter(|(c, l)| **l == discovery && !s.closed.contains(c) && **c != conn);
+        let text = open.map(|(c, _)| *c).max().and_then(|c| s.heard.get(&c).cloned())?;
+        text.ends_with(b"\r\n\r\n").then_some(text)
+    });
+    assert!(asked.starts_with(b"GET /v1/endpoints HTTP/1.1\r\n"), "the whole list");
+}
