--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -191,3 +191,31 @@
     };
     stage.until("all are answered", |s| (answers(s) == 300).then_some(()));
 }
+
+#[test]
+fn a_client_that_does_not_read_holds_its_own_requests_back_and_nobody_elses() {
+    let mut stage = Stage::new(4, WIDE);
+    let (slow, other) = (stage.client(), stage.client());
+    stage.engine.pause(slow, true);
+    for i in 0..200 {
+        stage.ask(slow, &format!("s{i}"), &VIEW.replace("d=2000", "d=3000"));
+    }
+    let value = "v".repeat(300_000);
+    let mut served = 0;
+    for _ in 0..2_000 {
+        stage.turn();
+        while let Some((backend, _)) = stage.arrival() {
+            stage.served(backend, &value);
+            served += 1;
+        }
+    }
+    assert!(served > 0 && served < 190, "{served} of 200 went on while nothing was read");
+    stage.ask(other, "o1", VIEW);
+    let (backend, words) = stage.until("the other's request comes", |s| {
+        let came = s.arrival()?;
+        (&came.1[2][..] == b"o1").then_some(came)
+    });
+    assert_eq!(&words[2][..], b"o1");
+    stage.served(backend, "mine");
+    stage.hears(other, "$4\r\nmine\r\n");
+}
