--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -23,10 +23,6 @@
     pub fn tell(&mut self, event: Event) {
         self.events.push_back(event);
     }
-    /// Whether nothing is queued.
-    pub fn is_empty(&self) -> bool {
-        self.events.is_empty() && self.actions.is_empty()
-    }
     /// The next action to carry out. The actions on one event come before the next event is told; none: all is done.
     pub fn follow(&mut self, now: Micros) -> Option<Action> {
         loop {
