Read over: list news without a copy of all servers, one place that clears an answer, one round in tests

On each answer of discovery, every 2 s, the whole map of servers was cloned and each listed server looked up in the list again; now the old map is taken and the drained ones are a set. What came of an answer is cleared in one place, not three. Calls to the counter that end at once are returned where they end.

--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -8,7 +8,7 @@
 use chalkdeck::api::{Listed, Outcome, Report, RequestId, ServerId};
 use chalkdeck_net::{ConnId, Engine};
 use chalkdeck_resp::{take_reply, Bounds, Reply};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::net::SocketAddr;
 
 /// What is read of a backend's answer: a value, figures on use, a load report. A value may take so large a part of the memory
@@ -25,7 +25,6 @@
 /// A second copy or noise right behind an answer has come by then, in microseconds; until then its connection is not used
 /// again.
 const SETTLE: u64 = 2_000;
-
 /// A write to a kept connection that ends as a reset within this time met one that its backend had closed unseen.
 const UNSEEN: u64 = 5_000;
 /// After that, connections are kept for this part of the time that one was unused, and never shorter than the least; each answer
@@ -125,9 +124,9 @@
     pub(crate) fn update(&mut self, engine: &mut Engine, list: &List) {
         let mut old: Vec<ServerId> = Vec::new();
         if list.snapshot {
-            old = self.servers.keys().copied().collect();
-            self.servers.clear();
+            old.extend(std::mem::take(&mut self.servers).into_keys());
         }
+        let mut draining = FxHashSet::default();
         for Server { address, entry } in &list.servers {
             old.push(entry.server);
             if entry.listed == Listed::Gone {
@@ -135,18 +134,16 @@
             } else {
                 self.servers.insert(entry.server, *address);
             }
+            if entry.listed == Listed::Draining {
+                draining.insert(entry.server);
+            }
         }
-        let usable: FxHashMap<ServerId, SocketAddr> = self.servers.clone();
-        let drained = |id: ServerId| {
-            list.servers.iter().any(|s| s.entry.server == id && s.entry.listed != Listed::InService)
-        };
         for id in old {
             let Some(kept) = self.idle.get(&id) else { continue };
-            let stale = |c: &ConnId| {
-                drained(id) || self.links.get(c).is_none_or(|l| usable.get(&id) != Some(&l.address))
-            };
-            let stale: Vec<ConnId> = kept.iter().copied().filter(|c| stale(c)).collect();
-            stale.into_iter().for_each(|conn| self.drop_idle(engine, conn));
+            let address = self.servers.get(&id).filter(|_| !draining.contains(&id));
+            let stale = |c: &&ConnId| self.links.get(c).is_none_or(|l| address != Some(&l.address));
+            let stale: Vec<ConnId> = kept.iter().filter(stale).copied().collect();
+            stale.into_iter().for_each(|conn| self.drop_link(engine, conn));
         }
     }
 
@@ -193,11 +190,11 @@
                 self.idle.entry(server).and_modify(|kept| kept.retain(|c| *c != conn));
                 return Some(conn);
             }
-            self.drop_idle(engine, conn);
+            self.drop_link(engine, conn);
         }
     }
 
-    fn drop_idle(&mut self, engine: &mut Engine, conn: ConnId) {
+    fn drop_link(&mut self, engine: &mut Engine, conn: ConnId) {
         self.unlink(conn);
         engine.close(conn);
     }
@@ -224,7 +221,7 @@
         let Some(conn) = idle.min_by_key(|(conn, l)| (l.idle, **conn)).map(|(conn, _)| *conn) else {
             return false;
         };
-        self.drop_idle(engine, conn);
+        self.drop_link(engine, conn);
         true
     }
 
@@ -233,7 +230,7 @@
         let now = engine.now();
         let old = |l: &Link| l.out.is_none() && now >= l.idle + self.keep;
         let stale: Vec<ConnId> = self.links.iter().filter(|(_, l)| old(l)).map(|(c, _)| *c).collect();
-        stale.into_iter().for_each(|conn| self.drop_idle(engine, conn));
+        stale.into_iter().for_each(|conn| self.drop_link(engine, conn));
     }
 
     pub(crate) fn owns(&self, conn: ConnId) -> bool {
@@ -253,7 +250,7 @@
         let link = self.links.get_mut(&conn)?;
         if link.out.is_none() {
             // Nobody asked for them.
-            self.drop_idle(engine, conn);
+            self.drop_link(engine, conn);
             return None;
         }
         link.bytes.extend_from_slice(data);
@@ -267,9 +264,11 @@
             Reply::Whole(frame) => answered(frame),
             Reply::Bad(_) => Answered::Spoilt,
         };
-        // More than one answer, or bytes that no backend sends: of no further use.
         self.held -= before.min(self.held);
+        // More than one answer, or bytes that no backend sends: of no further use.
         let over = said == Answered::Spoilt || !link.bytes.is_empty() || engine.unsent(conn) > 0;
+        // What came was given back above, and a large answer's room is not kept.
+        link.bytes = BytesMut::new();
         if link.rested().is_some_and(|rested| rested >= self.keep / 2) {
             self.keep = ((self.keep as f64 * KEEP_GROW) as u64).min(self.most_keep);
         }
@@ -284,9 +283,7 @@
         };
         let now = engine.now();
         if over {
-            // Its bytes were given back above.
-            link.bytes.clear();
-            self.drop_idle(engine, conn);
+            self.drop_link(engine, conn);
         } else {
             self.keep(now, conn);
         }
@@ -297,8 +294,6 @@
     fn keep(&mut self, now: u64, conn: ConnId) {
         let Some(link) = self.links.get_mut(&conn) else { return };
         link.idle = now;
-        // A large answer's room is given back.
-        link.bytes = BytesMut::new();
         self.idle.entry(link.server).or_default().push(conn);
     }
 
--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -78,7 +78,7 @@
 pub(crate) struct Counter {
     address: SocketAddr,
     links: Vec<Link>,
-    /// Links to an earlier address, whose calls still end there.
+    /// Links to an earlier address or fallen silent, whose calls still end there.
     old: Vec<Link>,
     timeout: u64,
 }
@@ -131,16 +131,13 @@
         let now = engine.now();
         let place = (name.0 % LINKS as u64) as usize;
         let link = &mut self.links[place];
-        let mut told = Vec::new();
         if link.calls.len() >= MOST_OPEN {
-            told.push(Told::not(name, Outcome::Full));
-            return (told, None);
+            return (vec![Told::not(name, Outcome::Full)], None);
         }
         let mut dialled = None;
         if link.conn.is_none() {
             let Ok(conn) = engine.connect_raw(self.address) else {
-                told.push(Told::not(name, Outcome::ConnectFailed));
-                return (told, None);
+                return (vec![Told::not(name, Outcome::ConnectFailed)], None);
             };
             (link.conn, dialled) = (Some(conn), Some(conn));
         }
@@ -151,7 +148,7 @@
             None => call.command = Some(command),
         }
         link.calls.push_back(call);
-        (told, dialled)
+        (Vec::new(), dialled)
     }
 
     fn all(&mut self) -> impl Iterator<Item = &mut Link> {
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -99,10 +99,7 @@
     stage.hears(other, "-ERR id: expected one that no open request has");
     stage.served(backend, "mine");
     stage.hears(owner, "$4\r\nmine\r\n");
-    stage.ask(other, "d1", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "later");
-    stage.hears(other, "$5\r\nlater\r\n");
+    stage.round(other, "d1", VIEW, "later");
 }
 
 #[test]
@@ -156,10 +153,7 @@
         silent.push(stage.client());
     }
     let last = stage.client();
-    stage.ask(last, "f1", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "room");
-    stage.hears(last, "$4\r\nroom\r\n");
+    stage.round(last, "f1", VIEW, "room");
     assert!(!stage.closed.contains(&kept), "one that spoke stays");
     assert!(silent.iter().any(|c| stage.closed.contains(c)), "wordless ones made room");
 }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -277,6 +277,15 @@
         self.heard.remove(&conn);
     }
 
+    /// A request that is served: asked, answered with the value by whichever backend it came to, heard. Returns its connection.
+    pub fn round(&mut self, client: ConnId, id: &str, list: &str, value: &str) -> ConnId {
+        self.ask(client, id, list);
+        let (backend, _) = self.arrived();
+        self.served(backend, value);
+        self.hears(client, &format!("${}\r\n{value}\r\n", value.len()));
+        backend
+    }
+
     pub fn served(&mut self, conn: ConnId, value: &str) {
         let reply = format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len());
         self.say(conn, reply.as_bytes());
--- a/crates/platform/tests/peers.rs
+++ b/crates/platform/tests/peers.rs
@@ -81,10 +81,7 @@
 fn what_comes_on_a_kept_connection_unasked_never_reaches_the_next_request() {
     let mut stage = Stage::new(1, WIDE);
     let client = stage.client();
-    stage.ask(client, "c1", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "one");
-    stage.hears(client, "$3\r\none\r\n");
+    let backend = stage.round(client, "c1", VIEW, "one");
     // A second copy that comes late.
     stage.served(backend, "one");
     stage.until("the connection is closed", |s| s.closed.contains(&backend).then_some(()));
@@ -123,10 +120,7 @@
     let mut stage = Stage::new(1, WIDE);
     let client = stage.client();
     let serve = |stage: &mut Stage, id: &str, rest: i64| {
-        stage.ask(client, id, VIEW);
-        let (backend, _) = stage.arrived();
-        stage.served(backend, "ok");
-        stage.hears(client, "$2\r\nok\r\n");
+        let backend = stage.round(client, id, VIEW, "ok");
         stage.jumps.jump(rest);
         backend
     };
@@ -192,10 +186,7 @@
     let mut stage = Stage::new(1, WIDE);
     let client = stage.client();
     let tiny = "c=view,t=tiny,d=2000,units=2,spread=3,first=1";
-    stage.ask(client, "h1", tiny);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "in");
-    stage.hears(client, "$2\r\nin\r\n");
+    stage.round(client, "h1", tiny, "in");
     assert_eq!(stage.counted, 1, "one add before it was sent on");
     stage.ask(client, "h2", tiny);
     stage.hears(client, "-BUSY ");
@@ -237,10 +228,7 @@
     // The next call takes a new connection and is answered there.
     stage.mute = false;
     silent.iter().for_each(|c| drop(stage.heard.remove(c)));
-    stage.ask(client, "i2", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "heard");
-    stage.hears(client, "$5\r\nheard\r\n");
+    stage.round(client, "i2", VIEW, "heard");
     assert!(stage.counted >= 1 && calls(&stage).iter().any(|c| !silent.contains(c)));
 }
 
@@ -325,10 +313,7 @@
     stage.jumps.jump(3 * SECOND);
     stage.until("a silent agent is dialled again", |s| s.closed.contains(&conn).then_some(()));
     let client = stage.client();
-    stage.ask(client, "l1", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "still");
-    stage.hears(client, "$5\r\nstill\r\n");
+    stage.round(client, "l1", VIEW, "still");
 }
 
 #[test]
@@ -350,10 +335,7 @@
     (stage.counter, stage.discovery) = (counter, discovery);
     stage.until("the new one is asked", |s| s.at.values().any(|l| *l == discovery.0).then_some(()));
     assert!(stage.at.values().any(|l| *l == old));
-    stage.ask(client, "m2", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "moved");
-    stage.hears(client, "$5\r\nmoved\r\n");
+    stage.round(client, "m2", VIEW, "moved");
     assert!(stage.counted > before, "the new counter was called");
 }
 
@@ -368,10 +350,7 @@
     stage.shell.stop();
     // New ones still come and are served.
     let late = stage.client();
-    stage.ask(late, "n2", VIEW);
-    let (other, _) = stage.arrived();
-    stage.served(other, "late");
-    stage.hears(late, "$4\r\nlate\r\n");
+    stage.round(late, "n2", VIEW, "late");
     assert!(!stage.shell.stopped());
     stage.jumps.jump(600_000);
     assert!(!stage.shell.stopped(), "a request is open");
@@ -401,10 +380,7 @@
     let set = chalkdeck_platform::Config::load(&stage.file).expect("a sound configuration");
     stage.shell = chalkdeck_platform::Shell::start(set).expect("a free port");
     let client = stage.client();
-    stage.ask(client, "q1", VIEW);
-    let (backend, _) = stage.arrived();
-    stage.served(backend, "known");
-    stage.hears(client, "$5\r\nknown\r\n");
+    stage.round(client, "q1", VIEW, "known");
 }
 
 #[test]
