Lost requests on join+mass: a queued answer was taken for one left unread for 10 s

Its like elsewhere, looked for at every time field of the package: 'lingers' had the time of the last use, a first command that trickled in renewed its two seconds with each byte (now since it came), silence was judged before what waits in the socket was read (the loop hands over timers before bytes; now a look at the socket first, also when room is made for a new client), a backend connection's 'idle' of 0 meant never.

Five tests in front.rs, each seen to fail without its part.

--- a/crates/net/src/plain.rs
+++ b/crates/net/src/plain.rs
@@ -25,6 +25,10 @@
     pub fn unsent(&mut self, conn: ConnId) -> usize {
         self.raw(conn).map_or(0, |(raw, _)| raw.unsent())
     }
+    /// Bytes of a plain connection that left this process, in all.
+    pub fn taken(&mut self, conn: ConnId) -> u64 {
+        self.raw(conn).map_or(0, |(raw, _)| raw.taken)
+    }
     /// Reads nothing from a plain connection, or goes on.
     pub fn pause(&mut self, conn: ConnId, paused: bool) {
         if let Some((raw, waker)) = self.raw(conn).filter(|(raw, _)| raw.paused != paused) {
--- a/crates/net/src/raw.rs
+++ b/crates/net/src/raw.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Raw {
     stream: TcpStream,
     out: BytesMut,
+    /// Bytes that the system took in all.
+    pub(crate) taken: u64,
     pub(crate) paused: bool,
     pub(crate) ending: Ending,
     /// Our direction was ended.
@@ -44,7 +46,7 @@
 impl Raw {
     pub(crate) fn new(stream: TcpStream) -> Raw {
         let (out, ending) = (BytesMut::new(), Ending::No);
-        Raw { stream, out, paused: false, ending, shut: false, dirty: false, ends: false }
+        Raw { stream, out, taken: 0, paused: false, ending, shut: false, dirty: false, ends: false }
     }
     /// Queues bytes; returns whether the connection was not dirty before.
     pub(crate) fn write(&mut self, bytes: &[u8]) -> bool {
@@ -104,7 +106,10 @@
         while !self.out.is_empty() {
             match self.stream.write(&self.out) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.out.advance(n),
+                Ok(n) => {
+                    self.out.advance(n);
+                    self.taken += n as u64;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
--- a/crates/platform/src/backends.rs
+++ b/crates/platform/src/backends.rs
@@ -73,15 +73,18 @@
     address: SocketAddr,
     bytes: BytesMut,
     out: Option<Out>,
-    /// Since when it is not in use, or was not before its request; 0: never before.
-    idle: u64,
+    /// Since when it is not in use, or was not before its request; none: never before.
+    idle: Option<u64>,
 }
 
 impl Link {
     /// How long it was unused before its request; none: it is new.
     fn rested(&self) -> Option<u64> {
-        let out = self.out.as_ref().filter(|_| self.idle > 0)?;
-        Some(out.since.saturating_sub(self.idle))
+        Some(self.out.as_ref()?.since.saturating_sub(self.idle?))
+    }
+    /// Whether it has not been in use for so long.
+    fn idle_for(&self, now: u64, span: u64) -> bool {
+        self.out.is_none() && self.idle.is_some_and(|since| now >= since + span)
     }
 }
 
@@ -173,7 +176,7 @@
         }
         let Ok(conn) = engine.connect_raw(address) else { return not(Outcome::ConnectFailed) };
         let out = Some(Out { command: Some(command.clone()), ..out });
-        self.links.insert(conn, Link { server, address, bytes: BytesMut::new(), out, idle: 0 });
+        self.links.insert(conn, Link { server, address, bytes: BytesMut::new(), out, idle: None });
         self.out.insert(attempt, conn);
         Sent::Under(Some(conn))
     }
@@ -183,10 +186,10 @@
         let now = engine.now();
         loop {
             let kept = self.idle.get(&server)?;
-            let settled = |c: &&ConnId| self.links.get(c).is_some_and(|l| now >= l.idle + SETTLE);
+            let settled = |c: &&ConnId| self.links.get(c).is_some_and(|l| l.idle_for(now, SETTLE));
             let conn = *kept.iter().rev().find(settled)?;
-            let fresh = self.links.get(&conn).is_some_and(|l| now < l.idle + self.keep);
-            if fresh && engine.is_quiet(conn) {
+            let old = self.links.get(&conn).is_none_or(|l| l.idle_for(now, self.keep));
+            if !old && engine.is_quiet(conn) {
                 self.idle.entry(server).and_modify(|kept| kept.retain(|c| *c != conn));
                 return Some(conn);
             }
@@ -228,7 +231,7 @@
     /// Closes kept connections that were not used for long.
     pub(crate) fn sweep(&mut self, engine: &mut Engine) {
         let now = engine.now();
-        let old = |l: &Link| l.out.is_none() && now >= l.idle + self.keep;
+        let old = |l: &Link| l.idle_for(now, self.keep);
         let stale: Vec<ConnId> = self.links.iter().filter(|(_, l)| old(l)).map(|(c, _)| *c).collect();
         stale.into_iter().for_each(|conn| self.drop_link(engine, conn));
     }
@@ -293,7 +296,7 @@
 
     fn keep(&mut self, now: u64, conn: ConnId) {
         let Some(link) = self.links.get_mut(&conn) else { return };
-        link.idle = now;
+        link.idle = Some(now);
         self.idle.entry(link.server).or_default().push(conn);
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -36,18 +36,19 @@
     paused: bool,
     /// Nothing more is read: an error was told or the gateway stops.
     over: bool,
-    /// It was told of an error and may read it.
-    lingers: bool,
+    /// Since when it may read the error that it was told of.
+    lingers: Option<u64>,
     spoke: bool,
+    came: u64,
     /// When it last began, continued or was answered.
     used: u64,
-    /// Bytes it had not taken at the last look, and since when there are no fewer.
-    unread: (usize, u64),
+    /// Bytes it had taken in all, and since when it has taken no further ones though some wait for it.
+    stuck: Option<(u64, u64)>,
 }
 
 impl Session {
     fn between_requests(&self) -> bool {
-        self.answers.pending() == 0 && self.bytes.is_empty() && !self.lingers
+        self.answers.pending() == 0 && self.bytes.is_empty() && self.lingers.is_none()
     }
 }
 
@@ -75,20 +76,23 @@
 
     /// A client came.
     pub(crate) fn accepted(&mut self, engine: &mut Engine, conn: ConnId) {
-        let used = engine.now();
-        self.sessions.insert(conn, Session { used, ..Session::default() });
+        let now = engine.now();
+        self.sessions.insert(conn, Session { came: now, used: now, ..Session::default() });
         if self.sessions.len() > self.most {
-            if let Some(idle) = self.longest_idle(used, conn) {
+            if let Some(idle) = self.longest_idle(engine, now, conn) {
                 self.sessions.remove(&idle);
                 engine.close(idle);
             }
         }
     }
 
-    fn longest_idle(&self, now: u64, new: ConnId) -> Option<ConnId> {
-        let idle = self.sessions.iter().filter(|(c, s)| **c != new && s.answers.pending() == 0);
+    /// Of the connections on which nothing waits to be read.
+    fn longest_idle(&self, engine: &mut Engine, now: u64, new: ConnId) -> Option<ConnId> {
         let rank = |s: &Session| (s.spoke || now < s.used + WORDLESS, s.used);
-        idle.min_by_key(|(c, s)| (rank(s), **c)).map(|(c, _)| *c)
+        let idle = self.sessions.iter().filter(|(c, s)| **c != new && s.answers.pending() == 0);
+        let mut idle: Vec<_> = idle.map(|(c, s)| (rank(s), *c)).collect();
+        idle.sort_unstable();
+        idle.into_iter().map(|(_, conn)| conn).find(|conn| engine.is_quiet(*conn))
     }
 
     pub(crate) fn owns(&self, conn: ConnId) -> bool {
@@ -168,8 +172,8 @@
         if session.answers.pending() > 0 {
             return false;
         }
-        if session.over && !session.lingers {
-            session.lingers = true;
+        if session.over && session.lingers.is_none() {
+            session.lingers = Some(engine.now());
             engine.linger(conn);
         } else if self.stopping && session.bytes.is_empty() {
             session.over = true;
@@ -196,12 +200,10 @@
         let now = engine.now();
         let (mut close, mut resume) = (Vec::new(), Vec::new());
         for (conn, session) in &mut self.sessions {
-            let unread = engine.unsent(*conn);
-            if unread == 0 || unread < session.unread.0 {
-                session.unread.1 = now;
-            }
-            session.unread.0 = unread;
-            if over_time(session, now) {
+            let (unread, taken) = (engine.unsent(*conn), engine.taken(*conn));
+            let known = session.stuck.filter(|(before, _)| *before == taken);
+            session.stuck = (unread > 0).then_some(known.unwrap_or((taken, now)));
+            if stalled(session, now) || silent(session, now) && engine.is_quiet(*conn) {
                 close.push(*conn);
             } else if session.paused && unread <= UNREAD && session.answers.pending() < MOST_PENDING / 2 {
                 session.paused = false;
@@ -233,18 +235,23 @@
     }
 }
 
-/// Whether a connection stood still for longer than it may.
-fn over_time(s: &Session, now: u64) -> bool {
-    let still = now.saturating_sub(s.used);
-    if s.unread.0 > 0 && now.saturating_sub(s.unread.1) >= STALLED {
-        return true;
-    }
-    if s.lingers {
-        return still >= LINGER;
+/// Whether a client has not taken what it is owed for longer than it may.
+fn stalled(s: &Session, now: u64) -> bool {
+    let longer = |since: u64, than: u64| now.saturating_sub(since) >= than;
+    s.stuck.is_some_and(|(_, since)| longer(since, STALLED)) || s.lingers.is_some_and(|at| longer(at, LINGER))
+}
+
+/// Whether a client that is owed nothing said nothing for longer than it may, as far as it was read.
+fn silent(s: &Session, now: u64) -> bool {
+    if s.lingers.is_some() || s.stuck.is_some() || s.answers.pending() > 0 || s.paused {
+        return false;
     }
-    let half = !s.bytes.is_empty() && !s.paused;
-    let waits = s.answers.pending() > 0;
-    (half || !s.spoke) && !waits && still >= SILENT || !waits && !s.paused && still >= IDLE
+    let (since, most) = match (s.spoke, s.bytes.is_empty()) {
+        (false, _) => (s.came, SILENT),
+        (true, false) => (s.used, SILENT),
+        (true, true) => (s.used, IDLE),
+    };
+    now.saturating_sub(since) >= most
 }
 
 /// An error line. It carries no code that says trying again is harmless.
@@ -252,3 +259,131 @@
     let plain: String = why.chars().take(200).map(|c| if c.is_control() { ' ' } else { c }).collect();
     Frame::Error(format!("ERR {plain}").into())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chalkdeck_net::clock::{Clock, Jumps};
+    use chalkdeck_net::{Event, Limits};
+    use std::io::{Read, Write};
+    use std::net::{SocketAddr, TcpStream};
+    use std::sync::Arc;
+
+    const SECOND: i64 = 1_000_000;
+
+    /// The front with one client, and the clock in hand.
+    struct Stand {
+        engine: Engine,
+        front: Front,
+        jumps: Arc<Jumps>,
+        client: TcpStream,
+        conn: ConnId,
+        closed: bool,
+    }
+
+    impl Stand {
+        fn new() -> Stand {
+            let jumps = Arc::<Jumps>::default();
+            let mut engine = Engine::with_clock(Clock::jumping(jumps.clone())).expect("a poll handle");
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let (_, address) = engine.listen_raw(any, Limits::default()).expect("a free port");
+            let client = TcpStream::connect(address).expect("a connection");
+            let mut front = Front::new(8, 1 << 20);
+            let conn = loop {
+                let mut events = Vec::new();
+                engine.turn(10_000, &mut events).expect("a turn");
+                let came = |e: &Event| if let Event::Accepted { conn, .. } = e { Some(*conn) } else { None };
+                if let Some(conn) = events.iter().find_map(came) {
+                    break conn;
+                }
+            };
+            front.accepted(&mut engine, conn);
+            Stand { engine, front, jumps, client, conn, closed: false }
+        }
+
+        fn turn(&mut self) {
+            let mut events = Vec::new();
+            self.engine.turn(0, &mut events).expect("a turn");
+            self.closed |= events.iter().any(|e| matches!(e, Event::Closed { .. }));
+        }
+
+        /// A command came and was answered; the answer is queued.
+        fn answers(&mut self, value: usize) {
+            self.front.bytes(&mut self.engine, self.conn, b"*1\r\n$4\r\nPING\r\n");
+            let Came { slot, .. } = self.front.next(&mut self.engine, self.conn).expect("a whole command");
+            self.front.answer(self.conn, slot, Frame::BulkString(vec![b'v'; value].into()));
+            self.front.flush(&mut self.engine, self.conn);
+        }
+
+        fn sweeps_after(&mut self, micros: i64) -> bool {
+            self.jumps.jump(micros);
+            self.front.sweep(&mut self.engine);
+            self.turn();
+            self.closed
+        }
+    }
+
+    #[test]
+    fn an_answer_queued_in_this_turn_is_not_what_its_client_left_unread() {
+        let mut stand = Stand::new();
+        stand.answers(4);
+        assert!(!stand.sweeps_after(0), "closed over its first answer");
+        let mut came = [0; 10];
+        stand.client.read_exact(&mut came).expect("the whole answer");
+        assert_eq!(&came, b"$4\r\nvvvv\r\n");
+    }
+
+    #[test]
+    fn a_client_is_given_its_time_from_when_it_stopped_taking_bytes() {
+        let mut stand = Stand::new();
+        assert!(!stand.sweeps_after(0));
+        stand.jumps.jump(9 * SECOND);
+        stand.answers(32 << 20);
+        stand.turn();
+        assert!(!stand.sweeps_after(2 * SECOND), "the last look before was long ago");
+        assert!(!stand.sweeps_after(9 * SECOND));
+        assert!(stand.sweeps_after(2 * SECOND), "it never took a byte");
+    }
+
+    #[test]
+    fn a_client_that_reads_more_slowly_than_it_asks_is_not_taken_for_one_that_stopped() {
+        let mut stand = Stand::new();
+        stand.client.set_nonblocking(true).expect("a socket");
+        stand.front.bytes(&mut stand.engine, stand.conn, &b"*1\r\n$4\r\nPING\r\n".repeat(7));
+        let mut slots: Vec<u64> = Vec::new();
+        while let Some(Came { slot, .. }) = stand.front.next(&mut stand.engine, stand.conn) {
+            slots.push(slot);
+        }
+        for slot in slots {
+            stand.front.answer(stand.conn, slot, Frame::BulkString(vec![b'v'; 8 << 20].into()));
+            stand.front.flush(&mut stand.engine, stand.conn);
+            let mut some = vec![0; 4 << 20];
+            let mut taken = 0;
+            while taken < 1 << 20 {
+                stand.turn();
+                taken += stand.client.read(&mut some).unwrap_or(0);
+            }
+            assert!(!stand.sweeps_after(4 * SECOND), "it took {taken} bytes since the last look");
+        }
+    }
+
+    #[test]
+    fn what_came_unread_while_the_gateway_stood_still_is_read_before_its_client_counts_as_silent() {
+        let mut stand = Stand::new();
+        stand.client.write_all(b"*1\r\n$4\r\nPING\r\n").expect("it is sent");
+        while stand.engine.is_quiet(stand.conn) {}
+        assert!(!stand.sweeps_after(3 * SECOND), "closed with a command waiting");
+        let mut other = Stand::new();
+        assert!(other.sweeps_after(3 * SECOND), "it never said a word");
+    }
+
+    #[test]
+    fn a_first_command_that_trickles_in_is_not_waited_for_without_end() {
+        let mut stand = Stand::new();
+        for byte in b"*1" {
+            assert!(!stand.sweeps_after(900_000));
+            stand.front.bytes(&mut stand.engine, stand.conn, &[*byte]);
+        }
+        assert!(stand.sweeps_after(300_000), "its first command is still to come");
+    }
+}
