Pipelines of more than 64 ready answers go on by turns instead of waiting for more bytes

Cause: shell.rs, Shell::commands dropped what Front::flush returned ('may go on reading') after Front::next had paused at 64 pending answers that were all ready.

Change: a paused connection that may go on takes its place in Front::resumed, once; the loop does not sleep while any waits, and each gets one batch a turn, after the turn's events, so that a long pipeline does not hold the turn. It is read again only when its whole commands are taken, so what it holds in memory stays within a message and a read.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -33,7 +33,10 @@
     answers: Answers<Frame>,
     /// Its requests without a final answer.
     open: FxHashSet<RequestId>,
+    /// Nothing is read for now, whole commands may be left.
     paused: bool,
+    /// It has its place in `Front::resumed`.
+    resumes: bool,
     /// Nothing more is read: an error was told or the gateway stops.
     over: bool,
     /// Since when it may read the error that it was told of.
@@ -66,12 +69,15 @@
     /// Bytes of commands that may be held, and that are.
     most_bytes: usize,
     held_bytes: usize,
+    /// Paused connections that may go on, each once.
+    resumed: Vec<ConnId>,
     stopping: bool,
 }
 
 impl Front {
     pub(crate) fn new(most: usize, most_bytes: usize) -> Front {
-        Front { sessions: FxHashMap::default(), most, most_bytes, held_bytes: 0, stopping: false }
+        let (sessions, resumed) = Default::default();
+        Front { sessions, most, most_bytes, held_bytes: 0, resumed, stopping: false }
     }
 
     /// A client came.
@@ -118,7 +124,12 @@
             return None;
         }
         match take(&mut session.bytes, &BOUNDS) {
-            Taken::Partial => None,
+            Taken::Partial => {
+                if std::mem::take(&mut session.paused) {
+                    engine.pause(conn, false);
+                }
+                None
+            }
             Taken::Command(words) => {
                 session.spoke = true;
                 Some(Came { slot: session.answers.wait(), words })
@@ -158,9 +169,9 @@
         self.sessions.get_mut(&conn).into_iter().for_each(|s| s.over = true);
     }
 
-    /// Sends the answers that can be sent. Returns whether the connection may go on reading.
-    pub(crate) fn flush(&mut self, engine: &mut Engine, conn: ConnId) -> bool {
-        let Some(session) = self.sessions.get_mut(&conn) else { return false };
+    /// Sends the answers that can be sent.
+    pub(crate) fn flush(&mut self, engine: &mut Engine, conn: ConnId) {
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
         let mut out = BytesMut::new();
         while let Some(answer) = session.answers.take() {
             encode(&mut out, &answer);
@@ -169,9 +180,8 @@
             session.used = engine.now();
             engine.write(conn, &out);
         }
-        if session.answers.pending() > 0 {
-            return false;
-        }
+        self.resume(engine, conn);
+        let Some(session) = self.sessions.get_mut(&conn).filter(|s| s.answers.pending() == 0) else { return };
         if session.over && session.lingers.is_none() {
             session.lingers = Some(engine.now());
             engine.linger(conn);
@@ -179,12 +189,32 @@
             session.over = true;
             engine.end(conn);
         }
-        let more = session.paused && !session.over;
-        if more {
-            session.paused = false;
-            engine.pause(conn, false);
+    }
+
+    /// Puts a paused connection among those that may go on, if there is room for its commands again.
+    fn resume(&mut self, engine: &mut Engine, conn: ConnId) {
+        let unread = engine.unsent(conn);
+        let full = self.held_bytes >= self.most_bytes;
+        let waits = |s: &&mut Session| s.paused && !s.over && !s.resumes;
+        let Some(session) = self.sessions.get_mut(&conn).filter(waits) else { return };
+        if session.answers.pending() < MOST_PENDING / 2 && unread <= UNREAD && !full {
+            session.resumes = true;
+            self.resumed.push(conn);
+        }
+    }
+
+    /// Whether paused connections may go on.
+    pub(crate) fn has_resumed(&self) -> bool {
+        !self.resumed.is_empty()
+    }
+
+    /// The paused connections that may go on, in the order in which they could.
+    pub(crate) fn take_resumed(&mut self) -> Vec<ConnId> {
+        let resumed = std::mem::take(&mut self.resumed);
+        for conn in &resumed {
+            self.sessions.get_mut(conn).into_iter().for_each(|s| s.resumes = false);
         }
-        more
+        resumed
     }
 
     /// A connection is over; returns its requests that are still open.
@@ -195,27 +225,25 @@
         open
     }
 
-    /// Looks at connections that stand still, and returns those that may go on reading.
-    pub(crate) fn sweep(&mut self, engine: &mut Engine) -> Vec<ConnId> {
+    /// Looks at connections that stand still.
+    pub(crate) fn sweep(&mut self, engine: &mut Engine) {
         let now = engine.now();
-        let (mut close, mut resume) = (Vec::new(), Vec::new());
+        let (mut close, mut paused) = (Vec::new(), Vec::new());
         for (conn, session) in &mut self.sessions {
             let (unread, taken) = (engine.unsent(*conn), engine.taken(*conn));
             let known = session.stuck.filter(|(before, _)| *before == taken);
             session.stuck = (unread > 0).then_some(known.unwrap_or((taken, now)));
             if stalled(session, now) || silent(session, now) && engine.is_quiet(*conn) {
                 close.push(*conn);
-            } else if session.paused && unread <= UNREAD && session.answers.pending() < MOST_PENDING / 2 {
-                session.paused = false;
-                resume.push(*conn);
+            } else if session.paused {
+                paused.push(*conn);
             }
         }
         close.sort_unstable();
-        resume.sort_unstable();
+        paused.sort_unstable();
         // Its end is told by the loop, and with it its open requests.
         close.into_iter().for_each(|conn| engine.close(conn));
-        resume.iter().for_each(|conn| engine.pause(*conn, false));
-        resume
+        paused.into_iter().for_each(|conn| self.resume(engine, conn));
     }
 
     /// From here on a connection ends once it is between two requests.
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -172,12 +172,18 @@
     /// Waits for what happens, at most so many microseconds, and deals with it.
     pub fn turn(&mut self, most_wait: u64) -> io::Result<()> {
         let mut events = std::mem::take(&mut self.events);
+        let most_wait = if self.front.has_resumed() { 0 } else { most_wait };
         self.engine.turn(most_wait, &mut events)?;
         for event in events.drain(..) {
             self.on_event(event);
             self.settle();
         }
         self.events = events;
+        // Once a turn, so that a long pipeline does not keep the others waiting.
+        for conn in self.front.take_resumed() {
+            self.commands(conn);
+            self.settle();
+        }
         Ok(())
     }
 
@@ -258,8 +264,7 @@
             Some(Due::Sweep) => {
                 self.due_in(SWEEP, Due::Sweep);
                 self.backends.sweep(&mut self.engine);
-                let resume = self.front.sweep(&mut self.engine);
-                resume.into_iter().for_each(|conn| self.commands(conn));
+                self.front.sweep(&mut self.engine);
             }
             None => {}
         }
@@ -353,15 +358,13 @@
     fn answer(&mut self, id: RequestId, answer: Frame) -> bool {
         let Some(call) = self.forget(id) else { return false };
         self.front.answer(call.conn, call.slot, answer);
-        if self.front.flush(&mut self.engine, call.conn) {
-            self.commands(call.conn);
-        }
+        self.front.flush(&mut self.engine, call.conn);
         true
     }
 
     // ---- clients ----
 
-    /// Takes what a connection has sent.
+    /// Takes what a connection has sent, as far as there is room for it.
     fn commands(&mut self, conn: ConnId) {
         while let Some(Came { slot, words }) = self.front.next(&mut self.engine, conn) {
             if let Some(answer) = self.command(conn, slot, words) {
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -213,3 +213,46 @@
     stage.served(backend, "mine");
     stage.hears(other, "$4\r\nmine\r\n");
 }
+
+#[test]
+fn pipelines_of_any_length_are_answered_to_the_end() {
+    let ping = &b"*1\r\n$4\r\nPING\r\n"[..];
+    let wrong = &b"*1\r\n$5\r\nWRONG\r\n"[..];
+    for count in [63, 64, 65, 200, 1_000] {
+        let mut stage = Stage::new(1, WIDE);
+        let (pings, errors, mixed) = (stage.client(), stage.client(), stage.client());
+        stage.say(pings, &ping.repeat(count));
+        stage.say(errors, &wrong.repeat(count));
+        for i in 0..count {
+            match i % 3 {
+                0 => stage.ask(mixed, &format!("m{i}"), VIEW),
+                1 => stage.say(mixed, ping),
+                _ => stage.say(mixed, wrong),
+            }
+        }
+        let heard = |s: &Stage, conn, what: &[u8]| {
+            s.heard.get(&conn).map_or(0, |b| b.windows(what.len()).filter(|w| *w == what).count())
+        };
+        stage.until(&format!("all {count} are answered"), |s| {
+            while let Some((backend, _)) = s.arrival() {
+                s.served(backend, "done");
+            }
+            // Beyond the quota they are refused.
+            let answers = [&b"$4\r\n"[..], b"-BUSY", b"+PONG", b"-ERR unknown"];
+            let mixed = answers.map(|what| heard(s, mixed, what));
+            let alone = (heard(s, pings, b"+PONG"), heard(s, errors, b"-ERR unknown"));
+            (alone == (count, count) && mixed.iter().sum::<usize>() == count).then_some(())
+        });
+    }
+}
+
+#[test]
+fn a_long_pipeline_does_not_hold_the_turn() {
+    let mut stage = Stage::new(1, WIDE);
+    let (long, other) = (stage.client(), stage.client());
+    stage.say(long, &b"*1\r\n$4\r\nPING\r\n".repeat(1_000));
+    stage.say(other, b"*1\r\n$4\r\nPING\r\n");
+    stage.hears(other, "+PONG\r\n");
+    let answered = stage.heard.get(&long).map_or(0, |b| b.len() / b"+PONG\r\n".len());
+    assert!(answered <= 256, "{answered} of 1,000 went before the one of another client");
+}
