Limits front: a pipeline of over 1,024 ready answers no longer waits for ever

Looked for as the like of the platform's pipeline fault: crates/gateway/src/resp/mod.rs, resp_read pauses at 1,024 pending answers, resp_flush sent them all and paused the reading, and only a later answer or 256 KiB of unread bytes resumed it. With ready answers alone neither comes.

Change: a paused connection with room again goes on in the loop's next turn, once, the same for answers that come later.

Test: pipelines of 1,023, 1,024, 1,025 and 5,000 PINGs in one write; the second failed before.

--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -134,9 +134,8 @@
             }
             match take(&mut session.bytes, &BOUNDS) {
                 Front::Partial => {
-                    let half = !session.bytes.is_empty();
-                    if half && !std::mem::replace(&mut session.watched, true) {
-                        self.due_in(STALLED, Due::Stalled(conn));
+                    if !session.bytes.is_empty() {
+                        self.resp_watch(conn);
                     }
                     break;
                 }
@@ -274,9 +273,6 @@
             session.answer(ask.slot, reply);
         }
         self.resp_flush(ask.conn);
-        if self.resp_session(ask.conn).is_some_and(|s| s.paused && s.pending() < MOST_PENDING / 2) {
-            self.resp_resume(ask.conn);
-        }
     }
 
     fn resp_give(&mut self, ticket: &str, units: Option<f64>) -> bool {
@@ -312,17 +308,25 @@
             return self.engine.end(conn);
         }
         self.engine.pause(conn, paused);
-        if paused && self.engine.unsent(conn) > UNREAD {
-            let watched = self.resp_session(conn).is_some_and(|s| std::mem::replace(&mut s.watched, true));
-            if !watched {
-                self.due_in(STALLED, Due::Stalled(conn));
-            }
+        let unread = self.engine.unsent(conn);
+        let Some(session) = self.resp_session(conn).filter(|s| s.paused) else { return };
+        if unread > UNREAD {
+            self.resp_watch(conn);
+        } else if session.pending() < MOST_PENDING / 2 && !std::mem::replace(&mut session.resumes, true) {
+            // In the loop's next turn, so that a long pipeline does not keep the others waiting.
+            self.due_in(0, Due::Resume(conn));
         }
     }
 
-    fn resp_resume(&mut self, conn: ConnId) {
+    fn resp_watch(&mut self, conn: ConnId) {
+        if self.resp_session(conn).is_some_and(|s| !std::mem::replace(&mut s.watched, true)) {
+            self.due_in(STALLED, Due::Stalled(conn));
+        }
+    }
+
+    pub(crate) fn resp_resume(&mut self, conn: ConnId) {
         if let Some(session) = self.resp_session(conn) {
-            session.paused = false;
+            (session.paused, session.resumes) = (false, false);
             self.resp_read(conn);
         }
     }
@@ -340,8 +344,7 @@
         } else if session.paused {
             self.resp_resume(conn);
         } else if half {
-            session.watched = true;
-            self.due_in(STALLED, Due::Stalled(conn));
+            self.resp_watch(conn);
         }
     }
 
--- a/crates/gateway/src/resp/session.rs
+++ b/crates/gateway/src/resp/session.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Session {
     pub(crate) bytes: BytesMut,
     pub(crate) paused: bool,
+    /// It goes on in the loop's next turn.
+    pub(crate) resumes: bool,
     /// A look at whether it stands still is due.
     pub(crate) watched: bool,
     pub(crate) heard: u64,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -38,6 +38,7 @@
     Lease(RequestId),
     /// A RESP client that may stand still.
     Stalled(ConnId),
+    Resume(ConnId),
     Deadline(RequestId),
     Count,
     Connect(ConnId),
@@ -244,6 +245,7 @@
             Some(Due::Policy(timer)) => self.desk.tell(Event::Timer(timer)),
             Some(Due::Lease(id)) => self.lease_over(id),
             Some(Due::Stalled(conn)) => self.resp_stalled(conn),
+            Some(Due::Resume(conn)) => self.resp_resume(conn),
             Some(Due::GiveUp(attempt)) => self.give_up(attempt),
             Some(Due::Deadline(id)) => self.client_deadline(id),
             Some(Due::Count) => self.count_times_out(),
--- a/crates/gateway/tests/resp.rs
+++ b/crates/gateway/tests/resp.rs
@@ -250,3 +250,15 @@
     let mut conn = gateway.client();
     assert_eq!(throttle(&mut conn, "small", 1)[0], 0, "others are served");
 }
+
+#[test]
+fn a_pipeline_longer_than_what_may_wait_is_answered_to_the_end() {
+    let running = Running::start(FRONT);
+    for count in [1_023, 1_024, 1_025, 5_000] {
+        let mut raw = running.raw();
+        raw.write_all(&b"PING\r\n".repeat(count)).expect("it is sent");
+        let mut heard = vec![0; b"+PONG\r\n".len() * count];
+        raw.read_exact(&mut heard).expect("all answers");
+        assert_eq!(heard, b"+PONG\r\n".repeat(count), "{count} commands");
+    }
+}
