--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -50,8 +50,10 @@
 /// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.85;
 const GROW_PART: f64 = 0.25;
-/// What a late answer leaves of the part that passes, what others add.
+/// What a late answer leaves of the part that passes where at least so many of the last were late (of fewer,
+/// in proportion), what others add.
 const PASS_CUT: f64 = 0.85;
+const PASS_LATE: f64 = 0.4;
 const PASS_GROW: f64 = 0.01;
 /// The longest retry-after of what is shed, as part of the aim.
 const HINT_PART: f64 = 0.3;
@@ -429,7 +431,7 @@
         let slow = line.max(0.0) / (self.set.count_timeout.secs() * ASK_SLOW).max(1e-9);
         let step = (1.0 + ASK_STEP * (1.0 - slow)).max(0.5);
         if slow < 1.0 {
-            self.ask *= step.powf(1.0 / self.ask).min(2.0);
+            self.ask *= step.powf(1.0 / self.ask).min(4.0);
         } else if self.now >= self.ask_cut + self.set.count_timeout {
             (self.ask, self.ask_cut) = (self.ask * step, self.now);
         }
@@ -952,7 +954,7 @@
         s.quick += u64::from(outcome == Outcome::Ok && took < aim.times(GROW_PART));
         // A late answer now and then is the work's own time: the more of them come, the more each one tells.
         self.late_share += SMOOTH * (f64::from(u8::from(jammed)) - self.late_share);
-        let cut = 1.0 - (1.0 - PASS_CUT) * (self.late_share / EJECT_SHARE).min(1.0);
+        let cut = 1.0 - (1.0 - PASS_CUT) * (self.late_share / PASS_LATE).min(1.0);
         self.pass = if jammed { self.pass * cut } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
