Read over: one place for the share that asks first, a paused client looked up before its unsent bytes

The share of asking at the start and after a probe was written twice (new, on_counted); ask_first serves both. Front::resume asked the engine for every flushed connection, also those not paused. Not measured: nothing decides otherwise.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -193,11 +193,10 @@
 
     /// Puts a paused connection among those that may go on, if there is room for its commands again.
     fn resume(&mut self, engine: &mut Engine, conn: ConnId) {
-        let unread = engine.unsent(conn);
         let full = self.held_bytes >= self.most_bytes;
         let waits = |s: &&mut Session| s.paused && !s.over && !s.resumes;
         let Some(session) = self.sessions.get_mut(&conn).filter(waits) else { return };
-        if session.answers.pending() < MOST_PENDING / 2 && unread <= UNREAD && !full {
+        if session.answers.pending() < MOST_PENDING / 2 && engine.unsent(conn) <= UNREAD && !full {
             session.resumes = true;
             self.resumed.push(conn);
         }
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -10,8 +10,8 @@
 /// The source's breaker: failures in a row that open it, and its cooldown.
 const FAILURES_TO_OPEN: f64 = 3.0;
 const COOLDOWN: Micros = Micros(5_000_000);
-/// Share of requests that ask: at first, also when a probe was answered, one over the gateways for so many of
-/// them; the least. An answer later than its usual by so much of the calls' time leaves it as it is.
+/// Share of requests that ask: at first, and when a probe was answered, so many over the gateways; the least.
+/// Answers `ASK_SLOW` of the calls' time later than usual leave it; none, or twice that, move it `ASK_STEP`.
 const ASK_FIRST: f64 = 30.0;
 const LEAST_PART: f64 = 0.05;
 const ASK_SLOW: f64 = 0.12;
@@ -50,8 +50,7 @@
 /// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.85;
 const GROW_PART: f64 = 0.25;
-/// What a late answer leaves of the part that passes where at least so many of the last were late (of fewer,
-/// in proportion), what others add.
+/// What a late answer leaves of the part that passes, fully from this share of late ones on; what others add.
 const PASS_CUT: f64 = 0.85;
 const PASS_LATE: f64 = 0.4;
 const PASS_GROW: f64 = 0.01;
@@ -125,6 +124,10 @@
     }
 }
 
+fn ask_first(set: &Settings) -> f64 {
+    (ASK_FIRST / f64::from(set.gateways)).min(1.0)
+}
+
 /// One gateway. It shares nothing with others but what the counter tells.
 #[derive(Default)]
 pub struct Gateway {
@@ -138,7 +141,7 @@
     usual_asked: f64,
     /// What the counter takes with no line before it, in seconds.
     no_line: f64,
-    /// When that share was last cut by a failed call.
+    /// When that share was last cut.
     ask_cut: Micros,
     last_failed: Option<CustomerId>,
     /// When the counter last answered.
@@ -162,8 +165,7 @@
     hold_timer: bool,
     retries: f64,
     flow: TokenBucket,
-    /// Smoothed over all servers: time to answer, share of attempts that failed or came after the aim, and of
-    /// those that came near it or never.
+    /// Smoothed over all servers: time to answer, shares of attempts that failed and that tell of a jam.
     latency: f64,
     fail_share: f64,
     late_share: f64,
@@ -178,7 +180,7 @@
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
         set.check()?;
         let rng = fastrand::Rng::with_seed(seed);
-        let (retries, ask) = (RETRY_SAVED, (ASK_FIRST / f64::from(set.gateways)).min(1.0));
+        let (retries, ask) = (RETRY_SAVED, ask_first(&set));
         let mut new = Gateway { set, rng, retries, ask, pass: 1.0, ..Gateway::default() };
         // Goes out with the first event, whichever that is.
         new.timer(Timer::Sweep, FORGET);
@@ -347,8 +349,8 @@
         !self.set.counter || self.breaker.opened.is_some() || own_open
     }
 
-    /// For how many like it a request is to ask; none: it is not to. Guards against a counter that our own
-    /// calls drown, slow or near its capacity: only a part asks then, the share to this power.
+    /// For how many like it a request is to ask, with the share to this power; none: it is not to. Guards
+    /// against a counter that our own calls drown, slow or near its capacity.
     fn asks(&mut self, power: f64) -> Option<f64> {
         let chance = if self.breaker.opened.is_some() { 1.0 } else { self.ask.powf(power) };
         (self.rng.f64() < chance).then_some(1.0 / chance)
@@ -423,8 +425,8 @@
         self.out.push(Action::Count(name, amount, (length + length).min(Micros(60_000_000))));
     }
 
-    /// A line that builds up at the counter makes asking rarer before calls fail; calls that were out
-    /// together met the same line and cut once. A quick answer counts for those that did not ask, too.
+    /// A line that builds up at the counter makes asking rarer before calls fail, by half at most, once for
+    /// calls that were out together. A quick answer counts for those that did not ask, too, at most fourfold.
     fn ask_by(&mut self, took: Micros) {
         let line = took.secs() - self.no_line;
         self.no_line += if line < 0.0 || self.no_line == 0.0 { line } else { line * SMOOTH / 100.0 };
@@ -491,7 +493,7 @@
             if c.spread * self.set.most_units <= self.set.plans[plan].burst {
                 c.bucket = None;
             }
-            self.ask = if call.probe { ASK_FIRST / f64::from(self.set.gateways) } else { self.ask }.min(1.0);
+            self.ask = if call.probe { ask_first(&self.set) } else { self.ask };
             self.ask_by(now - call.sent);
             (self.last_failed, self.heard_at) = (None, now);
             self.breaker.success(call.probe);
@@ -524,8 +526,7 @@
         }
     }
 
-    /// Decides a request by the total heard; unasked by the last one, as those that ask stand for it in the
-    /// count; where the counter fails by the local bucket or share.
+    /// Decides a request by the total heard, unasked by the last one, where the counter fails by the share.
     fn decide(&mut self, id: RequestId, purpose: Purpose, heard: Option<f64>, asked: bool) {
         if purpose == Purpose::Open {
             return self.decide_place(id, heard);
