Laboratory: folders by purpose, each tool's arguments beside the tool

Need: some thirty files lay flat, and one file held every tool's arguments; the faults between processes that come next need a place. Now parts, stand_ins, load, audit, rig and measure, with arrows one way between them. No behaviour changed; the tests are the same and pass. Not measured: nothing that runs has changed.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,9 @@
 #![forbid(unsafe_code)]
 
 use chalkdeck_gateway::{logs, Settings};
-use chalkdeck_lab::cli::{exit, serve, Command as Lab, DemoArgs, ServeArgs};
+use chalkdeck_lab::cli::{exit, Command as Lab};
+use chalkdeck_lab::rig::demo::DemoArgs;
+use chalkdeck_lab::rig::serve::{serve, ServeArgs};
 use chalkdeck_net::signals::Signals;
 use chalkdeck_platform::{Config, Shell};
 use clap::{Parser, Subcommand};
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit/rules.rs
@@ -1,8 +1,8 @@
 //! Checks the five rules of a run from what crossed the sockets of clients and servers, and what the run itself did;
 //! never from what a gateway says.
 
-use crate::day;
-use crate::log::{self, End, Line};
+use crate::parts::log::{self, End, Line};
+use crate::parts::script;
 use chalkdeck_proto::chalkdeck::config::v1::{class, Class, Plan};
 use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use std::collections::{BTreeMap, HashMap};
@@ -40,7 +40,7 @@
 impl Record {
     /// Reads a run's folder.
     pub fn read(dir: &Path) -> anyhow::Result<Record> {
-        let day = day::read(&dir.join("day.txtpb"))?;
+        let day = script::read(&dir.join("day.txtpb"))?;
         let mut lines = Vec::new();
         for entry in std::fs::read_dir(dir)? {
             let path = entry?.path();
--- a/crates/lab/src/timeline.rs
+++ b/crates/lab/src/audit/timeline.rs
@@ -1,10 +1,20 @@
 //! Runs over time: calls served in each slot, and how soon a run recovered after its last trouble.
 
-use crate::audit::Record;
-use crate::log::{End, Line};
-use crate::plot::{self, Curve};
+use crate::audit::rules::Record;
+use crate::parts::log::{End, Line};
+use crate::parts::plot::{self, Curve};
+use clap::Args;
 use std::path::{Path, PathBuf};
 
+#[derive(Args)]
+pub struct TimelineArgs {
+    /// Folders of runs
+    #[arg(required = true)]
+    pub dirs: Vec<PathBuf>,
+    #[arg(long)]
+    pub svg: Option<PathBuf>,
+}
+
 /// Length of a slot in microseconds.
 const SLOT: u64 = 250_000;
 /// A run has recovered when it serves this part of what it served before the first trouble.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,26 +1,13 @@
 //! The laboratory: stand-ins for the counter and the servers, a load tool, scripted days and their audit.
+//!
+//! Arrows between the folders run one way: `parts` knows nobody, stand-ins, load and audit know parts, the rig knows
+//! these, measurement knows the rig.
 #![forbid(unsafe_code)]
 
-pub mod adds;
-pub mod asks;
 pub mod audit;
 pub mod cli;
-pub mod control;
-pub mod counter;
-pub mod counting;
-pub mod day;
-pub mod demo;
-pub mod farm;
-pub mod flood;
-pub mod library;
 pub mod load;
-pub mod log;
 pub mod measure;
-pub mod model;
-pub mod plot;
-pub mod process;
-pub mod reconnect;
-pub mod replay;
-pub mod report;
-pub mod returns;
-pub mod timeline;
+pub mod parts;
+pub mod rig;
+pub mod stand_ins;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load/calls.rs
@@ -1,9 +1,9 @@
 //! Open-loop gRPC load from many customers. Latencies count from the time at which a call was due, so that a load tool
 //! that falls behind does not hide it (coordinated omission).
 
-use crate::control;
-use crate::log::{End, Line, Log};
-use crate::report::Figures;
+use crate::parts::control;
+use crate::parts::log::{End, Line, Log};
+use crate::parts::report::Figures;
 use chalkdeck_net::clock::monotonic;
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::signals::Signals;
--- a/crates/lab/src/library.rs
+++ b/crates/lab/src/load/library.rs
@@ -1,8 +1,8 @@
 //! Open-loop load through the client library: one client for each customer, a call's tries are the library's.
 
-use crate::load::{customers, kind_at, Customer};
-use crate::log::{End, Line, Log};
-use crate::report::Figures;
+use crate::load::calls::{customers, kind_at, Customer};
+use crate::parts::log::{End, Line, Log};
+use crate::parts::report::Figures;
 use anyhow::Context;
 use bytes::Bytes;
 use chalkdeck_client::{Call, Client, Outcome, Repeat, Reply, Settings};
--- a/crates/lab/src/adds.rs
+++ b/crates/lab/src/measure/adds.rs
@@ -1,22 +1,41 @@
 //! What the counter costs: adds a second for each promise, beside the stand-in and beside a bare loop of write and sync of the
 //! same bytes, in turns; and how long a start takes.
 
-use crate::cli::AddsArgs;
-use crate::control::metric;
-use crate::process::{cpu_seconds, Process, Program};
+use crate::parts::control::metric;
+use crate::parts::process::{cpu_seconds, Process, Program};
 use anyhow::{bail, Context};
 use bytes::BytesMut;
 use chalkdeck_net::grpc::{self, Deframer};
 use chalkdeck_net::{ConnId, Engine, Event, Limits, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
+use clap::Args;
 use hdrhistogram::Histogram;
 use prost::Message;
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
+#[derive(Args, Clone)]
+pub struct AddsArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 3.0)]
+    pub seconds: f64,
+    /// How often the ways take turns
+    #[arg(long, default_value_t = 2)]
+    pub rounds: u32,
+    #[arg(long, default_value_t = 8)]
+    pub connections: usize,
+    /// Adds out at once on each connection
+    #[arg(long, default_value_t = 512)]
+    pub outstanding: usize,
+    #[arg(long, default_value_t = 10_000)]
+    pub names: u64,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 const THREADS: usize = 2;
 const LIFETIME: u64 = 3_600_000_000;
 /// A name's total is read back with the answer, so each add is one message each way.
--- a/crates/lab/src/asks.rs
+++ b/crates/lab/src/measure/asks.rs
@@ -1,15 +1,33 @@
 //! What the RESP front costs: pipelines of asks with the decisions on, beside ECHO on the same loop, in turns.
 
-use crate::cli::AsksArgs;
-use crate::day::{self, Fleet};
-use crate::measure;
-use crate::process::{cpu_seconds, Program};
+use crate::measure::gateway;
+use crate::parts::process::{cpu_seconds, Program};
+use crate::rig::fleet::{any, Fleet};
 use anyhow::{bail, Context};
 use chalkdeck_proto::chalkdeck::config::v1::Resp;
+use clap::Args;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+#[derive(Args)]
+pub struct AsksArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 2.0)]
+    pub seconds: f64,
+    /// How often the ways take turns
+    #[arg(long, default_value_t = 3)]
+    pub rounds: u32,
+    #[arg(long, default_value_t = 4)]
+    pub connections: usize,
+    /// Commands in one pipeline
+    #[arg(long, default_value_t = 100)]
+    pub pipeline: usize,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 /// Customers that ask; each is far below its quota.
 const CUSTOMERS: usize = 1_000;
 
@@ -60,12 +78,12 @@
 
 /// Runs both ways in turns and prints a table.
 pub fn run(program: Program, args: &AsksArgs) -> anyhow::Result<()> {
-    let mut day = measure::fleet()?;
+    let mut day = gateway::fleet()?;
     day.own_counter = true;
     let gateway = day.gateway.as_mut().context("expected a gateway")?;
     let class = gateway.classes.first().map(|c| c.name.clone()).unwrap_or_default();
     gateway.resp = Some(Resp { listen: "127.0.0.1:0".into(), class, ..Resp::default() });
-    let fleet = Fleet::start(program, day, &args.dir, day::any(), None)?;
+    let fleet = Fleet::start(program, day, &args.dir, any(), None)?;
     let process = fleet.gateway_process(0).context("expected a gateway")?;
     let (address, id) = (process.address("resp")?, process.id());
     let words = |w: &[&str]| w.iter().map(|w| w.to_string()).collect::<Vec<String>>();
--- a/crates/lab/src/flood.rs
+++ b/crates/lab/src/measure/flood.rs
@@ -1,17 +1,34 @@
 //! One customer floods a gateway while others keep to their quotas: what the others lose, with the door and without it.
 
-use crate::cli::FloodArgs;
-use crate::day::{self, Fleet};
-use crate::process::{memory_kib, Process, Program};
-use crate::report::Summary;
-use crate::{control, demo};
+use crate::parts::control;
+use crate::parts::process::{memory_kib, Process, Program};
+use crate::parts::report::Summary;
+use crate::parts::script::MESSAGE;
+use crate::rig::demo;
+use crate::rig::fleet::{any, Fleet};
 use anyhow::{bail, Context};
 use chalkdeck_proto::chalkdeck::config::v1::Door;
 use chalkdeck_proto::chalkdeck::lab::v1::{Customers, Day};
 use chalkdeck_proto::text;
+use clap::Args;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+#[derive(Args)]
+pub struct FloodArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 4.0)]
+    pub seconds: f64,
+    /// Calls that the flood keeps out
+    #[arg(long, default_value_t = 2_000)]
+    pub outstanding: usize,
+    /// Over so many connections, one run each
+    #[arg(long, value_delimiter = ',', default_values_t = [1, 10, 1_000])]
+    pub connections: Vec<usize>,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 /// The plan of the customer that floods.
 const FLOODED: &str = "estate";
 /// How long after the flood's begin the others are looked at.
@@ -65,7 +82,7 @@
     load.mix.retain(|m| m.path.ends_with("View"));
     load.mix.iter_mut().for_each(|m| m.share = 1.0);
     let path = dir.join("flood.txtpb");
-    std::fs::write(&path, text::print(day::MESSAGE, &day).context("expected a text form")?)?;
+    std::fs::write(&path, text::print(MESSAGE, &day).context("expected a text form")?)?;
     Ok(path)
 }
 
@@ -94,7 +111,7 @@
     dir: &Path,
 ) -> anyhow::Result<()> {
     let day = fleet(door)?;
-    let fleet = Fleet::start(program.clone(), day.clone(), dir, day::any(), None)?;
+    let fleet = Fleet::start(program.clone(), day.clone(), dir, any(), None)?;
     let id = fleet.gateway_process(0).context("expected a gateway")?.id();
     let run = Run { dir, fleet, seconds: args.seconds };
     let flood = flood_day(dir, &day)?;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure/gateway.rs
@@ -1,18 +1,34 @@
 //! What the gateway costs, side by side in one run: calls straight to the servers, through a bare relay on the same
 //! sockets, and through a gateway that asks the counter for each call.
 
-use crate::cli::MeasureArgs;
-use crate::control;
-use crate::day::{self, Fleet};
-use crate::process::{cpu_seconds, memory_kib, Process, Program};
-use crate::report::Summary;
+use crate::parts::control;
+use crate::parts::process::{cpu_seconds, memory_kib, Process, Program};
+use crate::parts::report::Summary;
+use crate::parts::script::MESSAGE;
+use crate::rig::fleet::{any, Fleet};
 use anyhow::{bail, Context};
 use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use chalkdeck_proto::text;
+use clap::Args;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+#[derive(Args)]
+pub struct MeasureArgs {
+    /// Seconds of each single run
+    #[arg(long, default_value_t = 5.0)]
+    pub seconds: f64,
+    /// How often the ways take turns
+    #[arg(long, default_value_t = 3)]
+    pub rounds: u32,
+    /// Idle connections and open calls for the memory figures; 0: none
+    #[arg(long, default_value_t = 10_000)]
+    pub held: usize,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 /// Calls out at once where the most is looked for.
 const OUTSTANDING: &str = "64";
 
@@ -48,14 +64,14 @@
 
 /// A fleet whose servers answer at once, and customers within their quotas.
 pub fn fleet() -> anyhow::Result<Day> {
-    let source = include_str!("../days/measure.txtpb");
-    text::parse(day::MESSAGE, source).map_err(|e| anyhow::anyhow!("measure day: {e}"))
+    let source = include_str!("../../days/measure.txtpb");
+    text::parse(MESSAGE, source).map_err(|e| anyhow::anyhow!("measure day: {e}"))
 }
 
 /// Runs all of it and prints tables.
 pub fn run(program: Program, args: &MeasureArgs) -> anyhow::Result<()> {
     let day = fleet()?;
-    let fleet = Fleet::start(program.clone(), day.clone(), &args.dir, day::any(), None)?;
+    let fleet = Fleet::start(program.clone(), day.clone(), &args.dir, any(), None)?;
     let servers = fleet.servers();
     let list: Vec<String> = servers.iter().map(ToString::to_string).collect();
     let relay_args = ["relay".to_string(), "--servers".to_string(), list.join(",")];
@@ -88,7 +104,7 @@
     day.load.iter_mut().flat_map(|l| &mut l.mix).for_each(|m| m.timeout_ms = 90_000);
     let classes = day.gateway.iter_mut().flat_map(|g| &mut g.classes);
     classes.for_each(|c| (c.aim_ms, c.deadline_ms) = (60_000, 90_000));
-    let fleet = Fleet::start(program.clone(), day, dir, day::any(), None)?;
+    let fleet = Fleet::start(program.clone(), day, dir, any(), None)?;
     let id = fleet.gateway_process(0).context("expected a gateway")?.id();
     let before = memory_kib(id)?;
     let held_text = held.to_string();
--- a/crates/lab/src/reconnect.rs
+++ b/crates/lab/src/measure/reconnect.rs
@@ -1,18 +1,37 @@
 //! Many clients lose their gateway at once. Each is a core of the client library of its own, or a naive one that connects
 //! again every 10 ms; all of them share one loop, so that thousands fit into one process. Those that are back call on.
 
-use crate::cli::ReconnectArgs;
-use crate::day::{self, Act, Fleet};
-use crate::demo;
-use crate::plot::{self, Curve};
-use crate::process::Program;
+use crate::parts::plot::{self, Curve};
+use crate::parts::process::Program;
+use crate::parts::script::Act;
+use crate::rig::demo;
+use crate::rig::fleet::{any, Fleet};
 use anyhow::{bail, Context};
 use chalkdeck_client::core::{Action, Core, Event, Settings};
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::{ConnId, Engine, Event as NetEvent, Limits, StreamId};
+use clap::Args;
 use hdrhistogram::Histogram;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct ReconnectArgs {
+    #[arg(long, default_value_t = 8_000)]
+    pub clients: usize,
+    /// Connect again at once after each loss, every 10 ms, as naive clients do
+    #[arg(long)]
+    pub naive: bool,
+    /// How long the gateway is away
+    #[arg(long, default_value_t = 3.0)]
+    pub away: f64,
+    /// Run the library's clients and then naive ones, and draw both
+    #[arg(long, conflicts_with = "naive")]
+    pub svg: Option<PathBuf>,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
 
 const SLOT: u64 = 100_000;
 const NAIVE: u64 = 10_000;
@@ -223,7 +242,7 @@
 fn play(program: &Program, args: &ReconnectArgs, naive: bool) -> anyhow::Result<Begun> {
     let mut day = demo::fleet()?;
     day.gateways = 1;
-    let mut fleet = Fleet::start(program.clone(), day, &args.dir, day::any(), None)?;
+    let mut fleet = Fleet::start(program.clone(), day, &args.dir, any(), None)?;
     let address = *fleet.gateways().first().context("expected a gateway")?;
     let mut crowd = Crowd::new(args, address, naive)?;
     crowd.start();
--- a/crates/lab/src/returns.rs
+++ b/crates/lab/src/measure/returns.rs
@@ -1,15 +1,30 @@
 //! Callers that ask for more than their quota and come back exactly when they were told to: how many are served then, and how
 //! evenly customers fare. Over RESP, through one gateway.
 
-use crate::cli::ReturnsArgs;
-use crate::day::{self, Fleet};
-use crate::demo;
-use crate::process::Program;
+use crate::parts::process::Program;
+use crate::rig::demo;
+use crate::rig::fleet::{any, Fleet};
 use anyhow::{bail, Context};
+use clap::Args;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+#[derive(Args)]
+pub struct ReturnsArgs {
+    #[arg(long, default_value_t = 12.0)]
+    pub seconds: f64,
+    /// Callers of each of eight customers
+    #[arg(long, default_value_t = 4)]
+    pub callers: usize,
+    /// Asks a second of each caller while it is granted
+    #[arg(long, default_value_t = 40.0)]
+    pub rate: f64,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+}
+
 /// Of the demo's customers, by plan.
 const CUSTOMERS: [&str; 8] =
     ["seed-0", "seed-1", "seed-2", "seed-3", "harvest-0", "harvest-1", "harvest-2", "harvest-3"];
@@ -97,7 +112,7 @@
 pub fn run(program: Program, args: &ReturnsArgs) -> anyhow::Result<()> {
     let mut day = demo::fleet()?;
     day.gateways = 1;
-    let fleet = Fleet::start(program, day, &args.dir, day::any(), None)?;
+    let fleet = Fleet::start(program, day, &args.dir, any(), None)?;
     let address = fleet.gateway_process(0).context("expected a gateway")?.address("resp")?;
     let pause = Duration::from_secs_f64(1.0 / args.rate);
     let mut by_customer = Vec::new();
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/parts/process.rs
@@ -1,6 +1,7 @@
 //! Processes of a run: started with a line of addresses, ended by their ids.
 
 use anyhow::{bail, Context};
+use chalkdeck_gateway::logs;
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::HashMap;
 use std::fs::File;
@@ -101,6 +102,14 @@
     }
 }
 
+/// The first step of a part: logs, and an end with its parent where that is asked.
+pub fn begin(with_parent: bool) {
+    logs::start("info", false);
+    if with_parent {
+        end_with_parent();
+    }
+}
+
 /// Asks the system to end this process with its parent.
 pub fn end_with_parent() {
     if let Err(e) = rustix::process::set_parent_process_death_signal(Some(Signal::TERM)) {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/parts/report.rs
@@ -1,6 +1,6 @@
 //! Figures of a load: calls by plan and end, and latencies.
 
-use crate::log::End;
+use crate::parts::log::End;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -108,7 +108,7 @@
             connects: self.connects,
             firsts: self.firsts,
             tries: self.tries,
-            cpu_s: crate::process::cpu_seconds(std::process::id()).unwrap_or(0.0),
+            cpu_s: crate::parts::process::cpu_seconds(std::process::id()).unwrap_or(0.0),
             p50_us: self.quantile(0.5),
             p99_us: self.quantile(0.99),
             p999_us: self.quantile(0.999),
--- a/crates/lab/src/counting.rs
+++ b/crates/lab/src/rig/counting.rs
@@ -1,12 +1,23 @@
 //! The counter of a fleet: the project's own, or the stand-in with its faults.
 
-use crate::control;
-use crate::process::{Process, Program};
+use crate::parts::control;
+use crate::parts::process::begin;
+use crate::parts::process::{Process, Program};
 use anyhow::{bail, Context};
+use chalkdeck_net::signals::Signals;
+use clap::Args;
 use rustix::process::Signal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+#[derive(Args)]
+pub struct OwnCounterArgs {
+    /// Settings, protobuf text of chalkdeck.counter.v1.Settings
+    pub config: PathBuf,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
 /// A counter that can be ended and started again at its address.
 pub struct CounterPart {
     program: Program,
@@ -70,3 +81,10 @@
         Ok(())
     }
 }
+
+/// Runs the counter itself until it is stopped.
+pub fn command(args: &OwnCounterArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let settings = chalkdeck_counter::settings::Settings::load(&args.config)?;
+    chalkdeck_counter::serve::run(&settings, &Signals::take()?)
+}
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/rig/demo.rs
@@ -1,19 +1,34 @@
 //! The demo: three gateways, a counter, nine servers and a small load on this machine, with no settings.
 
-use crate::control;
-use crate::day::{self, Fleet};
-use crate::process::Program;
+use crate::parts::control;
+use crate::parts::process::Program;
+use crate::parts::script::MESSAGE;
+use crate::rig::fleet::Fleet;
 use anyhow::Context;
 use chalkdeck_net::signals::Signals;
 use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use chalkdeck_proto::text;
+use clap::Args;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+#[derive(Args)]
+pub struct DemoArgs {
+    /// Port of the first gateway; 0: a free one
+    #[arg(long, default_value_t = 0)]
+    pub port: u16,
+    /// End after so many seconds
+    #[arg(long)]
+    pub seconds: Option<u64>,
+    /// Only the fleet, no calls
+    #[arg(long)]
+    pub no_load: bool,
+}
+
 /// The demo's fleet and load.
 pub fn fleet() -> anyhow::Result<Day> {
-    let source = include_str!("../days/demo.txtpb");
-    text::parse(day::MESSAGE, source).map_err(|e| anyhow::anyhow!("the demo's day: {e}"))
+    let source = include_str!("../../days/demo.txtpb");
+    text::parse(MESSAGE, source).map_err(|e| anyhow::anyhow!("the demo's day: {e}"))
 }
 
 /// Starts all, prints where to call, and a line of figures each second until the time is up or it is stopped.
--- /dev/null
+++ b/crates/lab/src/rig/mod.rs
@@ -0,0 +1,8 @@
+//! The rig: a fleet of processes, the faults that befall it, days and demo.
+
+pub mod counting;
+pub mod day;
+pub mod demo;
+pub mod fleet;
+pub mod replay;
+pub mod serve;
--- a/crates/lab/src/replay.rs
+++ b/crates/lab/src/rig/replay.rs
@@ -1,10 +1,26 @@
 //! Troubles of a bench day, played through the real gateway on a small fleet. Kinds are played, not sizes of fleets:
 //! parts and spans are kept, numbers of servers and gateways are this fleet's.
 
+use crate::rig::day::{self, Ways};
+use crate::rig::demo;
 use anyhow::Context;
 use chalkdeck_proto::chalkdeck::lab::v1::{Day, Trouble};
+use clap::Args;
 use serde::Deserialize;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+
+#[derive(Args)]
+pub struct ReplayArgs {
+    /// A bench day, JSON
+    pub day: PathBuf,
+    #[arg(long, default_value = "lab-out")]
+    pub dir: PathBuf,
+    /// The longest that it may last; longer days are played faster
+    #[arg(long, default_value_t = 60)]
+    pub seconds: u32,
+    #[arg(long)]
+    pub lines: bool,
+}
 
 #[derive(Deserialize)]
 struct BenchDay {
@@ -50,7 +66,7 @@
             None => unplayed.push(trouble.kind.clone()),
         }
     }
-    crate::day::script(&day)?;
+    crate::parts::script::script(&day)?;
     Ok(Replay { day, unplayed })
 }
 
@@ -77,3 +93,15 @@
     };
     Some(Trouble { kind: t.kind.clone(), at_ms: ms(t.at), for_ms: ms(t.len).max(100), target, factor })
 }
+
+/// Plays a bench day's troubles on the demo's fleet and audits it.
+pub fn command(before: &[&str], args: &ReplayArgs) -> anyhow::Result<()> {
+    let replay = read(&args.day, demo::fleet()?, args.seconds)?;
+    for kind in &replay.unplayed {
+        println!("not played: {kind}");
+    }
+    for t in &replay.day.troubles {
+        println!("plays {} at {} ms for {} ms", t.kind, t.at_ms, t.for_ms);
+    }
+    day::play(before, replay.day, &args.dir, &Ways { lines: args.lines, ..Ways::default() })
+}
--- /dev/null
+++ b/crates/lab/src/rig/serve.rs
@@ -0,0 +1,57 @@
+//! A gateway, and the bare relay, as processes.
+
+use crate::parts::process::{begin, end_with_parent};
+use chalkdeck_gateway::relay::Relay;
+use chalkdeck_gateway::{logs, Settings, Shell};
+use chalkdeck_net::signals::Signals;
+use clap::Args;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct ServeArgs {
+    /// Settings, protobuf text of chalkdeck.config.v1.Gateway
+    pub config: PathBuf,
+    /// A fault in the carrying code, to see an audit fail: lose, repeat, drains, cold, ceiling
+    #[arg(long, hide = true)]
+    pub fault: Option<String>,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+#[derive(Args)]
+pub struct RelayArgs {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    #[arg(long, value_delimiter = ',', required = true)]
+    pub servers: Vec<SocketAddr>,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+/// Runs a gateway until it is stopped.
+pub fn serve(args: &ServeArgs) -> anyhow::Result<()> {
+    let set = Settings::load(&args.config)?;
+    logs::start(&set.log_level, set.log_json);
+    if args.with_parent {
+        end_with_parent();
+    }
+    let signals = Signals::take()?;
+    let mut shell = Shell::start(set, Some(args.config.clone()), fastrand::u64(..), false)?;
+    if let Some(fault) = &args.fault {
+        shell.inject(fault.parse().map_err(anyhow::Error::msg)?);
+    }
+    let admin = shell.admin().map_or("-".to_string(), |a| a.to_string());
+    let resp = shell.resp_listen().map_or(String::new(), |a| format!(" resp={a}"));
+    println!("ready grpc={} admin={admin}{resp}", shell.listen());
+    Ok(shell.run(&signals)?)
+}
+
+/// Runs the bare relay until it is stopped.
+pub fn relay(args: RelayArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let mut relay = Relay::start(args.listen, args.servers)?;
+    println!("ready grpc={}", relay.listen());
+    Ok(relay.run(&signals)?)
+}
--- a/crates/lab/src/counter.rs
+++ b/crates/lab/src/stand_ins/counter.rs
@@ -1,15 +1,27 @@
 //! Stand-in for the counter: named numbers in memory, and commands that make it silent, slow, refusing or empty.
 
-use crate::control;
+use crate::parts::control;
+use crate::parts::process::begin;
 use chalkdeck_net::grpc::{self, Code, Deframer};
 use chalkdeck_net::signals::Signals;
 use chalkdeck_net::unary::Gather;
 use chalkdeck_net::{Engine, Event, Limits, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
+use clap::Args;
 use prost::Message;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+#[derive(Args)]
+pub struct CounterArgs {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
 const MOST_BYTES: usize = 1_024;
 /// The most names that are kept; the oldest go first.
 const MOST_NAMES: usize = 1 << 20;
@@ -219,3 +231,12 @@
         self.engine.respond(stream, grpc::trailers_only(grpc::trailers(code, "")), true);
     }
 }
+
+/// Runs it until it is stopped.
+pub fn command(args: &CounterArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let mut counter = Counter::start(args.listen, args.control)?;
+    println!("ready grpc={} control={}", counter.listen(), counter.control());
+    Ok(counter.run(&signals)?)
+}
--- a/crates/lab/src/farm.rs
+++ b/crates/lab/src/stand_ins/farm.rs
@@ -1,17 +1,41 @@
 //! Stand-ins for the farm servers of one cell: several servers in one process, which share the keys they have seen.
 
-use crate::control;
-use crate::log::{Line, Log};
-use crate::model::{Admit, Build, Model};
+use crate::parts::control;
+use crate::parts::log::{Line, Log};
+use crate::parts::process::begin;
+use crate::parts::script;
+use crate::stand_ins::model::{Admit, Build, Model};
 use bytes::Bytes;
 use chalkdeck_net::clock::monotonic;
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::signals::Signals;
 use chalkdeck_net::{ConnId, Engine, Event, Limits, ListenerId, StreamId};
+use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use chalkdeck_proto::chalkdeck::lab::v1::Work;
+use clap::Args;
 use http::{request, HeaderMap, HeaderValue};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct FarmArgs {
+    /// A day: its farm, work and cold start
+    #[arg(long)]
+    pub day: PathBuf,
+    /// One address for each server
+    #[arg(long, value_delimiter = ',', default_value = "127.0.0.1:0")]
+    pub listen: Vec<SocketAddr>,
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    #[arg(long)]
+    pub log: Option<PathBuf>,
+    /// The servers have been up for long
+    #[arg(long)]
+    pub warm: bool,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
 
 /// How long between two messages of a streamed answer.
 const STREAM_STEP: u64 = 100_000;
@@ -389,3 +413,34 @@
         Ok(())
     }
 }
+
+/// The servers' side of a day.
+pub fn farm_of(day: &Day, warm: bool) -> Farm {
+    let farm = day.farm.unwrap_or_default();
+    let gateway = day.gateway.clone().unwrap_or_default();
+    let start = gateway.start.unwrap_or_default();
+    let window = gateway.classes.iter().map(|c| c.window_ms).max().unwrap_or(0);
+    let build = Build {
+        cores: farm.cores.max(1) as usize,
+        room: farm.room as usize,
+        cold_from: start.cold_from,
+        cold: if warm { 0 } else { u64::from(start.cold_ms) * 1_000 },
+        fall_multiple: start.fall_multiple,
+        tip_after: u64::from(start.tip_after_ms) * 1_000,
+        runs_on: farm.runs_on,
+    };
+    let connections = if farm.connections == 0 { 1024 } else { farm.connections as usize };
+    Farm { build, work: day.work.clone(), connections, window: u64::from(window) * 1_000, seed: day.seed }
+}
+
+/// Runs a cell until it is stopped.
+pub fn command(args: &FarmArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let day = script::read(&args.day)?;
+    let log = Log::create(args.log.as_deref())?;
+    let mut cell = Cell::start(farm_of(&day, args.warm), &args.listen, args.control, log)?;
+    let addresses: Vec<String> = cell.addresses().iter().map(ToString::to_string).collect();
+    println!("ready servers={} control={}", addresses.join(","), cell.control());
+    Ok(cell.run(&signals)?)
+}
--- /dev/null
+++ b/crates/lab/src/stand_ins/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-ins for the counter and the servers.
+
+pub mod counter;
+pub mod farm;
+pub mod model;
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -1,7 +1,7 @@
 //! An audit of doctored logs: each rule's breach is found, and the log without it is sound.
-use chalkdeck_lab::audit::{audit, Record};
-use chalkdeck_lab::demo;
-use chalkdeck_lab::log::{End, Line};
+use chalkdeck_lab::audit::rules::{audit, Record};
+use chalkdeck_lab::parts::log::{End, Line};
+use chalkdeck_lab::rig::demo;
 
 const NONE: [u8; 0] = [];
 const S: u64 = 1_000_000;
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -1,9 +1,10 @@
 //! Days played by real processes, and audits that must fail when a fault is put into the carrying code.
-use chalkdeck_lab::audit::{audit, Record, Verdict};
-use chalkdeck_lab::day::Ways;
-use chalkdeck_lab::process::Program;
-use chalkdeck_lab::report::Summary;
-use chalkdeck_lab::{day, demo};
+use chalkdeck_lab::audit::rules::{audit, Record, Verdict};
+use chalkdeck_lab::parts::process::Program;
+use chalkdeck_lab::parts::report::Summary;
+use chalkdeck_lab::parts::script;
+use chalkdeck_lab::rig::day::Ways;
+use chalkdeck_lab::rig::{day, demo};
 use chalkdeck_proto::chalkdeck::lab::v1::{Day, Trouble};
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
@@ -47,7 +48,7 @@
 #[test]
 fn a_short_bad_day_breaks_no_rule() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("days/short.txtpb");
-    let played = play("short", day::read(&path).expect("a sound day"), None);
+    let played = play("short", script::read(&path).expect("a sound day"), None);
     assert_eq!(played.verdict.breaches, []);
     let s = &played.summary;
     assert_eq!(
