Gateway: settings, servers and calls as heads tell them get a place below the files that use them

Need: eight files passed these types round in a circle (settings knew the second front, which knew the shell, which knew settings). They now stand in base/, which knows nobody; readers and fronts stay where they were. No behaviour changed: same tests, all pass. Not measured: nothing that runs has changed.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -1,7 +1,7 @@
 //! The calls that a gateway holds, and by which streams it knows them.
 
+use crate::base::asked::Asked;
 use crate::body::Kept;
-use crate::front::Asked;
 use bytes::Bytes;
 use chalkdeck::api::{Arrival, RequestId, ServerId};
 use chalkdeck_net::StreamId;
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -1,5 +1,6 @@
 //! How a shell carries calls: between a client's stream, the attempts at servers and the decisions.
 
+use crate::base::asked::Rejected;
 use crate::calls::{Answer, Attempt, Call};
 use crate::fault::Fault;
 use crate::front;
@@ -33,7 +34,7 @@
         self.enter(arrival);
     }
 
-    fn reject(&mut self, front: StreamId, id: RequestId, why: front::Rejected) {
+    fn reject(&mut self, front: StreamId, id: RequestId, why: Rejected) {
         tracing::info!(call = id.0, kind = why.kind, "not taken: {}", why.what);
         self.metrics.rejected.get_or_create(&metrics::Kind { kind: why.kind.to_string() }).inc();
         let Some(code) = why.code else {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -3,7 +3,8 @@
 //! Metadata under the key `chalkdeck`: `cell` (text; none: the locality's) and `started_ms` (Unix time in milliseconds
 //! at which the server last started; none: long ago).
 
-use crate::settings::zone_of;
+pub use crate::base::server::Server;
+use crate::base::server::{number_of, zone_of};
 use chalkdeck::api::{CellId, Listed, Micros, ServerEntry, ServerId};
 use chalkdeck_proto::envoy::config::core::v3::{address, socket_address, HealthStatus};
 use chalkdeck_proto::envoy::config::endpoint::v3::{
@@ -21,15 +22,6 @@
 /// The most servers that a list may hold.
 pub const MOST: usize = 10_000;
 
-/// One server: where it is, and what the decisions are told of it.
-#[derive(Debug, Clone)]
-pub struct Server {
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// Its line of the list.
-    pub entry: ServerEntry,
-}
-
 /// Why a file is no server list.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{0}")]
@@ -92,9 +84,9 @@
         Some(_) => return bad("metadata chalkdeck.started_ms: expected Unix milliseconds"),
     };
     let entry = ServerEntry {
-        server: ServerId(crate::number_of(&address.to_string())),
+        server: ServerId(number_of(&address.to_string())),
         zone: zone_of(zone),
-        cell: CellId(crate::number_of(&cell)),
+        cell: CellId(number_of(&cell)),
         listed,
         weight: f64::from(weight),
         started,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,6 +1,7 @@
 //! What a call's head says: its route, customer, deadline and units; or why it is no call that can be taken.
 
-use crate::settings::Settings;
+use crate::base::asked::{Asked, Rejected};
+use crate::base::settings::{Route, Settings};
 use chalkdeck::api::{Arrival, ClassId, CustomerId, Micros, RequestId};
 use chalkdeck_net::grpc::{self, Code};
 use http::uri::PathAndQuery;
@@ -9,29 +10,6 @@
 /// The units of a call.
 pub(crate) const UNITS: &str = "x-units";
 
-/// A call that can be taken.
-pub(crate) struct Asked {
-    pub(crate) arrival: Arrival,
-    /// The client's own deadline, where it gave one.
-    pub(crate) client_deadline: Option<u64>,
-    pub(crate) path: PathAndQuery,
-    /// Metadata for the server.
-    pub(crate) headers: HeaderMap,
-    /// Tries that the client made before.
-    pub(crate) tries_before: u32,
-}
-
-/// Why a call is not taken.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Rejected {
-    /// The answer; none: HTTP 415.
-    pub(crate) code: Option<Code>,
-    /// For the client and the log.
-    pub(crate) what: String,
-    /// For the metrics.
-    pub(crate) kind: &'static str,
-}
-
 fn reject<T>(code: Code, kind: &'static str, what: impl Into<String>) -> Result<T, Rejected> {
     Err(Rejected { code: Some(code), what: what.into(), kind })
 }
@@ -52,8 +30,7 @@
         return Err(Rejected { code: None, what: "expected a gRPC call".into(), kind: "not_grpc" });
     }
     let path = head.uri.path();
-    let matches =
-        |r: &&crate::settings::Route| if r.prefix { path.starts_with(&r.path) } else { path == r.path };
+    let matches = |r: &&Route| if r.prefix { path.starts_with(&r.path) } else { path == r.path };
     let Some(route) = set.routes.iter().find(matches) else {
         return reject(Code::Unimplemented, "no_route", format!("no route for {path}"));
     };
@@ -94,7 +71,7 @@
         id,
         class: ClassId(class),
         plan,
-        customer: CustomerId(crate::number_of(customer)),
+        customer: CustomerId(crate::base::server::number_of(customer)),
         spread: set.spread,
         deadline: Micros(now + timeout.unwrap_or(longest).min(longest)),
         units,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod base;
 mod body;
 mod calls;
 mod carry;
@@ -25,8 +26,3 @@
 
 pub use settings::{Settings, SettingsError};
 pub use shell::Shell;
-
-/// The stable number of a name, equal at every gateway.
-pub(crate) fn number_of(name: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
-}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,7 +2,7 @@
 //!
 //! Bounds: `server_connections` for a server, `server_streams` calls on each, as many again waiting for one to stand.
 
-use crate::endpoints::Server;
+use crate::base::server::Server;
 use chalkdeck::api::{RequestId, ServerId};
 use chalkdeck_net::{ConnId, Engine, Limits};
 use http::uri::Authority;
--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -5,6 +5,7 @@
 mod session;
 mod wire;
 
+pub use crate::base::settings::RespSettings;
 use crate::shell::{Due, Shell};
 use bytes::Bytes;
 use chalkdeck::api::{Arrival, ClassId, CustomerId, Event, Micros, PlanId, RequestId};
@@ -26,21 +27,6 @@
 /// Tickets held at once by one connection.
 const MOST_TICKETS: usize = 10_000;
 
-/// Settings of the front.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RespSettings {
-    /// Where it listens.
-    pub listen: SocketAddr,
-    /// Asked of clients; empty: none.
-    pub password: String,
-    /// The class that its requests have; callers do the work themselves.
-    pub class: usize,
-    /// How long a ticket lasts that names no lease, in microseconds.
-    pub lease: u64,
-    /// Connections at once.
-    pub connections: usize,
-}
-
 /// A request of this front that waits for its decision.
 struct Ask {
     conn: ConnId,
@@ -209,7 +195,7 @@
             return session.ready(Reply::Error("ERR too many tickets on this connection".into()));
         }
         let (id, now) = (self.calls.next_id(), self.engine.now());
-        let customer = CustomerId(crate::number_of(customer));
+        let customer = CustomerId(crate::base::server::number_of(customer));
         resp.asks.insert(id, Ask { conn, slot: session.wait(), customer, plan, lease });
         self.metrics.resp_asks.inc();
         self.enter(Arrival {
@@ -292,7 +278,8 @@
             return Reply::Error("NOPLAN this customer has no plan".into());
         };
         let now = Micros(self.engine.now());
-        let standing = self.desk.gateway.standing(now, CustomerId(crate::number_of(customer)), plan);
+        let standing =
+            self.desk.gateway.standing(now, CustomerId(crate::base::server::number_of(customer)), plan);
         let numbers = [standing.limit as i64, standing.remaining as i64, seconds(standing.reset.0)];
         Reply::Array(numbers.map(Reply::Integer).into())
     }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -2,6 +2,7 @@
 //! comes back is carried out. Nothing is sent, refused, failed, repeated or called off here that was not decided there;
 //! a client's own deadline on an answer that has started is the client's going away.
 
+use crate::base::settings::Settings;
 use crate::calls::Calls;
 use crate::counter::Told;
 use crate::counters::{Counters, News};
@@ -11,7 +12,6 @@
 use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
 use crate::resp::Resp;
-use crate::settings::Settings;
 use chalkdeck::api::{
     Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, ServerId, TimerId,
 };
