Site core: states of whole sites, shares of the load, order of refusal, paced return

Need: nothing knew of sites; a lost zone was a sum of servers ejected one by one. The core is free of I/O: list, ends of attempts, offers and an operator's words in, a plan out (state with its evidence, share, room as learnt, pace, what is let in). Not yet wired to the gateway; not measured yet.

--- /dev/null
+++ b/crates/site/tests/core.rs
@@ -0,0 +1,185 @@
+//! What the core makes of whole sites, by the hard cases of their loss.
+mod world;
+
+use chalkdeck_site::{Command, Event, SiteId, State};
+use world::{Is, World, MS, SECOND};
+
+fn lost(w: &mut World) -> bool {
+    (1..3).all(|g| w.state(g, 0) == State::Lost)
+}
+
+#[test]
+fn in_calm_load_stays_near() {
+    let mut w = World::new();
+    w.run(5 * SECOND);
+    for g in 0..3 {
+        assert_eq!(w.view(g, g).share, 1.0);
+        assert!(w.plan(g).sites.iter().all(|v| v.state == State::Serving));
+    }
+}
+
+#[test]
+fn a_site_whose_servers_refuse_is_lost_and_its_gateways_go_to_the_others() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Refusing);
+    let took = w.until(SECOND, |w| w.state(0, 0) == State::Lost);
+    assert!(took < 300 * MS, "noticed after {took}");
+    let plan = w.plan(0);
+    let (a, b) = (plan.sites[1].share, plan.sites[2].share);
+    assert!((a - b).abs() < 0.01 && a > 0.45, "both others bear it: {a} {b}");
+}
+
+#[test]
+fn a_silent_site_is_lost_whether_or_not_the_list_ever_tells() {
+    for told in [true, false] {
+        let mut w = World::new();
+        w.run(2 * SECOND);
+        w.site_is(0, Is::Silent);
+        w.until(2 * SECOND, |w| w.state(0, 0) == State::Lost);
+        w.run(5 * SECOND);
+        if told {
+            w.listed[0] = false;
+            w.list();
+            assert_eq!(w.state(1, 0), State::Lost, "by the list alone");
+            assert_eq!(w.view(1, 0).share, 0.0);
+        }
+        w.run(SECOND);
+        assert_eq!(w.state(0, 0), State::Lost);
+        assert!(w.view(0, 0).share <= 0.02, "probes alone");
+    }
+}
+
+#[test]
+fn one_gateway_that_hears_only_its_own_site_takes_itself_for_cut_off() {
+    let mut w = World::new();
+    // It has some load at each, as after its own site was strained.
+    w.is[0][0] = [Is::Up(450 * MS); 4];
+    w.run(4 * SECOND);
+    assert!(w.view(0, 1).share > 0.1, "{:?}", w.plan(0));
+    w.is[0][1] = [Is::Silent; 4];
+    w.is[0][2] = [Is::Silent; 4];
+    w.until(4 * SECOND, |w| (1..3).all(|s| w.state(0, s) == State::CutOff));
+    assert_eq!((w.state(1, 2), w.state(2, 1)), (State::Serving, State::Serving), "the others see no trouble");
+}
+
+#[test]
+fn half_a_site_lost_is_no_loss_of_the_site() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    for from in &mut w.is {
+        from[0][0] = Is::Silent;
+        from[0][1] = Is::Silent;
+    }
+    w.run(6 * SECOND);
+    let v = w.view(0, 0);
+    assert!(!v.state.is_out(), "{v:?}");
+    assert_eq!(v.evidence.silent, 2);
+}
+
+#[test]
+fn ten_times_slower_is_strained_not_lost_and_the_rest_goes_elsewhere() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Up(400 * MS));
+    w.run(10 * SECOND);
+    let v = w.view(0, 0);
+    assert!(!v.state.is_out(), "{v:?}");
+    assert!(v.share < 0.7, "its gateway sends part of the load away: {v:?}");
+    w.site_is(0, Is::Up(40 * MS));
+    w.run(60 * SECOND);
+    assert!(w.view(0, 0).share > 0.95, "the detour is undone: {:?}", w.view(0, 0));
+}
+
+#[test]
+fn the_return_climbs_by_steps_that_gateways_take_at_different_moments() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Refusing);
+    w.until(2 * SECOND, |w| w.state(0, 0) == State::Lost);
+    w.run(5 * SECOND);
+    w.site_is(0, Is::Up(40 * MS));
+    w.started[0] = Some(w.now);
+    w.list();
+    w.until(10 * SECOND, |w| w.state(0, 0) == State::Returning);
+    let mut paces = vec![w.view(0, 0).pace];
+    w.until(60 * SECOND, |w| {
+        let pace = w.view(0, 0).pace;
+        paces.extend((Some(&pace) != paces.last()).then_some(pace));
+        w.state(0, 0) == State::Serving
+    });
+    assert!(paces.len() >= 6, "{paces:?}");
+    assert!(paces.windows(2).all(|p| p[1] <= p[0] * 1.7), "no jump: {paces:?}");
+}
+
+#[test]
+fn a_doubt_in_the_return_gives_a_step_back() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Refusing);
+    w.until(2 * SECOND, |w| w.state(0, 0) == State::Lost);
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Up(40 * MS));
+    w.until(30 * SECOND, |w| w.state(0, 0) == State::Returning && w.view(0, 0).pace > 0.4);
+    let before = w.view(0, 0).pace;
+    w.site_is(0, Is::Up(480 * MS));
+    w.until(5 * SECOND, |w| w.view(0, 0).pace < before);
+    assert!(w.state(0, 0) == State::Returning);
+}
+
+#[test]
+fn a_flapping_site_is_held_out_longer_each_time_up_to_a_bound() {
+    let mut w = World::new();
+    let mut holds = Vec::new();
+    for _ in 0..8 {
+        w.site_is(0, Is::Refusing);
+        w.until(3 * SECOND, |w| w.state(0, 0) == State::Lost);
+        holds.push(w.view(0, 0).evidence.held_until - w.now);
+        w.site_is(0, Is::Up(40 * MS));
+        w.until(80 * SECOND, |w| w.state(0, 0) != State::Lost);
+    }
+    assert!(holds.windows(2).all(|h| h[1] >= h[0]), "{holds:?}");
+    assert!(holds[0] <= SECOND && holds[7] > 30 * SECOND && holds[7] <= 32 * SECOND, "{holds:?}");
+}
+
+#[test]
+fn an_operators_word_holds_whatever_the_site_answers() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    w.cores[0].on(w.now, Event::Command(SiteId(0), Command::Drain));
+    w.run(5 * SECOND);
+    let v = w.view(0, 0);
+    assert_eq!((v.state, v.share), (State::HeldOut, 0.0));
+    // Another is lost meanwhile: the third bears all, and the drained one stays out.
+    w.site_is(1, Is::Refusing);
+    w.until(3 * SECOND, |w| w.state(0, 1) == State::Lost);
+    let plan = w.plan(0);
+    assert!(plan.sites[0].share == 0.0 && plan.sites[2].share > 0.95, "{plan:?}");
+    w.cores[0].on(w.now, Event::Command(SiteId(0), Command::LetBack));
+    assert_eq!(w.state(0, 0), State::Returning);
+    w.until(40 * SECOND, |w| w.state(0, 0) == State::Serving);
+}
+
+#[test]
+fn with_all_sites_silent_the_load_is_parted_by_size() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    (0..3).for_each(|s| w.site_is(s, Is::Silent));
+    w.run(20 * SECOND);
+    let plan = w.plan(0);
+    let sum: f64 = plan.sites.iter().map(|v| v.share).sum();
+    assert!((sum - 1.0).abs() < 1e-9 && plan.sites.iter().all(|v| v.share > 0.2), "{plan:?}");
+    w.site_is(2, Is::Up(40 * MS));
+    w.until(30 * SECOND, |w| !w.state(0, 2).is_out());
+}
+
+#[test]
+fn a_gateway_restarted_inside_the_loss_learns_of_it_by_itself() {
+    let mut w = World::new();
+    w.run(SECOND);
+    w.site_is(0, Is::Refusing);
+    w.until(2 * SECOND, |w| lost(w) || w.state(0, 0) == State::Lost);
+    w.cores[0] = chalkdeck_site::Core::new(world::settings(0, 0));
+    w.list();
+    w.until(SECOND, |w| w.state(0, 0) == State::Lost);
+}
