Site core through the module: shares by zone and one floor by worth for each unit, off by default

Need: the policy decides each request; what the site core says reaches it as one event, Sites, with the part of the load that each zone should bear and what is let in. A request draws its zone by these parts, goes elsewhere only where that zone has no place, and never to a closed zone. The gateway (settings: sites { on: true }) feeds the core from list, attempts, counter and offers; /sites on the admin port shows states with evidence and takes drain, hold and let-back.

--- a/crates/gateway/src/base/server.rs
+++ b/crates/gateway/src/base/server.rs
@@ -8,6 +8,8 @@
 pub struct Server {
     /// Where it is reached.
     pub address: SocketAddr,
+    /// The name of its zone.
+    pub zone_name: String,
     /// Its line of the list.
     pub entry: ServerEntry,
 }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -57,6 +57,7 @@
         if until < call_deadline {
             self.due_in(until.saturating_sub(now), Due::GiveUp(attempt));
         }
+        self.site_sent(server);
         self.place(attempt, server);
     }
 
@@ -146,7 +147,10 @@
         stream.into_iter().for_each(|s| self.calls.unbind(s));
         tracing::debug!(call = id.call.0, attempt = id.number, ?outcome, took, "attempt ended");
         self.metrics.attempt(outcome);
-        let done = self.calls.get(id.call).is_some_and(|c| c.is_done());
+        let call = self.calls.get(id.call);
+        let done = call.as_ref().is_some_and(|c| c.is_done());
+        let asked = call.map(|c| (c.arrival.class.0, c.arrival.units));
+        asked.into_iter().for_each(|(class, units)| self.site_ended(server, outcome, took, class, units));
         self.desk.tell(Event::AttemptEnded(AttemptEnd {
             id: id.call,
             attempt: id.number,
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -91,7 +91,7 @@
         weight: f64::from(weight),
         started,
     };
-    Ok(Server { address, entry })
+    Ok(Server { address, zone_name: zone.to_string(), entry })
 }
 
 fn address_of(endpoint: &LbEndpoint) -> Result<SocketAddr, ListError> {
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -21,6 +21,7 @@
 impl Shell {
     /// A request came in at a front.
     pub(crate) fn enter(&mut self, arrival: Arrival) {
+        self.site_offered(&arrival);
         let now = self.engine.now();
         let Shell { entry: Some(entry), desk, set, .. } = self else {
             return self.desk.tell(Event::Request(arrival));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod resp;
 pub mod settings;
 mod shell;
+pub mod sites;
 
 pub use settings::{Settings, SettingsError};
 pub use shell::Shell;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -315,6 +315,8 @@
         default_plan,
         plan_of,
         spread: or(customers.spread, fleet).min(fleet),
+        sites: wire.sites.is_some_and(|s| s.on),
+        zone_name: wire.zone.clone(),
         counter: parts,
         resp,
         door: door(wire.door.unwrap_or_default()),
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -12,6 +12,7 @@
 use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
 use crate::resp::Resp;
+use crate::sites::Sites;
 use chalkdeck::api::{
     Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, ServerId, TimerId,
 };
@@ -43,6 +44,7 @@
     Count,
     Connect(ConnId),
     Look,
+    Sites,
 }
 
 /// A running gateway.
@@ -58,6 +60,7 @@
     pub(crate) counter: Option<Counters>,
     pub(crate) resp: Option<Resp>,
     pub(crate) entry: Option<Entry>,
+    pub(crate) sites: Option<Sites>,
     pub(crate) pool: Pool,
     watch: Watch,
     pub(crate) metrics: Metrics,
@@ -94,6 +97,7 @@
             counter,
             resp,
             entry: set.door.clone().map(Entry::new),
+            sites: set.sites.then(|| Sites::new(&set)),
             pool: Pool::new(set.server_connections, set.server_streams, set.keepalive),
             watch: Watch::new(set.endpoints.clone()),
             metrics: Metrics::new(&set.class_names, &set.plan_names),
@@ -106,6 +110,10 @@
             set,
         };
         shell.look();
+        if shell.sites.is_some() {
+            shell.site_look();
+            shell.settle();
+        }
         Ok(shell)
     }
 
@@ -255,6 +263,7 @@
                 self.on_closed(conn, "not made in time");
             }
             Some(Due::Look) => self.look(),
+            Some(Due::Sites) => self.site_look(),
             None => {}
         }
     }
@@ -292,6 +301,7 @@
                 News::WentBack => tracing::warn!("the counter has an earlier state of its counts"),
             }
         }
+        self.site_counted(&told);
         for Told { name, outcome, total } in told {
             self.metrics.count(outcome);
             self.desk.tell(Event::Counted(name, outcome, total));
@@ -312,6 +322,7 @@
                 self.metrics.servers.set(servers.len() as i64);
                 let unsent = self.pool.update(&mut self.engine, &servers);
                 unsent.into_iter().for_each(|attempt| self.ended(attempt, Outcome::ConnectFailed, false));
+                self.site_list(&servers);
                 let mut entries: Vec<_> = servers.into_iter().map(|s| s.entry).collect();
                 for entry in &mut entries {
                     if self.fault == Some(Fault::Drains) {
@@ -338,8 +349,9 @@
             Ok(new) => new,
             Err(e) => return tracing::error!("the earlier settings stay: {e}"),
         };
-        let fixed =
-            |s: &Settings| (format!("{:?}", s.policy), s.listen, s.admin, s.counter.clone(), s.resp.clone());
+        let fixed = |s: &Settings| {
+            (format!("{:?}", s.policy), s.listen, s.admin, s.counter.clone(), s.resp.clone(), s.sites)
+        };
         if fixed(&new) != fixed(&self.set) {
             tracing::error!(
                 "the earlier settings stay: classes, plans, fleet, limits and addresses need a new start"
@@ -363,7 +375,11 @@
                 let text = self.metrics.text();
                 self.engine.reply(conn, 200, &text);
             }
-            _ => self.engine.reply(conn, 404, "expected /healthz or /metrics\n"),
+            path if path.starts_with("/sites") => match self.site_asked(path) {
+                Ok(text) => self.engine.reply(conn, 200, &text),
+                Err(what) => self.engine.reply(conn, 400, &what),
+            },
+            _ => self.engine.reply(conn, 404, "expected /healthz, /metrics or /sites\n"),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/sites.rs
@@ -0,0 +1,236 @@
+//! Between the sockets and the site core: tells it what happens, brings its plan to the decisions, and shows it.
+
+use crate::base::server::{number_of, Server};
+use crate::base::settings::Settings;
+use crate::counter::Told;
+use crate::shell::{Due, Shell};
+use chalkdeck::api::{self, Arrival, Listed, Outcome, ServerId, ZoneId, ZoneShare};
+use chalkdeck_site::{Command, Core, Event, How, Plan, SiteId, State};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How often the plan is looked at, in microseconds.
+const LOOK: u64 = 25_000;
+/// Figures that moved by less are not told again.
+const MOVED: f64 = 0.005;
+
+/// The site core with the names of its sites.
+pub(crate) struct Sites {
+    core: Core,
+    names: BTreeMap<SiteId, String>,
+    told: Option<Plan>,
+}
+
+/// One site as the admin port shows it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SiteStatus {
+    /// The zone's name.
+    pub site: String,
+    /// Its state, and for how many seconds.
+    pub state: String,
+    /// See `state`.
+    pub for_s: f64,
+    /// What that rests on.
+    pub evidence: String,
+    /// Part of the load that it should bear.
+    pub share: f64,
+    /// Units a second that this gateway may send there as learnt; none: no bound was met.
+    pub room: Option<f64>,
+    /// Part of its room that it is given while it comes back.
+    pub pace: f64,
+}
+
+/// What the admin port shows under `/sites`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SitesStatus {
+    /// The gateway's own zone.
+    pub own: String,
+    /// Part of the work offered that the sites can bear.
+    pub level: f64,
+    /// Let in where the worth of a unit is this much.
+    pub floor: f64,
+    /// All sites.
+    pub sites: Vec<SiteStatus>,
+}
+
+impl Sites {
+    pub(crate) fn new(set: &Settings) -> Sites {
+        let own = site_of(set.policy.zone);
+        let core = Core::new(chalkdeck_site::Settings {
+            own,
+            me: set.policy.me,
+            gateways: set.policy.gateways,
+            cold_from: set.policy.cold_from,
+            cold: set.policy.cold.0,
+            fall_multiple: set.policy.fall_multiple,
+        });
+        Sites { core, names: BTreeMap::from([(own, set.zone_name.clone())]), told: None }
+    }
+
+    fn list(&mut self, now: u64, servers: &[Server]) {
+        self.names.extend(servers.iter().map(|s| (site_of(s.entry.zone), s.zone_name.clone())));
+        let line = |s: &Server| chalkdeck_site::Listed {
+            server: s.entry.server.0,
+            site: site_of(s.entry.zone),
+            in_service: s.entry.listed == Listed::InService,
+            weight: s.entry.weight,
+            started: s.entry.started.map(|at| at.0),
+        };
+        let lines: Vec<_> = servers.iter().map(line).collect();
+        self.core.on(now, Event::List(&lines));
+        let plan = self.core.plan(now);
+        self.names.retain(|id, _| plan.sites.iter().any(|s| s.site == *id));
+    }
+
+    fn name(&self, site: SiteId) -> &str {
+        self.names.get(&site).map_or("", |n| n)
+    }
+
+    fn status(&mut self, now: u64, set: &Settings) -> SitesStatus {
+        let plan = self.core.plan(now);
+        let one = |v: &chalkdeck_site::View| SiteStatus {
+            site: self.name(v.site).to_string(),
+            state: v.state.name().to_string(),
+            for_s: now.saturating_sub(v.since) as f64 / 1e6,
+            evidence: v.evidence.to_string(),
+            share: v.share,
+            room: v.room,
+            pace: v.pace,
+        };
+        SitesStatus {
+            own: set.zone_name.clone(),
+            level: plan.level,
+            floor: plan.floor.from,
+            sites: plan.sites.iter().map(one).collect(),
+        }
+    }
+}
+
+fn site_of(zone: ZoneId) -> SiteId {
+    SiteId(zone.0)
+}
+
+fn how(outcome: Outcome) -> How {
+    match outcome {
+        Outcome::Ok | Outcome::Error => How::Answered,
+        Outcome::Full => How::Full,
+        Outcome::Timeout => How::Silent,
+        Outcome::ConnectFailed | Outcome::Reset => How::Unreached,
+        Outcome::Cancelled | Outcome::Moot => How::CalledOff,
+    }
+}
+
+/// Whether the decisions need not hear of the new plan.
+fn same(a: &Plan, b: &Plan) -> bool {
+    let near = |a: f64, b: f64| (a - b).abs() <= MOVED * a.abs().max(b.abs()).max(0.05);
+    a.sites.len() == b.sites.len()
+        && a.sites
+            .iter()
+            .zip(&b.sites)
+            .all(|(a, b)| a.site == b.site && a.state == b.state && near(a.share, b.share))
+        && a.floor.sure == b.floor.sure
+        && a.floor.from == b.floor.from
+        && near(a.floor.part, b.floor.part)
+}
+
+impl Shell {
+    pub(crate) fn site_list(&mut self, servers: &[Server]) {
+        let now = self.engine.now();
+        self.sites.iter_mut().for_each(|s| s.list(now, servers));
+        self.site_plan();
+    }
+
+    /// Requests whose callers do the work themselves take no room here.
+    pub(crate) fn site_offered(&mut self, arrival: &Arrival) {
+        let Shell { sites: Some(sites), set, .. } = self else { return };
+        let class = &set.policy.classes[arrival.class.0];
+        if class.by_caller {
+            return;
+        }
+        let worth = class.worth * set.policy.plans[arrival.plan.0].price / arrival.units;
+        sites.core.on(self.engine.now(), Event::Offered(worth, arrival.units));
+    }
+
+    pub(crate) fn site_sent(&mut self, server: ServerId) {
+        let now = self.engine.now();
+        self.sites.iter_mut().for_each(|s| s.core.on(now, Event::Sent(server.0)));
+    }
+
+    pub(crate) fn site_ended(
+        &mut self,
+        server: ServerId,
+        outcome: Outcome,
+        took: u64,
+        class: usize,
+        units: f64,
+    ) {
+        let Shell { sites: Some(sites), set, .. } = self else { return };
+        let aim = set.policy.classes[class].aim.0;
+        sites.core.on(self.engine.now(), Event::Ended(server.0, how(outcome), took, aim, units));
+    }
+
+    pub(crate) fn site_counted(&mut self, told: &[Told]) {
+        let (Some(sites), Some(last)) = (&mut self.sites, told.last()) else { return };
+        sites.core.on(self.engine.now(), Event::Counter(last.outcome == Outcome::Ok));
+    }
+
+    /// Looks at the plan again and tells the decisions what moved.
+    pub(crate) fn site_look(&mut self) {
+        self.due_in(LOOK, Due::Sites);
+        self.site_plan();
+    }
+
+    fn site_plan(&mut self) {
+        let now = self.engine.now();
+        let Some(sites) = &mut self.sites else { return };
+        let plan = sites.core.plan(now);
+        if sites.told.as_ref().is_some_and(|told| same(told, &plan)) {
+            return;
+        }
+        let known = sites.told.as_ref().map_or(&[][..], |t| &t.sites);
+        for v in &plan.sites {
+            let before = known.iter().find(|k| k.site == v.site).map(|k| k.state);
+            if before != Some(v.state) {
+                let name = sites.names.get(&v.site).map_or("", |n| n);
+                tracing::info!(site = name, state = v.state.name(), evidence = %v.evidence, "site");
+            }
+        }
+        let part = |v: &chalkdeck_site::View| ZoneShare {
+            zone: ZoneId(v.site.0),
+            share: v.share,
+            open: v.state == State::Serving,
+        };
+        let floor = api::Floor { sure: plan.floor.sure, from: plan.floor.from, part: plan.floor.part };
+        let shares = plan.sites.iter().map(part).collect();
+        sites.told = Some(plan);
+        self.desk.tell(api::Event::Sites(shares, floor));
+    }
+
+    /// `/sites`, and `/sites/drain/NAME`, `/sites/hold/NAME`, `/sites/let-back/NAME`. Errors: what was expected.
+    pub(crate) fn site_asked(&mut self, path: &str) -> Result<String, String> {
+        let now = self.engine.now();
+        let Shell { sites: Some(sites), set, .. } = self else {
+            return Err("sites are not watched: settings have no 'sites { on: true }'\n".to_string());
+        };
+        if let Some((word, name)) = path.strip_prefix("/sites/").and_then(|rest| rest.split_once('/')) {
+            let command = match word {
+                "drain" => Command::Drain,
+                "hold" => Command::Hold,
+                "let-back" => Command::LetBack,
+                _ => return Err(format!("expected drain, hold or let-back, found '{word}'\n")),
+            };
+            let site = SiteId(number_of(name) as u32);
+            if sites.names.get(&site).is_none_or(|known| known != name) {
+                let known: Vec<&str> = sites.names.values().map(String::as_str).collect();
+                return Err(format!("expected one of {}, found '{name}'\n", known.join(", ")));
+            }
+            tracing::warn!(site = name, word, "an operator's word");
+            sites.core.on(now, Event::Command(site, command));
+        } else if path != "/sites" {
+            return Err("expected /sites or /sites/WORD/NAME\n".to_string());
+        }
+        let status = sites.status(now, set);
+        self.site_plan();
+        serde_json::to_string(&status).map_err(|e| e.to_string())
+    }
+}
--- a/crates/policy/src/api.rs
+++ b/crates/policy/src/api.rs
@@ -293,9 +293,33 @@
     pub report: Report,
 }
 
+/// What a zone should bear, where sites are watched.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZoneShare {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Part of the requests that go there first. Over all zones they sum to one.
+    pub share: f64,
+    /// Others' requests may go there where their own zone has no place.
+    pub open: bool,
+}
+
+/// What is let in at all, by worth for each unit.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Floor {
+    /// Worth this much or more: let in.
+    pub sure: f64,
+    /// Worth less than this: refused.
+    pub from: f64,
+    /// Part of those between that is let in.
+    pub part: f64,
+}
+
 /// What a gateway is told.
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// What zones should bear and what is let in; until the first, nothing is known of zones as wholes.
+    Sites(Vec<ZoneShare>, Floor),
     /// News of the server list.
     Servers(ListScope, Vec<ServerEntry>),
     /// A request came in.
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -3,9 +3,8 @@
 //! Order: constants, admission, the life of a request, choice of a server, health, guards of the rules.
 
 use crate::api::*;
+pub use crate::state::Gateway;
 use crate::state::*;
-use rustc_hash::FxHashMap;
-use std::collections::VecDeque;
 
 /// The source's breaker: failures in a row that open it, and its cooldown.
 const FAILURES_TO_OPEN: f64 = 3.0;
@@ -87,6 +86,8 @@
 const QUICK_SINCE: u64 = 3;
 const STRAY_TIMES: f64 = 6.0;
 const STRAY_PART: f64 = 0.35;
+/// What a server outside the zone that was drawn counts as worse.
+const ELSEWHERE: f64 = 4.0;
 /// Longest wait for a free server, as part of the aim, and how often held requests are looked at.
 const HOLD_PART: f64 = 0.3;
 const HOLD_STEP: Micros = Micros(10_000);
@@ -128,53 +129,6 @@
     (ASK_FIRST / f64::from(set.gateways)).min(1.0)
 }
 
-/// One gateway. It shares nothing with others but what the counter tells.
-#[derive(Default)]
-pub struct Gateway {
-    set: Settings,
-    rng: fastrand::Rng,
-    now: Micros,
-    out: Vec<Action>,
-    breaker: Breaker,
-    /// Share of requests of usual worth that ask the counter, and that worth.
-    ask: f64,
-    usual_asked: f64,
-    /// What the counter takes with no line before it, in seconds.
-    no_line: f64,
-    /// When that share was last cut.
-    ask_cut: Micros,
-    last_failed: Option<CustomerId>,
-    /// When the counter last answered.
-    heard_at: Micros,
-    calls: FxHashMap<CountName, VecDeque<Call>>,
-    customers: FxHashMap<CustomerId, Customer>,
-    requests: FxHashMap<RequestId, Request>,
-    servers: Servers,
-    /// Servers that may be cold.
-    cold: usize,
-    /// When the bounds of the own part were last summed, and their sum.
-    summed: (Micros, f64),
-    /// Places of the listed servers, in an order that all gateways share.
-    ring: Vec<usize>,
-    timers: FxHashMap<TimerId, Timer>,
-    /// Attempts out at all servers, their mean a server in calm, and the attempt seconds left in overload.
-    out_now: f64,
-    calm_out: f64,
-    flight: f64,
-    held: Vec<RequestId>,
-    hold_timer: bool,
-    retries: f64,
-    flow: TokenBucket,
-    /// Smoothed over all servers: time to answer, shares of attempts that failed and that tell of a jam.
-    latency: f64,
-    fail_share: f64,
-    late_share: f64,
-    /// Part of the requests of usual worth that the servers can take, and the usual worth.
-    pass: f64,
-    usual_worth: f64,
-    serial: u64,
-}
-
 impl Gateway {
     /// A gateway as it starts, knowing nothing but its settings.
     pub fn new(seed: u64, set: Settings) -> Result<Gateway, SettingsError> {
@@ -193,6 +147,7 @@
         self.pass_time(now);
         match event {
             Event::Servers(scope, entries) => self.on_servers(scope, entries),
+            Event::Sites(shares, floor) => (self.sites, self.floor) = (shares, Some(floor)),
             Event::Request(arrival) => self.on_request(arrival),
             Event::Timer(timer) => self.on_timer(timer),
             Event::StreamStarted(id) => {
@@ -324,6 +279,11 @@
     fn shed(&mut self, id: RequestId) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
         let worth = self.worth(r);
+        // Where sites are watched there is one order over all gateways: worth for the room it takes.
+        if let Some(floor) = self.floor {
+            let dense = worth / r.a.units;
+            return dense < floor.from || dense < floor.sure && self.rng.f64() >= floor.part;
+        }
         self.usual_worth += SMOOTH / 3.0 * (worth - self.usual_worth);
         let power = if worth > 0.0 { (self.usual_worth / worth).powi(2) } else { f64::MAX };
         self.sparse() && self.rng.f64() > self.pass.powf(power)
@@ -880,7 +840,7 @@
     /// The allowed server with the least expected wait, beyond the own part only if that has none.
     fn pick(&mut self, id: RequestId) -> Option<ServerId> {
         self.warm_up();
-        let salt = self.rng.u64(..);
+        let (salt, toward) = (self.rng.u64(..), self.toward());
         let (reach, scale) = (self.reach(), self.scale());
         // Bounds may fall below one (many gateways): what is out in all stays within their sum.
         let most = self.most_out(reach);
@@ -897,7 +857,7 @@
         }
         let mut best: Option<(f64, ServerId)> = None;
         let mut look = |at: &(ServerId, Server)| {
-            let score = self.score(r, at, scale, any_healthy, salt);
+            let score = self.score(r, at, scale, any_healthy, salt, toward);
             best = score.filter(|score| best.is_none_or(|(b, _)| *score < b)).map(|s| (s, at.0)).or(best);
             best.is_some()
         };
@@ -917,8 +877,26 @@
         best.map(|(_, sid)| sid)
     }
 
+    /// The zone that a request goes to first, drawn by what each should bear; none: sites are not watched.
+    fn toward(&mut self) -> Option<ZoneId> {
+        let mut draw = if self.sites.is_empty() { 1.0 } else { self.rng.f64() };
+        let mut drawn = self.sites.iter().skip_while(|s| {
+            draw -= s.share;
+            draw >= 0.0
+        });
+        drawn.next().map(|s| s.zone)
+    }
+
     /// The expected wait at a server against others (`fit`: some is healthy); none: it may not be asked now.
-    fn score(&self, r: &Request, at: &(ServerId, Server), scale: f64, fit: bool, salt: u64) -> Option<f64> {
+    fn score(
+        &self,
+        r: &Request,
+        at: &(ServerId, Server),
+        scale: f64,
+        fit: bool,
+        salt: u64,
+        toward: Option<ZoneId>,
+    ) -> Option<f64> {
         let (sid, s) = at;
         // With nothing healthy left, one at a time to whatever is listed.
         let most = if fit { (s.limit * scale).floor().max(1.0) } else { 1.0 };
@@ -927,7 +905,14 @@
         }
         let slow = if self.latency > 0.0 { (s.latency / self.latency).clamp(0.7, 2.0) } else { 1.0 };
         let tried = r.attempts.iter().filter(|a| a.server == *sid).count() as f64;
-        let far = if s.zone == self.set.zone { 0.0 } else { 0.05 * scale };
+        // Elsewhere than drawn only where that zone has no place, and never to one that is closed.
+        let closed = || self.sites.iter().any(|z| z.zone == s.zone && !z.open);
+        let far = match toward {
+            None => f64::from(u8::from(s.zone != self.set.zone)) * 0.05 * scale,
+            Some(zone) if zone == s.zone => 0.0,
+            Some(_) if closed() => return None,
+            Some(_) => ELSEWHERE,
+        };
         let mut score = (s.out + 1.0) * slow / s.weight * (1.0 + 3.0 * s.fail_share) + 4.0 * tried;
         score *= 1.0 + 0.1 * (mix(salt ^ sid.0) as f64 / u64::MAX as f64) + far;
         // A server on trial is asked sooner, or one that failed would never be tried again.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -2,6 +2,8 @@
 
 use crate::api::*;
 use crate::rules::Breaker;
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
 
 /// A store of units that fills at a rate. It may go below nothing where the caller lets it.
 #[derive(Debug, Clone, Default)]
@@ -220,3 +222,53 @@
     let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
 }
+
+/// One gateway. It shares nothing with others but what the counter tells.
+#[derive(Default)]
+pub struct Gateway {
+    pub(crate) set: Settings,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: Micros,
+    pub(crate) out: Vec<Action>,
+    pub(crate) breaker: Breaker,
+    /// Share of requests of usual worth that ask the counter, and that worth.
+    pub(crate) ask: f64,
+    pub(crate) usual_asked: f64,
+    /// What the counter takes with no line before it, in seconds.
+    pub(crate) no_line: f64,
+    /// When that share was last cut.
+    pub(crate) ask_cut: Micros,
+    pub(crate) last_failed: Option<CustomerId>,
+    /// When the counter last answered.
+    pub(crate) heard_at: Micros,
+    pub(crate) calls: FxHashMap<CountName, VecDeque<Call>>,
+    pub(crate) customers: FxHashMap<CustomerId, Customer>,
+    pub(crate) requests: FxHashMap<RequestId, Request>,
+    pub(crate) servers: Servers,
+    /// Servers that may be cold.
+    pub(crate) cold: usize,
+    /// When the bounds of the own part were last summed, and their sum.
+    pub(crate) summed: (Micros, f64),
+    /// Places of the listed servers, in an order that all gateways share.
+    pub(crate) ring: Vec<usize>,
+    pub(crate) timers: FxHashMap<TimerId, Timer>,
+    /// Attempts out at all servers, their mean a server in calm, and the attempt seconds left in overload.
+    pub(crate) out_now: f64,
+    pub(crate) calm_out: f64,
+    pub(crate) flight: f64,
+    pub(crate) held: Vec<RequestId>,
+    pub(crate) hold_timer: bool,
+    pub(crate) retries: f64,
+    pub(crate) flow: TokenBucket,
+    /// Smoothed over all servers: time to answer, shares of attempts that failed and that tell of a jam.
+    pub(crate) latency: f64,
+    pub(crate) fail_share: f64,
+    pub(crate) late_share: f64,
+    /// Part of the requests of usual worth that the servers can take, and the usual worth.
+    pub(crate) pass: f64,
+    pub(crate) usual_worth: f64,
+    pub(crate) serial: u64,
+    /// What zones should bear, and what is let in; none: sites are not watched.
+    pub(crate) sites: Vec<ZoneShare>,
+    pub(crate) floor: Option<Floor>,
+}
