--- a/crates/gateway/src/base/settings.rs
+++ b/crates/gateway/src/base/settings.rs
@@ -77,8 +77,10 @@
     pub resp: Option<RespSettings>,
     /// The door; none: requests go to the decisions as they come.
     pub door: Option<chalkdeck_door::Settings>,
-    /// Zones are watched as sites.
+    /// Zones are watched as sites, and what they cannot bear is refused by worth.
     pub sites: bool,
+    /// See `sites`.
+    pub site_floor: bool,
     /// The name of the own zone.
     pub zone_name: String,
     /// The counter's parts, in the order that all gateways have; none: there is no counter.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -1,7 +1,8 @@
 //! The server list out of Envoy's `ClusterLoadAssignment`.
 //!
 //! Metadata under the key `chalkdeck`: `cell` (text; none: the locality's) and `started_ms` (Unix time in milliseconds
-//! at which the server last started; none: long ago).
+//! at which the server last started; none: long ago), `server` (text; by which all gateways know it where they reach it
+//! under different addresses; none: its address).
 
 pub use crate::base::server::Server;
 use crate::base::server::{number_of, zone_of};
@@ -83,8 +84,13 @@
         Some(Kind::NumberValue(ms)) if *ms >= 0.0 && *ms < 1e15 => Some(Micros((ms * 1e3) as u64)),
         Some(_) => return bad("metadata chalkdeck.started_ms: expected Unix milliseconds"),
     };
+    let name = match field(endpoint, "server") {
+        None => address.to_string(),
+        Some(Kind::StringValue(name)) => name.clone(),
+        Some(_) => return bad("metadata chalkdeck.server: expected a text"),
+    };
     let entry = ServerEntry {
-        server: ServerId(number_of(&address.to_string())),
+        server: ServerId(number_of(&name)),
         zone: zone_of(zone),
         cell: CellId(number_of(&cell)),
         listed,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -316,6 +316,7 @@
         plan_of,
         spread: or(customers.spread, fleet).min(fleet),
         sites: wire.sites.is_some_and(|s| s.on),
+        site_floor: wire.sites.is_some_and(|s| s.on && !s.failover_only),
         zone_name: wire.zone.clone(),
         counter: parts,
         resp,
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -183,7 +183,10 @@
     fn site_plan(&mut self) {
         let now = self.engine.now();
         let Some(sites) = &mut self.sites else { return };
-        let plan = sites.core.plan(now);
+        let mut plan = sites.core.plan(now);
+        if !self.set.site_floor {
+            plan.floor = chalkdeck_site::Floor::NONE;
+        }
         if sites.told.as_ref().is_some_and(|told| same(told, &plan)) {
             return;
         }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -12,6 +12,7 @@
 use crate::rig::counting::{self, OwnCounterArgs};
 use crate::rig::day::{self, RunArgs};
 use crate::rig::demo::{self, DemoArgs};
+use crate::rig::links::command::{self as links, LinksArgs};
 use crate::rig::replay::{self, ReplayArgs};
 use crate::rig::serve::{self, RelayArgs, ServeArgs};
 use crate::stand_ins::counter::{self, CounterArgs};
@@ -44,6 +45,8 @@
     Serve(ServeArgs),
     /// A relay on the gateway's sockets without its decisions
     Relay(RelayArgs),
+    /// A relay between parties of a rig, with the faults of networks
+    Links(LinksArgs),
     /// Play a day and audit it
     Run(RunArgs),
     /// Audit the logs of a run
@@ -90,6 +93,7 @@
             Command::Load(args) => load::command(args),
             Command::Serve(args) => serve::serve(&args),
             Command::Relay(args) => serve::relay(args),
+            Command::Links(args) => links::command(&args),
             Command::Run(args) => day::command(before, args),
             Command::Audit { dir } => day::report(&dir),
             Command::Replay(args) => replay::command(before, &args),
--- a/crates/lab/src/parts/script.rs
+++ b/crates/lab/src/parts/script.rs
@@ -5,6 +5,9 @@
 use chalkdeck_proto::text;
 use std::path::Path;
 
+mod links;
+mod sites;
+
 /// The name of the day's message.
 pub const MESSAGE: &str = "chalkdeck.lab.v1.Day";
 /// How late the list tells that a zone is lost, and that one is back.
@@ -26,6 +29,11 @@
     KillGateway(usize),
     StartGateway(usize),
     Stall(usize, bool),
+    StallCell(usize, bool),
+    /// A word to the relay between the parties.
+    Links(String),
+    /// An operator's word on a zone, to all gateways: drain, hold, let-back.
+    Operator(String, usize),
     Load(String),
 }
 
@@ -58,7 +66,7 @@
     Ok(day)
 }
 
-fn zone_of(day: &Day, name: &str) -> anyhow::Result<usize> {
+pub(super) fn zone_of(day: &Day, name: &str) -> anyhow::Result<usize> {
     day.zones.iter().position(|z| z.name == name).with_context(|| format!("expected a zone, found '{name}'"))
 }
 
@@ -170,6 +178,8 @@
             let gateway = number("gateway", &t.target, gateways)?;
             both(Act::KillGateway(gateway), Act::StartGateway(gateway))
         }
+        kind if kind.starts_with("site_") => sites::acts(day, t)?,
+        kind if kind.starts_with("link_") => links::acts(day, t)?,
         other => bail!("'{other}' is no kind that can be played here"),
     })
 }
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -4,6 +4,7 @@
 use crate::parts::log::{Line, Log};
 use crate::parts::process::{Process, Program};
 use crate::parts::script::{Act, Listed, MESSAGE};
+use crate::rig::between::Between;
 use crate::rig::counting::CounterPart;
 use anyhow::Context;
 use chalkdeck_net::clock::{monotonic, Clock};
@@ -42,6 +43,7 @@
     day_file: PathBuf,
     clock: Clock,
     counter: CounterPart,
+    between: Option<Between>,
     cells: Vec<CellPart>,
     gateways: Vec<GatewayPart>,
     list: Vec<OnList>,
@@ -49,6 +51,23 @@
     fault: Option<String>,
 }
 
+/// One entry of the list, reached at `at`.
+fn endpoint(s: &OnList, at: SocketAddr, zone: &str) -> String {
+    let health = if s.listed == Listed::Draining { "DRAINING" } else { "HEALTHY" };
+    let started = s.started_ms.map_or(String::new(), |ms| {
+        format!("fields {{ key: \"started_ms\" value {{ number_value: {ms} }} }}")
+    });
+    format!(
+        "  lb_endpoints {{\n    endpoint {{ address {{ socket_address {{ address: \"{}\" port_value: {} }} }} }}\n    \
+         health_status: {health}\n    metadata {{ filter_metadata {{ key: \"chalkdeck\" value {{\n      \
+         fields {{ key: \"cell\" value {{ string_value: \"{zone}\" }} }} {started}\n      \
+         fields {{ key: \"server\" value {{ string_value: \"{}\" }} }}\n    }} }} }}\n  }}\n",
+        at.ip(),
+        at.port(),
+        s.address
+    )
+}
+
 /// A free port on loopback.
 pub fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
@@ -72,12 +91,29 @@
         let (cells, gateways, list) = (Vec::new(), Vec::new(), Vec::new());
         let clock = Clock::start();
         let dir = dir.to_path_buf();
-        let mut fleet =
-            Fleet { program, day, dir, day_file, clock, counter, cells, gateways, list, notes, fault };
+        let mut fleet = Fleet {
+            program,
+            day,
+            dir,
+            day_file,
+            clock,
+            counter,
+            between: None,
+            cells,
+            gateways,
+            list,
+            notes,
+            fault,
+        };
         for zone in 0..fleet.day.zones.len() {
             fleet.first_cell(zone)?;
         }
-        fleet.write_list()?;
+        if fleet.day.links {
+            let servers: Vec<(usize, SocketAddr)> = fleet.list.iter().map(|s| (s.zone, s.address)).collect();
+            let counter = fleet.counter.address();
+            fleet.between = Some(Between::start(&fleet.program, &fleet.day, &fleet.dir, &servers, counter)?);
+        }
+        fleet.write_lists()?;
         for i in 0..fleet.day.gateways as usize {
             let address = if i == 0 { listen } else { any() };
             let process = fleet.gateway(i, address, any())?;
@@ -146,9 +182,11 @@
         settings.number = number as u32;
         settings.zone = self.day.zones[number % self.day.zones.len()].name.clone();
         let counter = settings.counter.get_or_insert_with(config::Counter::default);
-        counter.address = self.counter.address().to_string();
+        let zone = number % self.day.zones.len();
+        let counter_at = self.between.as_ref().map_or(self.counter.address(), |b| b.counter(zone));
+        counter.address = counter_at.to_string();
         let endpoints = settings.endpoints.get_or_insert_with(config::Endpoints::default);
-        endpoints.file = "endpoints.txtpb".to_string();
+        endpoints.file = self.list_name(zone);
         let customers = settings.customers.get_or_insert_with(config::Customers::default);
         for group in self.day.load.iter().flat_map(|l| &l.customers) {
             for i in 0..group.count {
@@ -166,30 +204,31 @@
         Process::start(&self.program, &args, &self.dir.join(format!("gateway-{number}.log")))
     }
 
+    /// The list's file of the gateways in a zone: all have the same unless links stand between.
+    fn list_name(&self, zone: usize) -> String {
+        self.between.as_ref().map_or("endpoints.txtpb".to_string(), |_| format!("endpoints-{zone}.txtpb"))
+    }
+
+    fn write_lists(&self) -> anyhow::Result<()> {
+        let readers = if self.between.is_some() { self.day.zones.len() } else { 1 };
+        (0..readers).try_for_each(|zone| self.write_list(zone))
+    }
+
     /// Replaces the list's file in one step, as Envoy's own sources ask for.
-    fn write_list(&self) -> anyhow::Result<()> {
+    fn write_list(&self, reader: usize) -> anyhow::Result<()> {
         let mut out = String::from("cluster_name: \"farm\"\n");
         for (z, zone) in self.day.zones.iter().enumerate() {
             out += &format!("endpoints {{\n  locality {{ zone: \"{}\" }}\n", zone.name);
-            for s in self.list.iter().filter(|s| s.zone == z && s.listed != Listed::Gone) {
-                let health = if s.listed == Listed::Draining { "DRAINING" } else { "HEALTHY" };
-                let started = s.started_ms.map_or(String::new(), |ms| {
-                    format!("fields {{ key: \"started_ms\" value {{ number_value: {ms} }} }}")
-                });
-                out += &format!(
-                    "  lb_endpoints {{\n    endpoint {{ address {{ socket_address {{ address: \"{}\" port_value: {} }} }} }}\n    \
-                     health_status: {health}\n    metadata {{ filter_metadata {{ key: \"chalkdeck\" value {{\n      \
-                     fields {{ key: \"cell\" value {{ string_value: \"{}\" }} }} {started}\n    }} }} }}\n  }}\n",
-                    s.address.ip(),
-                    s.address.port(),
-                    zone.name
-                );
+            let in_zone = self.list.iter().enumerate().filter(|(_, s)| s.zone == z);
+            for (place, s) in in_zone.filter(|(_, s)| s.listed != Listed::Gone) {
+                let at = self.between.as_ref().map_or(s.address, |b| b.server(reader, place));
+                out += &endpoint(s, at, &zone.name);
             }
             out += "}\n";
         }
         let new = self.dir.join("endpoints.new");
         std::fs::write(&new, out)?;
-        std::fs::rename(new, self.dir.join("endpoints.txtpb"))?;
+        std::fs::rename(new, self.dir.join(self.list_name(reader)))?;
         Ok(())
     }
 
@@ -239,11 +278,11 @@
                 for i in (0..self.list.len()).filter(|&i| self.list[i].zone == *zone).collect::<Vec<_>>() {
                     self.listed(i, to);
                 }
-                self.write_list()?;
+                self.write_lists()?;
             }
             Act::List(server, listed) => {
                 self.listed(*server, *listed);
-                self.write_list()?;
+                self.write_lists()?;
             }
             Act::KillGateway(i) => {
                 self.note("gateway_killed", i);
@@ -259,6 +298,21 @@
                 let signal = if *stalled { Signal::STOP } else { Signal::CONT };
                 self.gateways[*i].process.iter().for_each(|p| p.signal(signal));
             }
+            Act::StallCell(zone, stalled) => {
+                let signal = if *stalled { Signal::STOP } else { Signal::CONT };
+                self.cells[*zone].process.iter().for_each(|p| p.signal(signal));
+            }
+            Act::Links(word) => {
+                let between = self.between.as_ref().context("expected 'links: true' in the day")?;
+                control::get(between.control(), &format!("/set?{word}"))?;
+            }
+            Act::Operator(word, zone) => {
+                let name = self.day.zones[*zone].name.clone();
+                for gateway in self.gateways.iter().filter(|g| g.process.is_some()) {
+                    control::get(gateway.admin, &format!("/sites/{word}/{name}"))?;
+                }
+                self.note(if word == "let-back" { "site_let_back" } else { "site_held" }, &name);
+            }
             Act::Load(query) => {
                 if query.contains("reconnect") {
                     self.note("clients_reconnect", "all");
--- /dev/null
+++ b/crates/lab/src/rig/links/command.rs
@@ -0,0 +1,102 @@
+//! The relay as a part of a day, with its control port.
+
+use crate::parts::control;
+use crate::parts::process::begin;
+use crate::rig::links::faults::Word;
+use crate::rig::links::relay::{Link, Relay, Wire};
+use anyhow::{bail, Context};
+use chalkdeck_net::signals::Signals;
+use clap::Args;
+use mio::Waker;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Args)]
+pub struct LinksArgs {
+    /// A link as FROM,TO,tcp|udp,IP:PORT; any number of them
+    #[arg(long = "link", required = true)]
+    pub links: Vec<String>,
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub control: SocketAddr,
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    #[arg(long, hide = true)]
+    pub with_parent: bool,
+}
+
+fn link(text: &str) -> anyhow::Result<Link> {
+    let fields: Vec<&str> = text.split(',').collect();
+    let [from, to, wire, target] = fields[..] else {
+        bail!("--link: expected FROM,TO,WIRE,TARGET, found '{text}'")
+    };
+    let wire = match wire {
+        "tcp" => Wire::Tcp,
+        "udp" => Wire::Udp,
+        other => bail!("--link: expected tcp or udp, found '{other}'"),
+    };
+    let target = target.parse().with_context(|| format!("--link: expected ip:port, found '{target}'"))?;
+    Ok(Link { from: from.to_string(), to: to.to_string(), wire, target })
+}
+
+/// A command and where its answer goes.
+type Asked = (Word, Sender<usize>);
+
+/// Runs a relay until it is stopped.
+pub fn command(args: &LinksArgs) -> anyhow::Result<()> {
+    begin(args.with_parent);
+    let signals = Signals::take()?;
+    let links = args.links.iter().map(|l| link(l)).collect::<anyhow::Result<Vec<_>>>()?;
+    let mut relay = Relay::start(links, args.seed)?;
+    let (sender, words) = channel();
+    let control = TcpListener::bind(args.control)?;
+    let addresses: Vec<String> = relay.addresses().iter().map(ToString::to_string).collect();
+    println!("ready links={} control={}", addresses.join(","), control.local_addr()?);
+    let waker = relay.waker()?;
+    std::thread::spawn(move || listen(&control, &sender, &waker));
+    run(&mut relay, &words, &signals)
+}
+
+fn run(relay: &mut Relay, words: &Receiver<Asked>, signals: &Signals) -> anyhow::Result<()> {
+    let mut events = mio::Events::with_capacity(1_024);
+    while !signals.stop() {
+        relay.turn(&mut events, Duration::from_millis(100))?;
+        for (word, answer) in words.try_iter() {
+            // Who asked may have gone away.
+            let _ = answer.send(relay.set(&word));
+        }
+    }
+    Ok(())
+}
+
+fn listen(control: &TcpListener, words: &Sender<Asked>, waker: &Arc<Waker>) {
+    for stream in control.incoming().flatten() {
+        if let Err(e) = answer(stream, words, waker) {
+            tracing::warn!("control: {e}");
+        }
+    }
+}
+
+fn answer(mut stream: TcpStream, words: &Sender<Asked>, waker: &Arc<Waker>) -> anyhow::Result<()> {
+    stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+    let mut head = BufReader::new(stream.try_clone()?).lines();
+    let first = head.next().context("expected a request")??;
+    while head.next().transpose()?.is_some_and(|line| !line.is_empty()) {}
+    let target = first.split_whitespace().nth(1).unwrap_or("/");
+    let (status, body) = match Word::read(&control::parse(target).1) {
+        Err(what) => ("400 Bad Request", what),
+        Ok(word) => {
+            let (sender, done) = channel();
+            words.send((word, sender))?;
+            waker.wake()?;
+            match done.recv_timeout(Duration::from_secs(5))? {
+                0 => ("400 Bad Request", "no link between these sites\n".to_string()),
+                links => ("200 OK", format!("{links}\n")),
+            }
+        }
+    };
+    write!(stream, "HTTP/1.1 {status}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}", body.len())?;
+    Ok(())
+}
