Site core: level by clients' waits, rooms from real flows, no second throttle beside the floor

Checked by probes: (1) rooms learnt from a trickle of answers made the floor bite in calm; now a room is learnt from half an even share on, and the level is a throttle of its own by how long clients waited, for an answer or in vain for a place, never under 0.9 of what came back of late. (2) Load by site fell to 0.24 for seconds after the loss: the module's overload budget (overloaded(), flight) throttled beside the floor; with a floor given it is off. (3) A gateway that restarts beside cold servers took its site for whole; it begins as after a return.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -234,6 +234,7 @@
         self.metrics.ended(class, plan, end);
         self.metrics.took.observe(took as f64 / 1e6);
         self.metrics.open.dec();
+        self.site_final(class, end, took);
         self.calls.forget_if_over(id);
     }
 
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -3,6 +3,7 @@
 use crate::base::server::{number_of, Server};
 use crate::base::settings::Settings;
 use crate::counter::Told;
+use crate::metrics::End;
 use crate::shell::{Due, Shell};
 use chalkdeck::api::{self, Arrival, Listed, Outcome, ServerId, ZoneId, ZoneShare};
 use chalkdeck_site::{Command, Core, Event, How, Plan, SiteId, State};
@@ -169,6 +170,15 @@
         sites.core.on(self.engine.now(), Event::Ended(server.0, how(outcome), took, aim, units));
     }
 
+    /// A call of that class had its final answer after so long.
+    pub(crate) fn site_final(&mut self, class: usize, end: End, waited: u64) {
+        let Shell { sites: Some(sites), set, .. } = self else { return };
+        let aim = set.policy.classes[class].aim.0;
+        if end != End::Gone {
+            sites.core.on(self.engine.now(), Event::Final(end == End::Served, waited, aim));
+        }
+    }
+
     pub(crate) fn site_counted(&mut self, told: &[Told]) {
         let (Some(sites), Some(last)) = (&mut self.sites, told.last()) else { return };
         sites.core.on(self.engine.now(), Event::Counter(last.outcome == Outcome::Ok));
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -177,7 +177,7 @@
     }
 
     fn overloaded(&self) -> bool {
-        self.pass < OVERLOAD_PASS && self.sparse()
+        self.pass < OVERLOAD_PASS && self.sparse() && self.floor.is_none()
     }
 
     fn timer(&mut self, timer: Timer, after: Micros) {
--- a/crates/site/src/api.rs
+++ b/crates/site/src/api.rs
@@ -75,6 +75,8 @@
     Sent(u64),
     /// An attempt ended: server, how, time taken and time that it should have taken at the most, units.
     Ended(u64, How, u64, u64, f64),
+    /// A request has its final answer, served or refused: how long its client waited, and was to wait at the most.
+    Final(bool, u64, u64),
     /// The counter answered (true) or did not.
     Counter(bool),
     /// An operator spoke.
@@ -181,7 +183,7 @@
 pub struct Plan {
     /// In the order of their ids.
     pub sites: Vec<View>,
-    /// Part of the work offered that the sites can bear.
+    /// Part of the work offered that is let in.
     pub level: f64,
     /// What of it is let in.
     pub floor: Floor,
--- a/crates/site/src/core.rs
+++ b/crates/site/src/core.rs
@@ -1,6 +1,7 @@
 //! The core: keeps the evidence, moves the states, and parts the load.
 
 use crate::evidence::{Server, Site};
+use crate::level::Level;
 use crate::order::Order;
 use crate::pace::Pace;
 use crate::room::{strain, Rate};
@@ -9,6 +10,8 @@
 use crate::{Command, Event, How, Listed, Plan, Settings, SiteId, State, View};
 use std::collections::{BTreeMap, HashMap};
 
+/// A site's room is learnt only from flows of at least this part of an even share: below, strain is others' doing.
+const LEARNS: f64 = 0.5;
 /// What a doubtful site is still given of its room.
 const DOUBTFUL: f64 = 0.25;
 /// Sites that fall silent within this of each other are taken to be cut off together.
@@ -32,6 +35,7 @@
     site_of: HashMap<u64, SiteId>,
     offered: Rate,
     order: Order,
+    level: Level,
     /// When the counter last failed and last answered.
     counter: (Option<u64>, Option<u64>),
 }
@@ -45,6 +49,7 @@
             site_of: HashMap::new(),
             offered: Rate::default(),
             order: Order::default(),
+            level: Level::default(),
             counter: (None, None),
         }
     }
@@ -59,6 +64,11 @@
             }
             Event::Sent(server) => self.of(server).into_iter().for_each(|s| s.sent(now, server)),
             Event::Ended(server, how, took, aim, units) => self.on_end(now, server, how, took, aim, units),
+            Event::Final(served, waited, aim) => {
+                let flow: f64 = self.sites.values().map(|s| s.room.flow(now)).sum();
+                let borne = flow / self.offered.per_second(now).max(LOAD_LEAST);
+                self.level.ended(served, waited, aim, borne);
+            }
             Event::Counter(true) => self.counter.1 = Some(now),
             Event::Counter(false) => self.counter.0 = Some(now),
             Event::Command(site, command) => self.on_command(now, site, command),
@@ -93,12 +103,25 @@
         self.site_of.retain(|server, _| named.contains_key(server));
         let kept = |s: &Site| !s.servers.is_empty() || s.state == State::HeldOut || now < s.since + FORGET;
         self.sites.retain(|_, s| kept(s));
+        // A gateway that starts, or a site that is new, while its servers are cold: as after a return.
+        let cold: Vec<SiteId> =
+            self.sites.keys().copied().filter(|id| self.cold_part(now, *id) < 1.0).collect();
+        for id in cold {
+            let seed = self.seed(id);
+            let Some(site) = self.sites.get_mut(&id).filter(|s| s.state == State::Serving) else { continue };
+            if site.servers.values().all(|s| s.started.is_some()) {
+                site.enter(now, State::Returning);
+                site.pace = Some(Pace::begin(now, seed, true));
+            }
+        }
         self.look(now);
     }
 
     fn on_end(&mut self, now: u64, server: u64, how: How, took: u64, aim: u64, units: f64) {
+        let (load, sizes) = (self.offered.per_second(now), self.sizes());
         let Some(site) = self.of(server) else { return };
         site.ended(now, server, how, took);
+        let even = load * site.sizes().1 / sizes.max(1e-9);
         let strained = match how {
             How::Answered => strain(took, aim),
             How::Full => 1.0,
@@ -107,7 +130,7 @@
         };
         // One who does not answer at all teaches nothing of room: that is what states are for.
         if matches!(how, How::Answered | How::Full) {
-            site.room.ended(now, if how == How::Full { 0.0 } else { units }, strained);
+            site.room.ended(now, if how == How::Full { 0.0 } else { units }, strained, even * LEARNS);
         }
         site.pace.iter_mut().for_each(|p| p.ended(now, strained));
     }
@@ -162,7 +185,7 @@
             hold_over: now >= site.held.until,
             heard: site.heard_since(site.since + 1),
             pacing: site.pace.is_some(),
-            paced: site.pace.as_ref().is_some_and(Pace::done),
+            paced: site.pace.as_ref().is_some_and(|p| p.done(now, self.cold_part(now, site.id))),
         }
     }
 
@@ -209,11 +232,10 @@
         self.look(now);
         self.order.fade(now);
         let load = self.offered.per_second(now).max(LOAD_LEAST);
-        let sizes: f64 = self.sites.values().filter(|s| !s.state.is_out()).map(|s| s.sizes().1).sum();
+        let sizes = self.sizes();
         let parts: Vec<Part> = self.sites.values().map(|s| self.part(s, load, sizes)).collect();
-        let room: f64 = parts.iter().map(|p| p.room).sum();
-        let level = if room > 0.0 { (room / load).min(1.0) } else { 1.0 };
-        let mut given = shares(load * level, &parts);
+        let level = self.level.0;
+        let mut given = shares(load, &parts);
         self.probe(load, &mut given);
         let views = self.sites.values().zip(given).map(|(s, share)| View {
             site: s.id,
@@ -227,6 +249,11 @@
         Plan { sites: views.collect(), level, floor: self.order.floor(level) }
     }
 
+    /// The size of all that takes load and was not silent.
+    fn sizes(&self) -> f64 {
+        self.sites.values().filter(|s| !s.state.is_out()).map(|s| s.sizes().1).sum()
+    }
+
     fn part(&self, s: &Site, load: f64, sizes: f64) -> Part {
         let (listed, heard) = s.sizes();
         let even = load * heard / sizes.max(1e-9);
@@ -246,7 +273,8 @@
     fn probe(&self, load: f64, given: &mut [f64]) {
         let wait = (f64::from(self.set.gateways) / PROBES).clamp(PROBE_LEAST, PROBE_MOST);
         let each = (1.0 / wait / load).min(PROBE_SHARE);
-        let probed = |s: &Site| matches!(s.state, State::Lost | State::CutOff) && s.sizes().0 > 0.0;
+        let tried = |s: &Site| matches!(s.state, State::Lost | State::CutOff | State::Returning);
+        let probed = |s: &Site| tried(s) && s.sizes().0 > 0.0;
         let some = given.iter().any(|g| *g > 0.0) && self.sites.values().any(|s| !s.state.is_out());
         let taken = each * self.sites.values().filter(|s| probed(s)).count() as f64;
         if !some {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod api;
 mod core;
 mod evidence;
+pub mod level;
 pub mod order;
 pub mod pace;
 pub mod room;
--- a/crates/site/src/pace.rs
+++ b/crates/site/src/pace.rs
@@ -2,14 +2,17 @@
 //! back at the first doubt. A site that is lost again and again is held out longer each time, up to a bound.
 
 /// The first step: of a site whose servers start cold, and of one that was only out of reach.
-const FIRST: f64 = 0.05;
+const FIRST: f64 = 0.125;
 const FIRST_WARM: f64 = 0.25;
 /// What a step multiplies the part by, and what a doubt does.
 const STEP: f64 = 1.6;
 const BACK: f64 = 0.5;
 /// Answers that earn a step; doubtful ones among them, as a part, that undo one.
-const EARNS: u32 = 8;
+const EARNS: u32 = 4;
 const DOUBT: f64 = 0.2;
+/// A return that nobody needs is over after this, with so many answers in time in a row.
+const IDLE: u64 = 10_000_000;
+const IDLE_EARNS: u32 = 4;
 /// The least time on a step, before the gateway's own offset.
 const DWELL: u64 = 400_000;
 /// The longest that doubts can make it.
@@ -40,22 +43,27 @@
     dwell: u64,
     good: u32,
     doubts: u32,
+    /// In time since the last doubt.
+    in_row: u32,
+    begun: u64,
 }
 
 impl Pace {
     /// At the first step. `seed` tells gateways and sites apart.
     pub fn begin(now: u64, seed: u64, cold: bool) -> Pace {
         let part = if cold { FIRST } else { FIRST_WARM };
-        Pace { part, seed, steps: 0, since: now, dwell: DWELL, good: 0, doubts: 0 }
+        Pace { part, seed, steps: 0, since: now, dwell: DWELL, good: 0, doubts: 0, in_row: 0, begun: now }
     }
 
     /// An answer came back; `strain` 0 to 1, or 1 for none.
     pub fn ended(&mut self, now: u64, strain: f64) {
         if strain < 0.5 {
             self.good += 1;
+            self.in_row += 1;
             return;
         }
         self.doubts += 1;
+        self.in_row = 0;
         let all = f64::from(self.good + self.doubts);
         if self.doubts >= 2 && f64::from(self.doubts) > all * DOUBT {
             self.dwell = (self.dwell * 2).min(DWELL_MOST);
@@ -72,9 +80,11 @@
         self.part = self.part.min(most);
     }
 
-    /// The whole part is given, and was borne.
-    pub fn done(&self) -> bool {
-        self.part >= 1.0 && self.good >= EARNS
+    /// The whole part is given and was borne; or the servers are warm (`bears` 1), and those few requests that were sent
+    /// there for want of any need came back in time.
+    pub fn done(&self, now: u64, bears: f64) -> bool {
+        let idle = now >= self.begun + IDLE && bears >= 1.0 && self.in_row >= IDLE_EARNS;
+        self.part >= 1.0 && self.good >= EARNS || idle
     }
 
     fn enter(&mut self, now: u64, part: f64) {
--- a/crates/site/src/room.rs
+++ b/crates/site/src/room.rs
@@ -62,13 +62,13 @@
         self.flow.per_second(now)
     }
 
-    /// An answer came back, `strain` by [`strain`].
-    pub fn ended(&mut self, now: u64, units: f64, strain: f64) {
+    /// An answer came back, `strain` by [`strain`]; `least`: a bound is not learnt from less, nor set lower.
+    pub fn ended(&mut self, now: u64, units: f64, strain: f64, least: f64) {
         self.flow.add(now, units);
         let flow = self.flow(now);
-        if strain > 0.0 {
+        if strain > 0.0 && flow >= least {
             let before = self.most.unwrap_or(flow);
-            self.most = Some((before * (1.0 - CUT * strain)).max(flow * FLOOR));
+            self.most = Some((before * (1.0 - CUT * strain)).max(flow * FLOOR).max(least));
         } else if let Some(most) = self.most.as_mut().filter(|m| flow > **m * IN_USE) {
             *most *= 1.0 + GROW;
         }
