Planner: chalkdeck plan site-loss, the best that the sites left can do

Reads sites, classes, plans and demand; for nothing lost, each site and each pair it gives where load goes, what is served and refused by class and plan, the tightest site and the capacity missing. good_lp over microlp; quotas come first; crossing costs. Table, JSON, SVG by plotters; errors are one line with file, line and field. Not measured: nothing that runs has changed.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -32,6 +32,9 @@
     /// The counter: serve, tools for its log
     #[command(subcommand)]
     Counter(chalkdeck_counter::cli::Command),
+    /// What the loss of sites comes to, from a file of capacities and demand
+    #[command(subcommand)]
+    Plan(chalkdeck_plan::command::Command),
     /// Commands of the laboratory
     #[command(subcommand)]
     Lab(Lab),
@@ -54,6 +57,7 @@
         }
         Command::Demo(args) => Lab::Demo(args).run_as(&["lab"]),
         Command::Counter(command) => command.run(),
+        Command::Plan(command) => command.run(),
         Command::Lab(command) => command.run_as(&["lab"]),
     })
 }
--- a/crates/proto/build.rs
+++ b/crates/proto/build.rs
@@ -1,9 +1,10 @@
 //! Compiles the schemas without an outside compiler and keeps their descriptors for the text form.
 use prost::Message;
 
-const FILES: [&str; 9] = [
+const FILES: [&str; 10] = [
     "chalkdeck/client/v1/settings.proto",
     "chalkdeck/lab/v1/day.proto",
+    "chalkdeck/plan/v1/plan.proto",
     "chalkdeck/config/v1/config.proto",
     "chalkdeck/counter/v1/counter.proto",
     "chalkdeck/counter/v1/log.proto",
