--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,8 @@
 //! `chalkdeck`: the gateway, its checks and its demo.
 #![forbid(unsafe_code)]
 
+mod site;
+
 use chalkdeck_gateway::{logs, Settings};
 use chalkdeck_lab::cli::{exit, Command as Lab};
 use chalkdeck_lab::rig::demo::DemoArgs;
@@ -32,6 +34,11 @@
     /// The counter: serve, tools for its log
     #[command(subcommand)]
     Counter(chalkdeck_counter::cli::Command),
+    /// Sites as gateways see them, and an operator's words to them
+    Site {
+        #[command(subcommand)]
+        word: site::Word,
+    },
     /// What the loss of sites comes to, from a file of capacities and demand
     #[command(subcommand)]
     Plan(chalkdeck_plan::command::Command),
@@ -57,6 +64,7 @@
         }
         Command::Demo(args) => Lab::Demo(args).run_as(&["lab"]),
         Command::Counter(command) => command.run(),
+        Command::Site { word } => site::run(&word),
         Command::Plan(command) => command.run(),
         Command::Lab(command) => command.run_as(&["lab"]),
     })
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::measure::gateway::{self, MeasureArgs};
 use crate::measure::reconnect::{self, ReconnectArgs};
 use crate::measure::returns::{self, ReturnsArgs};
+use crate::measure::sites::{self, SitesArgs};
 use crate::parts::process::Program;
 use crate::rig::counting::{self, OwnCounterArgs};
 use crate::rig::day::{self, RunArgs};
@@ -63,6 +64,8 @@
     Adds(AddsArgs),
     /// Callers over their quota that come back when they are told to
     Returns(ReturnsArgs),
+    /// The loss of a site at several loads: the site core, failover alone and neither, against the optimum
+    Sites(SitesArgs),
     /// One customer floods while others keep to their quotas, with the door and without
     Flood(FloodArgs),
     /// Commands a second of the RESP front, beside ECHO on the same loop
@@ -102,6 +105,7 @@
             Command::Adds(args) => adds::run(&program, &args),
             Command::Asks(args) => asks::run(program, &args),
             Command::Returns(args) => returns::run(program, &args),
+            Command::Sites(args) => sites::run(&program, &args),
             Command::Flood(args) => flood::run(&program, &args),
             Command::Measure(args) => gateway::run(program, &args),
             Command::Demo(args) => demo::run(program, args.port, args.seconds, args.no_load),
--- a/crates/lab/src/measure/mod.rs
+++ b/crates/lab/src/measure/mod.rs
@@ -6,3 +6,4 @@
 pub mod gateway;
 pub mod reconnect;
 pub mod returns;
+pub mod sites;
--- a/crates/lab/src/rig/day.rs
+++ b/crates/lab/src/rig/day.rs
@@ -5,6 +5,7 @@
 use crate::parts::report::Summary;
 use crate::parts::script::{self, script, within};
 use crate::rig::fleet::{any, Fleet};
+use crate::rig::watch::Watch;
 use anyhow::{bail, Context};
 use chalkdeck_net::clock::monotonic;
 use chalkdeck_net::signals::Signals;
@@ -81,6 +82,9 @@
     if ways.lines {
         more.push("--lines");
     }
+    let watched = fleet.watches_sites();
+    let admins = (0..fleet.gateways().len()).map(|g| fleet.admin(g)).collect();
+    let watch = watched.then(|| Watch::start(admins, &dir.join("sites.jsonl"))).transpose()?;
     let mut load = fleet.load(seconds, &more)?;
     // The library's load takes no commands; days that need them say so when they come to it.
     let control = load.address("control").ok();
@@ -102,6 +106,7 @@
         bail!("the load ended badly, see {}", dir.join("load.log").display());
     }
     fleet.note("load_ended", "all");
+    watch.into_iter().for_each(Watch::stop);
     if !fleet.stop_gateways() {
         bail!("a gateway ended badly, see the logs in {}", dir.display());
     }
@@ -131,7 +136,7 @@
 }
 
 /// Removes an earlier run's logs, and nothing else.
-fn clear(dir: &Path) -> anyhow::Result<()> {
+pub fn clear(dir: &Path) -> anyhow::Result<()> {
     let Ok(entries) = std::fs::read_dir(dir) else { return Ok(()) };
     for entry in entries {
         let path = entry?.path();
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -108,6 +108,8 @@
         for zone in 0..fleet.day.zones.len() {
             fleet.first_cell(zone)?;
         }
+        let servers: Vec<String> = fleet.list.iter().map(|s| format!("{} {}", s.address, s.zone)).collect();
+        servers.into_iter().for_each(|s| fleet.note("server", s));
         if fleet.day.links {
             let servers: Vec<(usize, SocketAddr)> = fleet.list.iter().map(|s| (s.zone, s.address)).collect();
             let counter = fleet.counter.address();
@@ -123,6 +125,10 @@
         Ok(fleet)
     }
 
+    /// Its gateways watch zones as sites.
+    pub fn watches_sites(&self) -> bool {
+        self.day.gateway.as_ref().and_then(|g| g.sites).is_some_and(|s| s.on)
+    }
     pub fn gateways(&self) -> Vec<SocketAddr> {
         self.gateways.iter().map(|g| g.listen).collect()
     }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -8,3 +8,4 @@
 pub mod links;
 pub mod replay;
 pub mod serve;
+pub mod watch;
