--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -702,7 +702,9 @@
         let mut waiting = std::mem::take(&mut self.held);
         waiting.retain(|id| self.requests.get(id).is_some_and(|r| !r.done && r.held_since.is_some()));
         // In overload the least worth for its work waits longest and is refused first.
-        waiting.sort_by_key(|id| (std::cmp::Reverse((self.worth(&self.requests[id]) * 1e6) as u64), *id));
+        let room = |r: &Request| if self.floor.is_some() { r.a.units } else { 1.0 };
+        let dense = |r: &Request| (self.worth(r) / room(r) * 1e6) as u64;
+        waiting.sort_by_key(|id| (std::cmp::Reverse(dense(&self.requests[id])), *id));
         for id in waiting {
             let r = &self.requests[&id];
             let longest = self.set.classes[r.a.class.0].aim.times(HOLD_PART);
--- a/crates/policy/tests/sites.rs
+++ b/crates/policy/tests/sites.rs
@@ -90,3 +90,27 @@
     let half = let_in(2.0);
     assert!((140..260).contains(&half), "{half} of 400");
 }
+
+#[test]
+fn of_those_that_wait_the_worthiest_for_its_room_goes_first() {
+    let mut set = settings();
+    set.classes[0].worth = 3.0;
+    let mut rig = Rig::new(set, 1);
+    let near = ZoneShare { zone: NEAR, share: 1.0, open: true };
+    rig.tell(Event::Sites(vec![near], all()));
+    // Fill the one server; then a large request of more worth waits before a small one of less.
+    let mut out = Vec::new();
+    loop {
+        let sent = sends(&rig.request(3, 3, 1, 4.0).1);
+        if sent.is_empty() {
+            break;
+        }
+        out.extend(sent);
+    }
+    let (large, first) = rig.request(0, 3, 1, 4.0);
+    let (small, second) = rig.request(3, 3, 1, 1.0);
+    assert!(sends(&first).is_empty() && sends(&second).is_empty(), "both wait");
+    let next: Vec<_> =
+        out.into_iter().flat_map(|(id, at)| sends(&rig.ended(id, 0, at, Outcome::Ok))).collect();
+    assert_eq!(next.first().map(|s| s.0), Some(small), "{large:?} has to wait: {next:?}");
+}
--- a/crates/site/src/core.rs
+++ b/crates/site/src/core.rs
@@ -36,6 +36,8 @@
     offered: Rate,
     order: Order,
     level: Level,
+    /// The size of all that takes load and was not silent at the last look.
+    sizes: f64,
     /// When the counter last failed and last answered.
     counter: (Option<u64>, Option<u64>),
 }
@@ -50,6 +52,7 @@
             offered: Rate::default(),
             order: Order::default(),
             level: Level::default(),
+            sizes: 0.0,
             counter: (None, None),
         }
     }
@@ -83,7 +86,9 @@
         for site in self.sites.values_mut() {
             site.servers.values_mut().for_each(|s| s.in_service = false);
         }
+        let mut new = Vec::new();
         for l in list {
+            new.extend((!self.sites.contains_key(&l.site)).then_some(l.site));
             let site = self.sites.entry(l.site).or_insert_with(|| Site::new(l.site));
             let server = site.servers.entry(l.server).or_default();
             if server.started != l.started && l.started.is_some() {
@@ -103,29 +108,33 @@
         self.site_of.retain(|server, _| named.contains_key(server));
         let kept = |s: &Site| !s.servers.is_empty() || s.state == State::HeldOut || now < s.since + FORGET;
         self.sites.retain(|_, s| kept(s));
-        // A gateway that starts, or a site that is new, while its servers are cold: as after a return.
-        let cold: Vec<SiteId> =
-            self.sites.keys().copied().filter(|id| self.cold_part(now, *id) < 1.0).collect();
-        for id in cold {
-            let seed = self.seed(id);
-            let Some(site) = self.sites.get_mut(&id).filter(|s| s.state == State::Serving) else { continue };
-            if site.servers.values().all(|s| s.started.is_some()) {
-                site.enter(now, State::Returning);
-                site.pace = Some(Pace::begin(now, seed, true));
-            }
-        }
+        new.into_iter().for_each(|site| self.begin_cold(now, site));
         self.look(now);
     }
 
+    /// A site that is new here, as all are to a gateway that starts, while servers of it are cold: as after a return.
+    fn begin_cold(&mut self, now: u64, id: SiteId) {
+        let (seed, cold) = (self.seed(id), self.set.cold);
+        let Some(site) = self.sites.get_mut(&id) else { return };
+        let is_warm = |s: &&Server| s.started.is_none_or(|at| now >= at.saturating_add(cold));
+        let all: f64 = site.servers.values().map(|s| s.weight).sum();
+        let warm: f64 = site.servers.values().filter(is_warm).map(|s| s.weight).sum();
+        if warm < all {
+            site.enter(now, State::Returning);
+            let mut pace = Pace::begin(now, seed, true);
+            pace.part = pace.part.max(warm / all);
+            site.pace = Some(pace);
+        }
+    }
+
     fn on_end(&mut self, now: u64, server: u64, how: How, took: u64, aim: u64, units: f64) {
-        let (load, sizes) = (self.offered.per_second(now), self.sizes());
+        let (load, sizes) = (self.offered.per_second(now), self.sizes.max(1e-9));
         let Some(site) = self.of(server) else { return };
         site.ended(now, server, how, took);
-        let even = load * site.sizes().1 / sizes.max(1e-9);
+        let even = load * site.size / sizes;
         let strained = match how {
             How::Answered => strain(took, aim),
-            How::Full => 1.0,
-            How::Silent | How::Unreached => 1.0,
+            How::Full | How::Silent | How::Unreached => 1.0,
             How::CalledOff => return,
         };
         // One who does not answer at all teaches nothing of room: that is what states are for.
@@ -174,14 +183,16 @@
                 site.pace = None;
             }
             site.pace.iter_mut().for_each(|p| p.look(now, cold));
+            site.size = site.sizes().1;
         }
+        self.sizes = self.sites.values().filter(|s| !s.state.is_out()).map(|s| s.size).sum();
     }
 
     fn seen(&self, now: u64, site: &Site) -> Seen {
         Seen {
             silent: site.silent(now),
             doubtful: site.doubtful(now),
-            alone: self.alone(now, site),
+            alone: site.silent(now) && self.alone(now, site),
             hold_over: now >= site.held.until,
             heard: site.heard_since(site.since + 1),
             pacing: site.pace.is_some(),
@@ -197,7 +208,9 @@
         if !self.sites.get(&own).is_some_and(answers) || site.sizes().0 <= 0.0 {
             return false;
         }
-        let others = || self.sites.values().filter(|s| s.id != own && s.state != State::HeldOut);
+        // What the list took away, or an operator, says nothing of a cut.
+        let asked = |s: &&Site| s.id != own && s.state != State::HeldOut && s.sizes().0 > 0.0;
+        let others = || self.sites.values().filter(asked);
         let silent = |s: &&Site| {
             let fresh = s.state.is_out() && now < s.since + TOGETHER;
             s.doubtful(now) || s.silent(now) || fresh
@@ -232,8 +245,7 @@
         self.look(now);
         self.order.fade(now);
         let load = self.offered.per_second(now).max(LOAD_LEAST);
-        let sizes = self.sizes();
-        let parts: Vec<Part> = self.sites.values().map(|s| self.part(s, load, sizes)).collect();
+        let parts: Vec<Part> = self.sites.values().map(|s| self.part(s, load)).collect();
         let level = self.level.0;
         let mut given = shares(load, &parts);
         self.probe(load, &mut given);
@@ -249,14 +261,9 @@
         Plan { sites: views.collect(), level, floor: self.order.floor(level) }
     }
 
-    /// The size of all that takes load and was not silent.
-    fn sizes(&self) -> f64 {
-        self.sites.values().filter(|s| !s.state.is_out()).map(|s| s.sizes().1).sum()
-    }
-
-    fn part(&self, s: &Site, load: f64, sizes: f64) -> Part {
+    fn part(&self, s: &Site, load: f64) -> Part {
         let (listed, heard) = s.sizes();
-        let even = load * heard / sizes.max(1e-9);
+        let even = load * heard / self.sizes.max(1e-9);
         let most = s.room.most().unwrap_or(f64::INFINITY);
         let room = match s.state {
             _ if listed <= 0.0 || s.state.is_out() => 0.0,
--- a/crates/site/src/evidence.rs
+++ b/crates/site/src/evidence.rs
@@ -45,6 +45,8 @@
     pub(crate) pace: Option<Pace>,
     pub(crate) held: HoldOut,
     pub(crate) room: Room,
+    /// What of it was not silent at the last look.
+    pub(crate) size: f64,
     out: u64,
     heard_at: u64,
     /// Since when attempts are out with none of them heard.
--- a/crates/site/src/level.rs
+++ b/crates/site/src/level.rs
@@ -9,7 +9,7 @@
 const STRAINED: f64 = 0.3;
 /// What a long wait for an answer takes off, what one in vain does, what a short one adds.
 const CUT: f64 = 0.04;
-const CUT_VAIN: f64 = 0.12;
+const CUT_VAIN: f64 = 0.15;
 const GROW: f64 = 0.003;
 /// Never less than this is let in, nor than this part of what came back of late.
 const LEAST: f64 = 0.05;
--- a/crates/site/src/pace.rs
+++ b/crates/site/src/pace.rs
@@ -26,14 +26,6 @@
 /// After so long without a loss, losses are forgotten one by one.
 const FORGIVE: u64 = 120_000_000;
 
-/// Spreads the bits of a number (the finaliser of SplitMix64).
-fn mix(x: u64) -> u64 {
-    let x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
 /// How a site climbs.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -75,7 +67,7 @@
 
     /// Time passes; `most`: the part that its servers bear by now, from all gateways together.
     pub fn look(&mut self, now: u64, most: f64) {
-        let offset = mix(self.seed ^ self.steps) % (self.dwell / 2);
+        let offset = fastrand::Rng::with_seed(self.seed ^ self.steps).u64(..self.dwell / 2);
         if self.good >= EARNS && now >= self.since + self.dwell * 3 / 4 + offset && self.part < most {
             self.enter(now, (self.part * STEP).min(1.0));
         }
--- a/crates/site/tests/core.rs
+++ b/crates/site/tests/core.rs
@@ -183,3 +183,56 @@
     w.list();
     w.until(SECOND, |w| w.state(0, 0) == State::Lost);
 }
+
+#[test]
+fn a_gateway_that_starts_beside_cold_servers_begins_as_after_a_return() {
+    let mut w = World::new();
+    w.started[0] = Some(w.now);
+    w.cores[0] = chalkdeck_site::Core::new(world::settings(0, 0));
+    w.list();
+    let v = w.view(0, 0);
+    assert!(v.state == State::Returning && v.pace < 0.3, "{v:?}");
+}
+
+#[test]
+fn probes_of_a_lost_site_are_few() {
+    let mut w = World::new();
+    w.run(SECOND);
+    w.site_is(0, Is::Silent);
+    w.until(3 * SECOND, |w| w.state(0, 0) == State::Lost);
+    let before = w.sent[0][0];
+    w.run(10 * SECOND);
+    let probes = w.sent[0][0] - before;
+    // A hundred requests a second, two of a hundred at the most.
+    assert!((1..=25).contains(&probes), "{probes} in ten seconds");
+}
+
+#[test]
+fn two_sites_alone_are_told_apart_by_the_counter() {
+    for (heard, state) in [(false, State::CutOff), (true, State::Lost)] {
+        let mut w = World::new();
+        w.listed[2] = false;
+        w.is[0][0] = [Is::Up(450 * MS); 4];
+        w.list();
+        w.run(4 * SECOND);
+        w.is[0][1] = [Is::Silent; 4];
+        w.until(4 * SECOND, |w| {
+            let now = w.now;
+            w.cores[0].on(now, Event::Counter(heard));
+            w.state(0, 1).is_out()
+        });
+        assert_eq!(w.state(0, 1), state);
+    }
+}
+
+#[test]
+fn a_server_that_restarts_does_not_make_its_site_return() {
+    let mut w = World::new();
+    w.started[0] = Some(1);
+    w.now = 20 * SECOND;
+    w.list();
+    w.run(SECOND);
+    w.started[0] = Some(w.now);
+    w.list();
+    assert_eq!(w.state(0, 0), State::Serving);
+}
--- /dev/null
+++ b/crates/site/tests/learning.rs
@@ -0,0 +1,68 @@
+//! What rooms and the level learn, and what they must not.
+use chalkdeck_site::level::Level;
+use chalkdeck_site::room::{strain, Room};
+
+const SECOND: u64 = 1_000_000;
+const AIM: u64 = SECOND / 2;
+
+/// So many answers a second for so long, each of one unit.
+fn answers(room: &mut Room, from: u64, seconds: u64, a_second: u64, strained: f64, least: f64) -> u64 {
+    for i in 0..seconds * a_second {
+        let now = from + i * SECOND / a_second;
+        room.look(now);
+        room.ended(now, 1.0, strained, least);
+    }
+    from + seconds * SECOND
+}
+
+#[test]
+fn a_room_is_learnt_from_strain_and_stays_near_what_came_back() {
+    let mut room = Room::default();
+    let now = answers(&mut room, SECOND, 4, 50, 0.0, 5.0);
+    assert_eq!(room.most(), None, "no bound was met");
+    answers(&mut room, now, 4, 50, 1.0, 5.0);
+    let most = room.most().expect("a bound was met");
+    assert!((40.0..50.0).contains(&most), "{most} with 50 a second coming back");
+}
+
+#[test]
+fn strain_on_a_trickle_is_others_doing() {
+    let mut room = Room::default();
+    answers(&mut room, SECOND, 4, 2, 1.0, 5.0);
+    assert_eq!(room.most(), None);
+}
+
+#[test]
+fn a_bound_that_is_not_met_opens_and_is_forgotten() {
+    let mut room = Room::default();
+    let now = answers(&mut room, SECOND, 4, 50, 1.0, 5.0);
+    answers(&mut room, now, 60, 5, 0.0, 5.0);
+    assert_eq!(room.most(), None);
+}
+
+#[test]
+fn a_jam_of_a_second_does_not_shut_out_what_is_borne() {
+    let mut level = Level::default();
+    (0..200).for_each(|_| level.ended(true, AIM, AIM, 0.8));
+    assert!((0.7..0.75).contains(&level.0), "{}", level.0);
+    (0..200).for_each(|_| level.ended(true, AIM / 10, AIM, 0.8));
+    assert_eq!(level.0, 1.0);
+}
+
+#[test]
+fn a_wait_in_vain_tells_more_than_a_late_answer_and_a_quotas_refusal_nothing() {
+    let after = |served: bool, waited: u64| {
+        let mut level = Level(0.9);
+        level.ended(served, waited, AIM, 0.0);
+        level.0
+    };
+    assert!(after(false, AIM * 4 / 10) < after(true, AIM));
+    assert!(after(true, AIM) < 0.9 && after(true, AIM / 10) > 0.9);
+    assert_eq!(after(false, AIM / 10), 0.9);
+}
+
+#[test]
+fn strain_is_the_part_of_the_time_that_an_answer_took() {
+    assert_eq!((strain(AIM / 4, AIM), strain(AIM, AIM)), (0.0, 1.0));
+    assert!((strain(AIM * 6 / 10, AIM) - 0.5).abs() < 1e-6);
+}
