--- a/crates/lab/src/parts/script/links.rs
+++ b/crates/lab/src/parts/script/links.rs
@@ -4,14 +4,18 @@
 use anyhow::bail;
 use chalkdeck_proto::chalkdeck::lab::v1::{Day, Trouble};
 
-/// The acts of a trouble whose kind begins with `link_`. The target names a zone, for all its links to others, or two.
+/// The acts of a trouble whose kind begins with `link_`. The target names a zone, for all its links to others, or two;
+/// the first may be `clients`.
 pub(super) fn acts(day: &Day, t: &Trouble) -> anyhow::Result<Vec<Timed>> {
     if !day.links {
         bail!("expected 'links: true' in the day");
     }
     let which = match t.target.split_once('>') {
         Some((from, to)) => {
-            zone_of(day, from)?;
+            // Clients stand in no zone.
+            if from != "clients" {
+                zone_of(day, from)?;
+            }
             zone_of(day, to)?;
             format!("from={from}&to={to}")
         }
@@ -23,6 +27,7 @@
     let on = match t.kind.as_str() {
         "link_delay" => format!("delay_ms={}&jitter_ms={}", t.factor, t.factor / 2.0),
         "link_loss" => format!("loss={}", t.factor),
+        "link_cut" => "cut=1".to_string(),
         "link_trickle" => format!("trickle={}", t.factor),
         "link_reset" => {
             return Ok(vec![Timed { at: t.at_ms, act: Act::Links(format!("{which}&reset=1")) }]);
