Site core: tests for the guards that mutations showed untested

Of 34 mutations of states, evidence, pace, room, level, shares and order 23 were caught at first; one guard was redundant (the hold-out's second bound) and is gone; for the others there are tests now, each seen to fail without its guard. Not measured: no behaviour changed.

--- a/crates/site/src/pace.rs
+++ b/crates/site/src/pace.rs
@@ -21,8 +21,9 @@
 const DWELL_MOST: u64 = 6_400_000;
 /// How long a site stays out after a loss; each further loss doubles it, up to the bound.
 const HOLD: u64 = 1_000_000;
+const HOLD_DOUBLINGS: u32 = 5;
 /// The longest hold-out.
-pub const HOLD_MOST: u64 = 32_000_000;
+pub const HOLD_MOST: u64 = HOLD << HOLD_DOUBLINGS;
 /// After so long without a loss, losses are forgotten one by one.
 const FORGIVE: u64 = 120_000_000;
 
@@ -103,6 +104,6 @@
         let forgiven = (now.saturating_sub(self.last) / FORGIVE).min(u64::from(self.losses)) as u32;
         self.losses = self.losses - forgiven + 1;
         self.last = now;
-        self.until = now + (HOLD << (self.losses - 1).min(5)).min(HOLD_MOST);
+        self.until = now + (HOLD << (self.losses - 1).min(HOLD_DOUBLINGS));
     }
 }
--- a/crates/site/tests/core.rs
+++ b/crates/site/tests/core.rs
@@ -191,7 +191,7 @@
     w.cores[0] = chalkdeck_site::Core::new(world::settings(0, 0));
     w.list();
     let v = w.view(0, 0);
-    assert!(v.state == State::Returning && v.pace < 0.3, "{v:?}");
+    assert!(v.state == State::Returning && v.pace < 0.3 && v.share < 0.1, "{v:?}");
 }
 
 #[test]
@@ -236,3 +236,91 @@
     w.list();
     assert_eq!(w.state(0, 0), State::Serving);
 }
+
+#[test]
+fn a_site_in_doubt_keeps_a_quarter_and_one_that_returns_its_paces_part() {
+    let mut w = World::new();
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Silent);
+    w.until(SECOND, |w| w.state(0, 0) == State::Doubtful);
+    assert!(w.view(0, 0).share < 0.1, "a quarter of an even share: {:?}", w.view(0, 0));
+    w.until(2 * SECOND, |w| w.state(0, 0) == State::Lost);
+    w.run(2 * SECOND);
+    w.site_is(0, Is::Up(40 * MS));
+    w.until(5 * SECOND, |w| w.state(0, 0) == State::Returning);
+    let v = w.view(0, 0);
+    assert!(v.share < v.pace * 0.4, "{v:?}");
+}
+
+#[test]
+fn one_server_of_four_that_refuses_takes_no_site_along() {
+    let mut w = World::new();
+    w.run(SECOND);
+    w.is.iter_mut().for_each(|from| from[0][0] = Is::Refusing);
+    for _ in 0..500 {
+        w.run(10 * MS);
+        assert!(!w.state(0, 0).is_out());
+    }
+}
+
+#[test]
+fn a_held_out_site_gets_nothing_even_if_all_others_are_silent() {
+    let mut w = World::new();
+    w.run(SECOND);
+    w.cores[0].on(w.now, Event::Command(SiteId(0), Command::Hold));
+    (1..3).for_each(|s| w.site_is(s, Is::Silent));
+    w.run(10 * SECOND);
+    assert_eq!(w.view(0, 0).share, 0.0);
+}
+
+#[test]
+fn a_site_of_warm_servers_serves_at_once_and_one_with_a_cold_one_nearly_so() {
+    let mut w = World::new();
+    assert_eq!(w.state(0, 0), State::Serving);
+    let line = |server: u64, started| chalkdeck_site::Listed {
+        server,
+        site: SiteId(0),
+        in_service: true,
+        weight: 1.0,
+        started,
+    };
+    let mut core = chalkdeck_site::Core::new(world::settings(0, 0));
+    let lines = [line(0, Some(w.now)), line(1, None), line(2, None), line(3, Some(1))];
+    w.now += 9 * SECOND;
+    let lines = [chalkdeck_site::Listed { started: Some(w.now), ..lines[0] }, lines[1], lines[2], lines[3]];
+    core.on(w.now, Event::List(&lines));
+    assert_eq!(core.plan(w.now).sites[0].pace, 0.75);
+}
+
+#[test]
+fn refusals_of_one_server_and_a_moment_of_quiet_are_no_loss() {
+    let mut w = World::new();
+    w.run(SECOND);
+    w.run(100 * MS);
+    let (now, core) = (w.now, &mut w.cores[2]);
+    for server in [0, 0, 0, 1] {
+        core.on(now, Event::Sent(server));
+    }
+    (0..3).for_each(|_| core.on(now, Event::Ended(0, chalkdeck_site::How::Unreached, MS, SECOND, 1.0)));
+    assert_eq!(core.plan(now).sites[0].state, State::Serving);
+    core.on(now, Event::Ended(1, chalkdeck_site::How::Unreached, MS, SECOND, 1.0));
+    for server in [2, 3] {
+        core.on(now, Event::Sent(server));
+        core.on(now, Event::Ended(server, chalkdeck_site::How::Unreached, MS, SECOND, 1.0));
+    }
+    assert_eq!(core.plan(now).sites[0].state, State::Lost, "all four refuse");
+}
+
+#[test]
+fn a_site_that_the_list_names_again_returns_with_its_first_answer_only() {
+    let mut w = World::new();
+    w.run(SECOND);
+    w.listed[0] = false;
+    w.list();
+    assert_eq!(w.state(1, 0), State::Lost);
+    w.listed[0] = true;
+    w.now += 5 * SECOND;
+    w.list();
+    assert_eq!(w.state(1, 0), State::Lost, "nobody has heard of it yet");
+    w.until(30 * SECOND, |w| w.state(1, 0) == State::Returning);
+}
--- a/crates/site/tests/learning.rs
+++ b/crates/site/tests/learning.rs
@@ -1,5 +1,6 @@
 //! What rooms and the level learn, and what they must not.
 use chalkdeck_site::level::Level;
+use chalkdeck_site::pace::Pace;
 use chalkdeck_site::room::{strain, Room};
 
 const SECOND: u64 = 1_000_000;
@@ -66,3 +67,34 @@
     assert_eq!((strain(AIM / 4, AIM), strain(AIM, AIM)), (0.0, 1.0));
     assert!((strain(AIM * 6 / 10, AIM) - 0.5).abs() < 1e-6);
 }
+
+/// So many answers, then a look after a second.
+fn step(pace: &mut Pace, now: &mut u64, good: u32, doubtful: u32) -> f64 {
+    (0..good).for_each(|_| pace.ended(*now, 0.0));
+    (0..doubtful).for_each(|_| pace.ended(*now, 1.0));
+    *now += SECOND;
+    pace.look(*now, 1.0);
+    pace.part
+}
+
+#[test]
+fn a_step_is_earned_by_answers_in_time_and_undone_by_doubts() {
+    let (mut pace, mut now) = (Pace::begin(0, 7, true), 0);
+    let first = pace.part;
+    assert_eq!(step(&mut pace, &mut now, 2, 0), first, "two answers earn nothing");
+    let second = step(&mut pace, &mut now, 2, 0);
+    assert!(second > first);
+    assert_eq!(step(&mut pace, &mut now, 0, 1), second, "one late answer is none");
+    assert!(step(&mut pace, &mut now, 0, 1) < second, "two are a step back");
+    let low = pace.part;
+    assert!(step(&mut pace, &mut now, 9, 2) >= low, "doubts among many undo nothing");
+}
+
+#[test]
+fn a_return_that_nobody_needs_ends_with_warm_servers_and_answers_in_time() {
+    let mut pace = Pace::begin(0, 7, false);
+    (0..4).for_each(|_| pace.ended(SECOND, 0.0));
+    assert!(!pace.done(9 * SECOND, 1.0) && !pace.done(11 * SECOND, 0.9) && pace.done(11 * SECOND, 1.0));
+    pace.ended(12 * SECOND, 1.0);
+    assert!(!pace.done(13 * SECOND, 1.0), "a doubt begins the row anew");
+}
--- a/crates/site/tests/model.rs
+++ b/crates/site/tests/model.rs
@@ -115,6 +115,13 @@
                     !(w.views[g].state.is_out() && matches!(to, State::Serving | State::Doubtful))
                 })
             }),
+            Property::always("a return waits for an answer and the end of the hold-out", |_, w: &World| {
+                (0..2).all(|g| {
+                    let (before, after) = (&w.views[g], Site::look(w, g));
+                    let begins = before.state.is_out() && after.state == State::Returning;
+                    !begins || after.heard && after.held == 0
+                })
+            }),
             Property::sometimes("a cut is told from a loss", |_, w: &World| {
                 w.views[0].state == State::CutOff && w.views[1].state == State::Lost
             }),
