--- /dev/null
+++ b/crates/gateway/tests/sites.rs
@@ -0,0 +1,111 @@
+//! Sites on the admin port of a gateway: what it shows, an operator's words, and what these do to calls.
+mod common;
+
+use chalkdeck_gateway::sites::SitesStatus;
+use chalkdeck_gateway::{Settings, Shell};
+use common::*;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+const SITES: (&str, &str) = ("logs {", "sites { on: true words_file: \"held.txtpb\" }\nlogs {");
+
+/// Two servers, one in each of two zones.
+fn rig() -> Rig {
+    let mut rig = Rig::with(2, CounterMood::Answers, &[SITES]);
+    let lists: Vec<String> = ["a", "b"]
+        .iter()
+        .zip(&rig.addresses)
+        .map(|(zone, &address)| {
+            let one = list(&[Entry { address, health: "HEALTHY" }]);
+            let endpoints = one.split_once('\n').map_or("", |lines| lines.1);
+            endpoints.replace("zone: \"a\"", &format!("zone: \"{zone}\""))
+        })
+        .collect();
+    rig.relist(&format!("cluster_name: \"farm\"\n{}{}", lists[0], lists[1]));
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(20);
+    while !get(&mut rig, "/sites").1.contains("\"site\":\"b\"") {
+        assert!(std::time::Instant::now() < end, "the list is read");
+    }
+    rig
+}
+
+/// Asks the admin port while the gateway turns.
+fn get(rig: &mut Rig, path: &str) -> (String, String) {
+    let admin = rig.shell.admin().expect("an admin port");
+    let mut stream = TcpStream::connect(admin).expect("it listens");
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").expect("sent");
+    stream.set_nonblocking(true).expect("a socket");
+    let (mut text, mut buffer) = (Vec::new(), [0; 4096]);
+    loop {
+        rig.turn();
+        match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(n) => text.extend_from_slice(&buffer[..n]),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => panic!("{e}"),
+        }
+    }
+    let text = String::from_utf8(text).expect("text");
+    let (head, body) = text.split_once("\r\n\r\n").expect("an answer");
+    (head.lines().next().unwrap_or("").to_string(), body.to_string())
+}
+
+fn sites(rig: &mut Rig, path: &str) -> SitesStatus {
+    let (head, body) = get(rig, path);
+    assert!(head.contains("200"), "{head}: {body}");
+    serde_json::from_str(&body).expect("a status")
+}
+
+fn state<'a>(status: &'a SitesStatus, site: &str) -> &'a str {
+    status.sites.iter().find(|s| s.site == site).map_or("", |s| &s.state)
+}
+
+/// Where one call goes.
+fn goes_to(rig: &mut Rig) -> SocketAddr {
+    let before = rig.servers.opened.len();
+    let call = rig.call(VIEW, &[]);
+    let stream = rig.arrived(before + 1);
+    let address = rig.servers.address_of(stream);
+    rig.servers.answer(stream, b"fine");
+    rig.ended(call);
+    address
+}
+
+#[test]
+fn a_drained_site_gets_nothing_and_the_word_outlasts_the_gateway() {
+    let mut rig = rig();
+    assert_eq!(state(&sites(&mut rig, "/sites"), "a"), "serving");
+    assert_eq!(goes_to(&mut rig), rig.addresses[0], "near first");
+    assert_eq!(state(&sites(&mut rig, "/sites/drain/a"), "a"), "held out");
+    for _ in 0..20 {
+        assert_eq!(goes_to(&mut rig), rig.addresses[1]);
+    }
+    let set = Settings::load(&rig.dir.join("gateway.txtpb")).expect("sound settings");
+    rig.shell = Shell::start(set, None, 9, false).expect("a gateway");
+    assert_eq!(state(&sites(&mut rig, "/sites"), "a"), "held out");
+    assert_eq!(state(&sites(&mut rig, "/sites/let-back/a"), "a"), "returning");
+    assert!(std::fs::read_to_string(rig.dir.join("held.txtpb")).expect("a file").trim().is_empty());
+}
+
+#[test]
+fn words_that_make_no_sense_are_answered_so_and_change_nothing() {
+    let mut rig = rig();
+    for (path, named) in [
+        ("/sites/drain/mars", "'mars'"),
+        ("/sites/burn/a", "'burn'"),
+        ("/sites/drain", "expected /sites"),
+        ("/sites/drain/", "''"),
+    ] {
+        let (head, body) = get(&mut rig, path);
+        assert!(head.contains("400") && body.contains(named), "{path}: {head} {body}");
+    }
+    let status = sites(&mut rig, "/sites");
+    assert!(status.sites.iter().all(|s| s.state == "serving"), "{status:?}");
+}
+
+#[test]
+fn without_the_setting_the_port_says_so() {
+    let mut rig = Rig::new(1);
+    let (head, body) = get(&mut rig, "/sites");
+    assert!(head.contains("400") && body.contains("sites { on: true }"), "{head} {body}");
+}
