Sites: rooms know the module's places, too; shown in the status

Need: the core was to see in flight and bounds as the module sees them. The module tells places (a look, no decision); a site with none free takes what comes back from it and no more. A test of the core, seen to fail without the bound.

--- a/crates/cli/src/site.rs
+++ b/crates/cli/src/site.rs
@@ -72,10 +72,12 @@
         let room = s.room.map_or("no bound met".to_string(), |r| format!("room {r:.1} units/s"));
         let pace = if s.pace < 1.0 { format!(", pace {:.0}%", 100.0 * s.pace) } else { String::new() };
         out += &format!(
-            "  {:<16} {:<18} {:>5.1}% of the load, {room}{pace}; for {:.1} s: {}\n",
+            "  {:<16} {:<18} {:>5.1}% of the load, {:.0} of {:.0} places taken, {room}{pace}; for {:.1} s: {}\n",
             s.site,
             s.state,
             100.0 * s.share,
+            s.out,
+            s.places,
             s.for_s,
             s.evidence
         );
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -42,6 +42,10 @@
     pub room: Option<f64>,
     /// Part of its room that it is given while it comes back.
     pub pace: f64,
+    /// Attempts out there, and the most there may be.
+    pub out: f64,
+    /// See `out`.
+    pub places: f64,
 }
 
 /// What the admin port shows under `/sites`.
@@ -106,6 +110,8 @@
             share: v.share,
             room: v.room,
             pace: v.pace,
+            out: v.places.0,
+            places: v.places.1,
         };
         SitesStatus {
             own: set.zone_name.clone(),
@@ -196,6 +202,9 @@
     /// Looks at the plan again and tells the decisions what moved.
     pub(crate) fn site_look(&mut self) {
         self.due_in(LOOK, Due::Sites);
+        let Shell { sites: Some(sites), desk, engine, .. } = self else { return };
+        let places: Vec<_> = desk.gateway.places().map(|(id, out, most)| (id.0, out, most)).collect();
+        sites.core.on(engine.now(), Event::Places(&places));
         self.site_plan();
     }
 
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -611,6 +611,13 @@
         self.customers.get_mut(&customer).into_iter().for_each(|c| c.window.owed += more);
     }
 
+    /// Attempts out at each listed server, and the most that there may be.
+    pub fn places(&self) -> impl Iterator<Item = (ServerId, f64, f64)> + '_ {
+        let scale = self.scale();
+        let listed = self.ring.iter().map(|&place| self.servers.at(place));
+        listed.map(move |(id, s)| (*id, s.out, s.limit * scale))
+    }
+
     /// A look at a customer's quota, which changes nothing and asks nobody.
     pub fn standing(&self, now: Micros, customer: CustomerId, plan: PlanId) -> Standing {
         let p = &self.set.plans[plan.0];
--- a/crates/site/src/api.rs
+++ b/crates/site/src/api.rs
@@ -75,6 +75,8 @@
     Sent(u64),
     /// An attempt ended: server, how, time taken and time that it should have taken at the most, units.
     Ended(u64, How, u64, u64, f64),
+    /// At each server the attempts out and the most there may be, as the decisions see them.
+    Places(&'a [(u64, f64, f64)]),
     /// A request has its final answer, served or refused: how long its client waited, and was to wait at the most.
     Final(bool, u64, u64),
     /// The counter answered (true) or did not.
@@ -151,6 +153,8 @@
     pub room: Option<f64>,
     /// Part of its room that it is given while it comes back; 1: all.
     pub pace: f64,
+    /// Attempts out there and the most there may be, over all its servers.
+    pub places: (f64, f64),
 }
 
 /// What is let in: requests worth `sure` or more for each unit of room, and a part of those from `from` on.
--- a/crates/site/src/core.rs
+++ b/crates/site/src/core.rs
@@ -67,6 +67,7 @@
             }
             Event::Sent(server) => self.of(server).into_iter().for_each(|s| s.sent(now, server)),
             Event::Ended(server, how, took, aim, units) => self.on_end(now, server, how, took, aim, units),
+            Event::Places(places) => self.on_places(places),
             Event::Final(served, waited, aim) => {
                 let flow: f64 = self.sites.values().map(|s| s.room.flow(now)).sum();
                 let borne = flow / self.offered.per_second(now).max(LOAD_LEAST);
@@ -144,6 +145,14 @@
         site.pace.iter_mut().for_each(|p| p.ended(now, strained));
     }
 
+    fn on_places(&mut self, places: &[(u64, f64, f64)]) {
+        self.sites.values_mut().for_each(|s| s.places = (0.0, 0.0));
+        for (server, out, most) in places {
+            let Some(site) = self.of(*server) else { continue };
+            site.places = (site.places.0 + out, site.places.1 + most);
+        }
+    }
+
     fn on_command(&mut self, now: u64, site: SiteId, command: Command) {
         let seed = self.seed(site);
         let Some(site) = self.sites.get_mut(&site) else { return };
@@ -245,7 +254,7 @@
         self.look(now);
         self.order.fade(now);
         let load = self.offered.per_second(now).max(LOAD_LEAST);
-        let parts: Vec<Part> = self.sites.values().map(|s| self.part(s, load)).collect();
+        let parts: Vec<Part> = self.sites.values().map(|s| self.part(now, s, load)).collect();
         let level = self.level.0;
         let mut given = shares(load, &parts);
         self.probe(load, &mut given);
@@ -257,14 +266,17 @@
             share,
             room: s.room.most(),
             pace: s.pace.as_ref().map_or(1.0, |p| p.part),
+            places: s.places,
         });
         Plan { sites: views.collect(), level, floor: self.order.floor(level) }
     }
 
-    fn part(&self, s: &Site, load: f64) -> Part {
+    fn part(&self, now: u64, s: &Site, load: f64) -> Part {
         let (listed, heard) = s.sizes();
         let even = load * heard / self.sizes.max(1e-9);
-        let most = s.room.most().unwrap_or(f64::INFINITY);
+        // With all places taken it takes what comes back from it and no more, whatever was learnt before.
+        let open = s.room.most().unwrap_or(f64::INFINITY);
+        let most = if s.full() { open.min(s.room.flow(now).max(even * LEARNS)) } else { open };
         let room = match s.state {
             _ if listed <= 0.0 || s.state.is_out() => 0.0,
             State::Doubtful => most.min(even) * DOUBTFUL,
--- a/crates/site/src/evidence.rs
+++ b/crates/site/src/evidence.rs
@@ -15,6 +15,8 @@
 const ASKED_SERVERS: usize = 2;
 /// Ends in a row without an answer that make a server count as silent.
 const SILENT: u32 = 2;
+/// Part of the places in use that counts as all of them.
+const FULL: f64 = 0.95;
 /// Weight of the newest answer in the usual time.
 const SMOOTH: f64 = 0.1;
 
@@ -47,6 +49,8 @@
     pub(crate) room: Room,
     /// What of it was not silent at the last look.
     pub(crate) size: f64,
+    /// Attempts out and the most there may be, as the decisions see them.
+    pub(crate) places: (f64, f64),
     out: u64,
     heard_at: u64,
     /// Since when attempts are out with none of them heard.
@@ -111,6 +115,11 @@
         (all, self.listed().filter(|s| s.counts()).map(|s| s.weight).sum())
     }
 
+    /// No place is free there: more could only wait.
+    pub(crate) fn full(&self) -> bool {
+        self.places.1 > 0.0 && self.places.0 >= self.places.1 * FULL
+    }
+
     fn asked_enough(&self) -> bool {
         let servers = self.listed().count();
         self.asked_times >= ASKED && self.asked.len() >= ASKED_SERVERS.min(servers.max(1))
--- a/crates/site/tests/core.rs
+++ b/crates/site/tests/core.rs
@@ -324,3 +324,18 @@
     assert_eq!(w.state(1, 0), State::Lost, "nobody has heard of it yet");
     w.until(30 * SECOND, |w| w.state(1, 0) == State::Returning);
 }
+
+#[test]
+fn a_near_site_with_all_places_taken_gets_what_comes_back_and_the_rest_goes_on() {
+    let mut w = World::new();
+    w.run(4 * SECOND);
+    w.site_is(0, Is::Up(200 * MS));
+    let places = |out: f64| [(0, out, 2.0), (1, out, 2.0), (2, out, 2.0), (3, out, 2.0)];
+    w.cores[0].on(w.now, Event::Places(&places(1.0)));
+    assert_eq!(w.view(0, 0).share, 1.0, "half of them are free");
+    // Twice as much is offered as came back of late.
+    (0..400).for_each(|_| w.cores[0].on(w.now, Event::Offered(1.0, 1.0)));
+    w.cores[0].on(w.now, Event::Places(&places(2.0)));
+    let v = w.view(0, 0);
+    assert!(v.share < 0.6 && v.places == (8.0, 8.0), "{v:?}");
+}
