--- a/crates/site/tests/core.rs
+++ b/crates/site/tests/core.rs
@@ -92,7 +92,7 @@
 }
 
 #[test]
-fn the_return_climbs_by_steps_that_gateways_take_at_different_moments() {
+fn the_return_climbs_by_steps() {
     let mut w = World::new();
     w.run(2 * SECOND);
     w.site_is(0, Is::Refusing);
--- a/crates/site/tests/learning.rs
+++ b/crates/site/tests/learning.rs
@@ -98,3 +98,20 @@
     pace.ended(12 * SECOND, 1.0);
     assert!(!pace.done(13 * SECOND, 1.0), "a doubt begins the row anew");
 }
+
+#[test]
+fn gateways_take_their_steps_at_different_moments() {
+    let stepped = |seed: u64| {
+        let mut pace = Pace::begin(0, seed, true);
+        (0..3).for_each(|_| pace.ended(0, 0.0));
+        let first = pace.part;
+        (0..1_000).map(|ms| ms * 1_000).find(|&now| {
+            pace.look(now, 1.0);
+            pace.part > first
+        })
+    };
+    let mut moments: Vec<u64> = (0..12).filter_map(stepped).collect();
+    assert_eq!(moments.len(), 12);
+    moments.sort_unstable();
+    assert!(moments[0] >= 300_000 && moments[11] - moments[0] > 100_000, "{moments:?}");
+}
