Read over: the relay's dead state, one look for names, pieces that stood twice

The relay kept a time that nobody read, and walked all connections once for each link a word means; a walk over them once does. The site carrier made a plan only to drop names and hashed zones by hand (zone_of stood there). The clients' place was written in three files, a path's mean work and a zone's capacity in two.

--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -1,6 +1,6 @@
 //! Between the sockets and the site core: tells it what happens, brings its plan to the decisions, and shows it.
 
-use crate::base::server::{number_of, Server};
+use crate::base::server::{zone_of, Server};
 use crate::base::settings::Settings;
 use crate::counter::Told;
 use crate::metrics::End;
@@ -90,10 +90,8 @@
         self.core.on(now, Event::List(&lines));
         // Words of an earlier life count from the first list that names their site on.
         for held in self.words.held() {
-            self.core.on(now, Event::Command(SiteId(number_of(held) as u32), Command::Hold));
+            self.core.on(now, Event::Command(site_of(zone_of(held)), Command::Hold));
         }
-        let plan = self.core.plan(now);
-        self.names.retain(|id, _| plan.sites.iter().any(|s| s.site == *id));
     }
 
     fn name(&self, site: SiteId) -> &str {
@@ -222,8 +220,7 @@
         for v in &plan.sites {
             let before = known.iter().find(|k| k.site == v.site).map(|k| k.state);
             if before != Some(v.state) {
-                let name = sites.names.get(&v.site).map_or("", |n| n);
-                tracing::info!(site = name, state = v.state.name(), evidence = %v.evidence, "site");
+                tracing::info!(site = sites.name(v.site), state = v.state.name(), evidence = %v.evidence, "site");
             }
         }
         let part = |v: &chalkdeck_site::View| ZoneShare {
@@ -233,6 +230,7 @@
         };
         let floor = api::Floor { sure: plan.floor.sure, from: plan.floor.from, part: plan.floor.part };
         let shares = plan.sites.iter().map(part).collect();
+        sites.names.retain(|id, _| plan.sites.iter().any(|s| s.site == *id));
         sites.told = Some(plan);
         self.desk.tell(api::Event::Sites(shares, floor));
     }
@@ -250,7 +248,7 @@
                 "let-back" => Command::LetBack,
                 _ => return Err(format!("expected drain, hold or let-back, found '{word}'\n")),
             };
-            let site = SiteId(number_of(name) as u32);
+            let site = site_of(zone_of(name));
             if sites.names.get(&site).is_none_or(|known| known != name) {
                 let known: Vec<&str> = sites.names.values().map(String::as_str).collect();
                 return Err(format!("expected one of {}, found '{name}'\n", known.join(", ")));
--- a/crates/lab/src/audit/rules.rs
+++ b/crates/lab/src/audit/rules.rs
@@ -115,14 +115,9 @@
                     let open = spans.gateway.iter_mut().rev().find(|s| s.0 == gateway && s.2 == u64::MAX);
                     open.into_iter().for_each(|s| s.2 = *t);
                 }
-                "held_up" if target.contains("=clients") => spans.clients.push((*t, u64::MAX)),
-                "let_through" if target.contains("=clients") => {
-                    let open = spans.clients.iter_mut().rev().find(|s| s.1 == u64::MAX);
-                    open.into_iter().for_each(|s| s.1 = *t);
-                }
-                "held_up" => spans.held_up.push((*t, u64::MAX)),
+                "held_up" => spans.links(target).push((*t, u64::MAX)),
                 "let_through" => {
-                    let open = spans.held_up.iter_mut().rev().find(|s| s.1 == u64::MAX);
+                    let open = spans.links(target).iter_mut().rev().find(|s| s.1 == u64::MAX);
                     open.into_iter().for_each(|s| s.1 = *t);
                 }
                 "clients_reconnect" => spans.reconnects.push(*t),
@@ -136,6 +131,14 @@
     fn down(&self, gateway: usize, from: u64, to: u64) -> bool {
         self.gateway.iter().any(|s| s.0 == gateway && s.1 <= to + SLACK && s.2.saturating_add(SLACK) >= from)
     }
+    /// The spans that a word to the relays belongs to.
+    fn links(&mut self, word: &str) -> &mut Vec<(u64, u64)> {
+        if script::of_clients(word) {
+            &mut self.clients
+        } else {
+            &mut self.held_up
+        }
+    }
     /// What a client sent or was to hear in that time may have been held up.
     fn client_links(&self, from: u64, to: u64) -> bool {
         self.clients.iter().any(|s| s.0 <= to.saturating_add(SLACK) && s.1.saturating_add(SLACK) >= from)
--- a/crates/lab/src/audit/sites.rs
+++ b/crates/lab/src/audit/sites.rs
@@ -84,6 +84,17 @@
     pub overshoot: f64,
 }
 
+/// Seconds of a core that a call of that path takes on the mean.
+pub fn work_of(day: &Day, path: &str) -> f64 {
+    let work = day.work.iter().find(|w| w.path == path);
+    work.map_or(0.0, |w| (w.min_ms + w.max_ms) / 2e3)
+}
+
+/// Core seconds a second of a zone.
+pub fn capacity_of(day: &Day, zone: usize) -> f64 {
+    f64::from(day.zones[zone].servers * day.farm.map_or(1, |f| f.cores.max(1)))
+}
+
 impl SiteDay {
     /// Takes a run apart. Errors: the day loses no whole site, or the logs lack what is needed.
     pub fn of(record: &Record) -> anyhow::Result<SiteDay> {
@@ -104,11 +115,6 @@
         Ok(site_day)
     }
 
-    fn work(&self, path: &str) -> f64 {
-        let work = self.day.work.iter().find(|w| w.path == path);
-        work.map_or(0.0, |w| (w.min_ms + w.max_ms) / 2e3)
-    }
-
     fn read_calls(&mut self, record: &Record, first: u64) {
         let gateway = self.day.gateway.clone().unwrap_or_default();
         let mut ends: HashMap<&str, (u64, End)> = HashMap::new();
@@ -136,7 +142,7 @@
                 took: took as f64 / 1e6,
                 worth,
                 dense: worth / units,
-                work: self.work(path),
+                work: work_of(&self.day, path),
                 in_time: answer.is_some_and(|a| a.1 == End::Served)
                     && took <= u64::from(gateway.classes[class].aim_ms) * 1_000,
             });
@@ -156,7 +162,7 @@
         for line in &record.lines {
             let Line::Arrive { t, server, path, .. } = line else { continue };
             let slot = (t.saturating_sub(first) as f64 / 1e6 / SLOT) as usize;
-            let work = self.work(path);
+            let work = work_of(&self.day, path);
             let Some(&zone) = zone_of.get(server.as_str()) else { continue };
             self.arrived[zone].get_mut(slot).into_iter().for_each(|w| *w += work);
         }
@@ -185,7 +191,7 @@
 
     /// Core seconds a second of a zone.
     pub fn capacity(&self, zone: usize) -> f64 {
-        f64::from(self.day.zones[zone].servers * self.day.farm.map_or(1, |f| f.cores.max(1)))
+        capacity_of(&self.day, zone)
     }
 
     /// Worth a second at best for these calls of so many seconds, with the site lost or not.
--- a/crates/lab/src/measure/sites.rs
+++ b/crates/lab/src/measure/sites.rs
@@ -3,7 +3,7 @@
 
 use crate::audit::rules::{audit, Record};
 use crate::audit::site_chart;
-use crate::audit::sites::{Figures, SiteDay};
+use crate::audit::sites::{capacity_of, work_of, Figures, SiteDay};
 use crate::parts::process::Program;
 use crate::parts::script;
 use crate::rig::day::{self, Ways};
@@ -37,12 +37,9 @@
 pub fn rate(day: &Day, part: f64) -> f64 {
     let mix = day.load.iter().flat_map(|l| &l.mix);
     let shares: f64 = mix.clone().map(|m| m.share).sum();
-    let work =
-        |path: &str| day.work.iter().find(|w| w.path == path).map_or(0.0, |w| (w.min_ms + w.max_ms) / 2e3);
-    let mean: f64 = mix.map(|m| m.share / shares * work(&m.path)).sum();
-    let cores = day.farm.map_or(1, |f| f.cores.max(1));
-    let servers: u32 = day.zones.iter().map(|z| z.servers).sum();
-    part * f64::from(servers * cores) / mean
+    let mean: f64 = mix.map(|m| m.share / shares * work_of(day, &m.path)).sum();
+    let capacity: f64 = (0..day.zones.len()).map(|zone| capacity_of(day, zone)).sum();
+    part * capacity / mean
 }
 
 /// Plays a day and takes it apart. Errors: it could not be played, or a rule was broken.
--- a/crates/lab/src/parts/script.rs
+++ b/crates/lab/src/parts/script.rs
@@ -10,6 +10,8 @@
 
 /// The name of the day's message.
 pub const MESSAGE: &str = "chalkdeck.lab.v1.Day";
+/// Where all clients stand; words to the relays mean their links only where they name it.
+pub const CLIENTS: &str = "clients";
 /// How late the list tells that a zone is lost, and that one is back.
 const LIST_LATE: u32 = 1_000;
 
@@ -97,6 +99,11 @@
     kept.map(|a| Timed { at: a.at.min(end), act: a.act }).collect()
 }
 
+/// Whether a word to the relays is about the clients' links.
+pub fn of_clients(word: &str) -> bool {
+    word.split('&').any(|pair| pair.split_once('=').is_some_and(|(_, site)| site == CLIENTS))
+}
+
 fn acts_of(day: &Day, t: &Trouble) -> anyhow::Result<Vec<Timed>> {
     let servers: usize = day.zones.iter().map(|z| z.servers as usize).sum();
     let gateways = day.gateways as usize;
--- a/crates/lab/src/parts/script/links.rs
+++ b/crates/lab/src/parts/script/links.rs
@@ -1,6 +1,6 @@
 //! Troubles of links between sites as acts.
 
-use super::{zone_of, Act, Timed};
+use super::{zone_of, Act, Timed, CLIENTS};
 use anyhow::bail;
 use chalkdeck_proto::chalkdeck::lab::v1::{Day, Trouble};
 
@@ -12,8 +12,7 @@
     }
     let which = match t.target.split_once('>') {
         Some((from, to)) => {
-            // Clients stand in no zone.
-            if from != "clients" {
+            if from != CLIENTS {
                 zone_of(day, from)?;
             }
             zone_of(day, to)?;
--- a/crates/lab/src/rig/between.rs
+++ b/crates/lab/src/rig/between.rs
@@ -1,13 +1,11 @@
 //! The relays of a fleet: gateways reach servers and counter, and clients reach gateways, each site by addresses of its own.
 
 use crate::parts::process::{Process, Program};
+use crate::parts::script::CLIENTS;
 use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use std::net::SocketAddr;
 use std::path::Path;
 
-/// The site of all clients; faults of links mean it only where they name it.
-pub const CLIENTS: &str = "clients";
-
 /// A relay's process and its addresses.
 pub struct Between {
     _process: Process,
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -3,8 +3,8 @@
 use crate::parts::control;
 use crate::parts::log::{Line, Log};
 use crate::parts::process::{Process, Program};
-use crate::parts::script::{Act, Listed, MESSAGE};
-use crate::rig::between::{Between, CLIENTS};
+use crate::parts::script::{of_clients, Act, Listed, MESSAGE};
+use crate::rig::between::Between;
 use crate::rig::counting::CounterPart;
 use anyhow::Context;
 use chalkdeck_net::clock::{monotonic, Clock};
@@ -320,8 +320,7 @@
             Act::Links(word) => {
                 let over = word.contains("cut=0") || word.contains("heal=1");
                 self.note(if over { "let_through" } else { "held_up" }, word);
-                let of_clients = word.contains(&format!("={CLIENTS}"));
-                let relay = if of_clients { &self.before } else { &self.between };
+                let relay = if of_clients(word) { &self.before } else { &self.between };
                 let relay = relay.as_ref().context("expected 'links: true' in the day")?;
                 control::get(relay.control(), &format!("/set?{word}"))?;
             }
--- a/crates/lab/src/rig/links/relay.rs
+++ b/crates/lab/src/rig/links/relay.rs
@@ -44,7 +44,6 @@
     Tcp {
         kept: Socket,
         listener: Option<TcpListener>,
-        try_at: u64,
     },
     Udp(Datagrams),
 }
@@ -99,7 +98,7 @@
                         kept.local_addr()?.as_socket().ok_or_else(|| io::Error::other("expected an IP"))?;
                     let mut listener = listener(address)?;
                     poll.registry().register(&mut listener, Token(i), Interest::READABLE)?;
-                    (address, Socketed::Tcp { kept, listener: Some(listener), try_at: 0 })
+                    (address, Socketed::Tcp { kept, listener: Some(listener) })
                 }
                 Wire::Udp => {
                     let mut socket = UdpSocket::bind(any())?;
@@ -124,24 +123,21 @@
 
     /// Sets faults of the links that the word means; how many those are.
     pub fn set(&mut self, word: &Word) -> usize {
-        let mut meant = 0;
-        for i in 0..self.links.len() {
-            let link = &mut self.links[i];
-            if !word.means(&link.link.from, &link.link.to) {
+        let meant: Vec<bool> = self.links.iter().map(|l| word.means(&l.link.from, &l.link.to)).collect();
+        for (link, _) in self.links.iter_mut().zip(&meant).filter(|(_, meant)| **meant) {
+            word.on(&link.link.from, &mut link.faults);
+        }
+        for slot in 0..self.pairs.len() {
+            if !self.pairs[slot].as_ref().is_some_and(|p| meant[p.link]) {
                 continue;
             }
-            meant += 1;
-            word.on(&link.link.from, &mut link.faults);
-            let of_link = |p: &Option<Pair>| p.as_ref().is_some_and(|p| p.link == i);
-            for slot in (0..self.pairs.len()).filter(|&s| of_link(&self.pairs[s])).collect::<Vec<_>>() {
-                if word.reset {
-                    self.drop_pair(slot, true);
-                } else {
-                    self.pump(slot);
-                }
+            if word.reset {
+                self.drop_pair(slot, true);
+            } else {
+                self.pump(slot);
             }
         }
-        meant
+        meant.into_iter().filter(|meant| *meant).count()
     }
 
     /// Waits for what happens, at most so long, and deals with it.
@@ -244,23 +240,21 @@
 
     /// Nobody listens behind: nobody listens here either until somebody does there.
     fn refuse(&mut self, link: usize) {
-        let Socketed::Tcp { listener, try_at, .. } = &mut self.links[link].socket else { return };
+        let Socketed::Tcp { listener, .. } = &mut self.links[link].socket else { return };
         if let Some(mut listener) = listener.take() {
             let _ = self.poll.registry().deregister(&mut listener);
-            *try_at = monotonic() + TRY;
-            self.due.push(Reverse((*try_at, link)));
+            self.due.push(Reverse((monotonic() + TRY, link)));
         }
     }
 
     fn try_again(&mut self, link: usize) -> io::Result<()> {
         let target = self.links[link].link.target;
-        let Socketed::Tcp { kept, listener: gone, try_at } = &mut self.links[link].socket else {
+        let Socketed::Tcp { kept, listener: gone } = &mut self.links[link].socket else {
             return Ok(());
         };
         // A connect on loopback is answered at once, either way.
         if std::net::TcpStream::connect_timeout(&target, Duration::from_millis(20)).is_err() {
-            *try_at = monotonic() + TRY;
-            self.due.push(Reverse((*try_at, link)));
+            self.due.push(Reverse((monotonic() + TRY, link)));
             return Ok(());
         }
         let address = kept.local_addr()?.as_socket().ok_or_else(|| io::Error::other("expected an IP"))?;
