Stops: what was read is answered before its connection ends; served on until clients know

Cause: Front::flush ended a connection as soon as no answer was pending, while a Bytes event of it stood later in the loop's batch; Front::bytes then dropped what had been read. Front::stop did not look at the socket either. Now connections are let go after a turn's events, one after another over 0.25 s from 0.42 s on, only with nothing queued and nothing waiting; one that is never between two requests is read no further from 0.75 s on. What waits in the backlog is taken in before the listener goes. serve had three like faults: it ended with the last open call though clients had not heard GOAWAY, the limits front closed under pending asks, and a client still greeting was never told.

--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -50,6 +50,7 @@
     sessions: FxHashMap<ConnId, Session>,
     asks: FxHashMap<RequestId, Ask>,
     tickets: FxHashMap<RequestId, Ticket>,
+    stopping: bool,
 }
 
 impl Resp {
@@ -57,7 +58,7 @@
         let limits = Limits { connections: set.connections, ..Limits::default() };
         let (listener, listen) = engine.listen_raw(set.listen, limits)?;
         let (sessions, asks, tickets) = Default::default();
-        Ok(Resp { listener, listen, sessions, asks, tickets })
+        Ok(Resp { listener, listen, sessions, asks, tickets, stopping: false })
     }
 
     fn drop_ticket(&mut self, id: RequestId) -> bool {
@@ -362,11 +363,27 @@
         }
     }
 
-    /// Ends the front's connections for a stop.
+    /// From here on the front's connections are let go.
     pub(crate) fn resp_stop(&mut self) {
-        let Some(resp) = &self.resp else { return };
+        let Some(resp) = &mut self.resp else { return };
+        resp.stopping = true;
         self.engine.unlisten(resp.listener);
-        let conns: Vec<ConnId> = resp.sessions.keys().copied().collect();
-        conns.into_iter().for_each(|c| self.engine.end(c));
+    }
+
+    /// Ends the connections that are between two requests and hold no ticket, once a turn's events were dealt with: what was
+    /// read, or waits unread, is answered first.
+    pub(crate) fn resp_let_go(&mut self) {
+        let Some(resp) = self.resp.as_ref().filter(|r| r.stopping) else { return };
+        let idle = resp.sessions.iter().filter(|(_, s)| s.is_idle() && s.tickets == 0);
+        let mut idle: Vec<ConnId> = idle.map(|(conn, _)| *conn).collect();
+        idle.sort_unstable();
+        for conn in idle {
+            self.engine.close_if_quiet(conn);
+        }
+    }
+
+    /// Whether no connection of the front is left.
+    pub(crate) fn resp_is_alone(&self) -> bool {
+        self.resp.as_ref().is_none_or(|r| self.engine.held_by(r.listener) == 0)
     }
 }
--- a/crates/gateway/src/resp/session.rs
+++ b/crates/gateway/src/resp/session.rs
@@ -48,6 +48,10 @@
         }
         out
     }
+    /// Nothing is asked and nothing is owed.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.pending() == 0 && self.bytes.is_empty()
+    }
     /// All is answered and nothing more is read.
     pub(crate) fn ended(&self) -> bool {
         self.over && self.pending() == 0
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -147,17 +147,20 @@
             if signals.reload() {
                 self.reload();
             }
-            if signals.stop() && self.stop_by.is_none() {
-                self.begin_stop();
+            if signals.stop() {
+                self.stop();
             }
-            let Some(by) = self.stop_by else { continue };
-            if self.calls.open == 0 || self.engine.now() >= by {
+            if self.stopped() {
                 return self.end_stop();
             }
         }
     }
 
-    fn begin_stop(&mut self) {
+    /// Begins to stop: asks clients to open nothing new, finishes what it holds.
+    pub fn stop(&mut self) {
+        if self.stop_by.is_some() {
+            return;
+        }
         let longest = self.set.policy.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
         self.stop_by = Some(self.engine.now() + longest);
         self.engine.unlisten(self.listener);
@@ -166,6 +169,14 @@
         tracing::info!(open = self.calls.open, "stopping: takes no calls, finishes what it holds");
     }
 
+    /// Whether a stop is over: nothing is open and no client is left that could still open something, or the longest deadline has
+    /// passed. Until a client has heard that it may open nothing, what it opens is taken and answered.
+    pub fn stopped(&self) -> bool {
+        let alone =
+            || self.calls.open == 0 && self.engine.held_by(self.listener) == 0 && self.resp_is_alone();
+        self.stop_by.is_some_and(|by| self.engine.now() >= by || alone())
+    }
+
     /// What is still open are streams without an end of their own: they are told.
     fn end_stop(&mut self) -> io::Result<()> {
         for id in self.calls.open_ids() {
@@ -194,6 +205,7 @@
         self.events = events;
         self.door_turn();
         self.settle();
+        self.resp_let_go();
         if let Shell { counter: Some(counter), engine, .. } = self {
             counter.flush(engine);
         }
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -48,6 +48,8 @@
     ping: Option<h2::PingPong>,
     /// A ping is out and its answer has not come.
     pub(crate) unanswered: bool,
+    /// Its client is asked to open nothing new as soon as it can be told.
+    draining: bool,
 }
 
 pub(crate) enum Step {
@@ -89,6 +91,7 @@
             reset_second: 0,
             ping: None,
             unanswered: false,
+            draining: false,
         }
     }
 
@@ -105,6 +108,7 @@
             reset_second: 0,
             ping: None,
             unanswered: false,
+            draining: false,
         }
     }
 
@@ -115,6 +119,15 @@
         most.saturating_sub(self.streams)
     }
 
+    /// Asks the client to open nothing new; one that is still greeting is told then.
+    pub(crate) fn drain(&mut self) {
+        self.draining = true;
+        if let Link::Server(link) = &mut self.link {
+            link.graceful_shutdown();
+        }
+        self.waker.wake_by_ref();
+    }
+
     /// Asks the peer for a sign of life.
     pub(crate) fn send_ping(&mut self) {
         if let Some(ping) = &mut self.ping {
@@ -164,7 +177,12 @@
                 Link::Welcome(handshake) => match Pin::new(handshake.as_mut()).poll(&mut cx) {
                     Poll::Pending => return Step::Wait,
                     Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
-                    Poll::Ready(Ok(link)) => self.link = Link::Server(Box::new(link)),
+                    Poll::Ready(Ok(mut link)) => {
+                        if self.draining {
+                            link.graceful_shutdown();
+                        }
+                        self.link = Link::Server(Box::new(link));
+                    }
                 },
                 Link::Server(link) => match link.poll_accept(&mut cx) {
                     Poll::Pending => return Step::Wait,
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -236,11 +236,18 @@
         Ok((ListenerId(id), bound))
     }
 
-    /// Takes no further connections in there; those that stand stay.
+    /// Takes no further connections in there; those that stand stay. What waits there is taken in first, up to the listener's
+    /// bound: the system took it, so its clients may have sent on it already.
     pub fn unlisten(&mut self, listener: ListenerId) {
+        self.accept(listener.0, usize::MAX);
         self.listeners.remove(&listener.0);
     }
 
+    /// Connections of a listener that are held now, also of one that takes no more.
+    pub fn held_by(&self, listener: ListenerId) -> usize {
+        self.conns.values().filter(|c| c.listener == Some(listener.0)).count()
+    }
+
     /// Begins a connection; `Connected` or `Closed` follows. Errors: no socket, or refused at once.
     pub fn connect(&mut self, address: SocketAddr, limits: Limits) -> io::Result<ConnId> {
         self.dial(address, limits, Speaks::Http2)
@@ -331,10 +338,7 @@
     /// Asks all clients of a listener's connections to open nothing new (GOAWAY); what is open goes on.
     pub fn drain(&mut self, listener: ListenerId) {
         for conn in self.conns.values_mut().filter(|c| c.listener == Some(listener.0)) {
-            if let Link::Server(link) = &mut conn.link {
-                link.graceful_shutdown();
-            }
-            conn.waker.wake_by_ref();
+            conn.drain();
         }
     }
 
@@ -396,7 +400,7 @@
         }
         for key in touched {
             if self.listeners.contains_key(&key) {
-                self.accept(key);
+                self.accept(key, ACCEPTS_TURN);
             } else if let Some(conn) = self.conns.get(&key) {
                 conn.waker.wake_by_ref();
             }
@@ -540,16 +544,16 @@
         if let Some(l) = conn.listener.and_then(|l| self.listeners.get_mut(&l)) {
             l.held -= 1;
             if std::mem::take(&mut l.paused) {
-                self.accept(conn.listener.unwrap_or(0));
+                self.accept(conn.listener.unwrap_or(0), ACCEPTS_TURN);
             }
         }
         let unsent = if let Link::Raw(raw) = &conn.link { raw.unsent() } else { 0 };
         self.out.push_back(Event::Closed { conn: ConnId(key), reached: conn.reached, unsent, why });
     }
 
-    fn accept(&mut self, key: u64) {
+    fn accept(&mut self, key: u64, most: usize) {
         for taken in 0.. {
-            if taken >= ACCEPTS_TURN {
+            if taken >= most {
                 return self.accepting.push(key);
             }
             let Some(listener) = self.listeners.get_mut(&key) else { return };
--- a/crates/net/src/plain.rs
+++ b/crates/net/src/plain.rs
@@ -38,16 +38,21 @@
     }
     /// Ends a plain connection once its queued bytes are out.
     pub fn end(&mut self, conn: ConnId) {
-        if let Some((raw, waker)) = self.raw(conn) {
-            raw.ending = Ending::Close;
-            waker.wake_by_ref();
-        }
+        self.end_as(conn, Ending::Close);
     }
     /// Ends our direction of a plain connection once its queued bytes are out, then drops what comes until the peer ends
     /// it or `close`: a close over unread bytes would take the last answer from the peer.
     pub fn linger(&mut self, conn: ConnId) {
+        self.end_as(conn, Ending::Linger);
+    }
+    /// Ends our direction of a plain connection once its queued bytes are out, and reads nothing more: what its peer still sends
+    /// was never taken.
+    pub fn leave(&mut self, conn: ConnId) {
+        self.end_as(conn, Ending::Leave);
+    }
+    fn end_as(&mut self, conn: ConnId, ending: Ending) {
         if let Some((raw, waker)) = self.raw(conn) {
-            raw.ending = Ending::Linger;
+            raw.ending = ending;
             waker.wake_by_ref();
         }
     }
@@ -55,6 +60,16 @@
     pub fn is_quiet(&mut self, conn: ConnId) -> bool {
         self.raw(conn).is_some_and(|(raw, _)| raw.is_quiet())
     }
+    /// Closes a plain connection on which nothing waits, neither to go out nor to be read; whether it did. To be asked after a
+    /// turn's events were dealt with: bytes among them were read already.
+    pub fn close_if_quiet(&mut self, conn: ConnId) -> bool {
+        let quiet =
+            self.raw(conn).is_some_and(|(raw, _)| raw.flush().is_ok() && raw.unsent() == 0 && raw.is_quiet());
+        if quiet {
+            self.close(conn);
+        }
+        quiet
+    }
 
     pub(crate) fn write_dirty(&mut self) {
         for key in std::mem::take(&mut self.dirty) {
--- a/crates/net/src/raw.rs
+++ b/crates/net/src/raw.rs
@@ -19,6 +19,8 @@
     Close,
     /// Alone: what comes is dropped until the peer ends too.
     Linger,
+    /// Alone: what comes is left unread until the peer ends too.
+    Leave,
 }
 
 pub(crate) struct Raw {
@@ -70,6 +72,10 @@
             _ if !self.out.is_empty() => Step::Wait,
             Ending::Close => Step::Close("closed here".to_string()),
             Ending::Linger => self.drop_input(),
+            Ending::Leave => match self.shut_write() && !self.ends {
+                true => Step::Wait,
+                false => Step::Close("closed by the peer".to_string()),
+            },
         }
     }
 
@@ -89,8 +95,13 @@
         }
     }
 
+    /// Ends our direction once; whether the connection still stands.
+    fn shut_write(&mut self) -> bool {
+        std::mem::replace(&mut self.shut, true) || self.stream.shutdown(Shutdown::Write).is_ok()
+    }
+
     fn drop_input(&mut self) -> Step {
-        if !std::mem::replace(&mut self.shut, true) && self.stream.shutdown(Shutdown::Write).is_err() {
+        if !self.shut_write() {
             return Step::Close("closed by the peer".to_string());
         }
         for _ in 0..DROPS {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -26,6 +26,12 @@
 const STALLED: u64 = 10_000_000;
 /// A client that never said a word so long after it came is the first to go.
 const WORDLESS: u64 = 50_000;
+/// Connections end one after another over this time after a stop began to let them go, so that their clients do not all come
+/// to the other gateways at once.
+const LET_GO: u64 = 250_000;
+/// A connection that was never between two requests by then is read no further: a client that always has a command on the way
+/// would be served for good.
+const LAST_READ: u64 = 330_000;
 
 #[derive(Default)]
 struct Session {
@@ -37,10 +43,12 @@
     paused: bool,
     /// It has its place in `Front::resumed`.
     resumes: bool,
-    /// Nothing more is read: an error was told or the gateway stops.
+    /// Nothing more is read: an error was told or it was asked to end.
     over: bool,
     /// Since when it may read the error that it was told of.
     lingers: Option<u64>,
+    /// Nothing more is read, and it ends with its last answer: the gateway stops.
+    leaves: bool,
     spoke: bool,
     came: u64,
     /// When it last began, continued or was answered.
@@ -53,6 +61,12 @@
     fn between_requests(&self) -> bool {
         self.answers.pending() == 0 && self.bytes.is_empty() && self.lingers.is_none()
     }
+
+    /// Whether it may go by now: its turn of the stop has come, and one that is new had time for its first command.
+    fn may_go(&self, conn: ConnId, since: u64, now: u64) -> bool {
+        let turn = since + (conn.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % LET_GO;
+        now >= turn && (self.spoke || now >= self.came + WORDLESS)
+    }
 }
 
 /// A command that came, by the connection and the slot of its answer.
@@ -71,13 +85,14 @@
     held_bytes: usize,
     /// Paused connections that may go on, each once.
     resumed: Vec<ConnId>,
-    stopping: bool,
+    /// Since when connections are let go.
+    stopping: Option<u64>,
 }
 
 impl Front {
     pub(crate) fn new(most: usize, most_bytes: usize) -> Front {
         let (sessions, resumed) = Default::default();
-        Front { sessions, most, most_bytes, held_bytes: 0, resumed, stopping: false }
+        Front { sessions, most, most_bytes, held_bytes: 0, resumed, stopping: None }
     }
 
     /// A client came.
@@ -125,7 +140,7 @@
         }
         match take(&mut session.bytes, &BOUNDS) {
             Taken::Partial => {
-                if std::mem::take(&mut session.paused) {
+                if std::mem::take(&mut session.paused) && !session.leaves {
                     engine.pause(conn, false);
                 }
                 None
@@ -185,9 +200,6 @@
         if session.over && session.lingers.is_none() {
             session.lingers = Some(engine.now());
             engine.linger(conn);
-        } else if self.stopping && session.bytes.is_empty() {
-            session.over = true;
-            engine.end(conn);
         }
     }
 
@@ -245,20 +257,47 @@
         paused.into_iter().for_each(|conn| self.resume(engine, conn));
     }
 
-    /// From here on a connection ends once it is between two requests.
-    pub(crate) fn stop(&mut self, engine: &mut Engine) {
-        self.stopping = true;
-        let mut idle: Vec<ConnId> =
-            self.sessions.iter().filter(|(_, s)| s.between_requests()).map(|(c, _)| *c).collect();
+    /// From here on connections are let go, each once it is between two requests.
+    pub(crate) fn stop(&mut self, now: u64) {
+        self.stopping.get_or_insert(now);
+    }
+
+    /// Ends the connections whose turn has come. Guards requests that were read, or that wait unread, from an end that crosses them:
+    /// to be called when all events of a turn were dealt with.
+    pub(crate) fn let_go(&mut self, engine: &mut Engine) {
+        let (Some(since), now) = (self.stopping, engine.now()) else { return };
+        let (mut idle, mut busy) = (Vec::new(), Vec::new());
+        for (conn, session) in self.sessions.iter().filter(|(c, s)| !s.over && s.may_go(**c, since, now)) {
+            if session.between_requests() && !session.leaves {
+                idle.push(*conn);
+            } else if now >= since + LAST_READ && session.bytes.is_empty() {
+                busy.push(*conn);
+            }
+        }
         idle.sort_unstable();
         for conn in idle {
-            self.sessions.get_mut(&conn).into_iter().for_each(|s| s.over = true);
-            engine.end(conn);
+            if engine.close_if_quiet(conn) {
+                self.sessions.remove(&conn);
+            }
         }
+        busy.sort_unstable();
+        busy.into_iter().for_each(|conn| self.leave(engine, conn));
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.sessions.len()
+    fn leave(&mut self, engine: &mut Engine, conn: ConnId) {
+        let Some(session) = self.sessions.get_mut(&conn) else { return };
+        if !std::mem::replace(&mut session.leaves, true) {
+            engine.pause(conn, true);
+        }
+        if session.answers.pending() == 0 {
+            session.over = true;
+            session.lingers = Some(engine.now());
+            engine.leave(conn);
+        }
+    }
+
+    pub(crate) fn lets_go(&self) -> bool {
+        self.stopping.is_some()
     }
 }
 
@@ -288,129 +327,6 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use chalkdeck_net::clock::{Clock, Jumps};
-    use chalkdeck_net::{Event, Limits};
-    use std::io::{Read, Write};
-    use std::net::{SocketAddr, TcpStream};
-    use std::sync::Arc;
-
-    const SECOND: i64 = 1_000_000;
-
-    /// The front with one client, and the clock in hand.
-    struct Stand {
-        engine: Engine,
-        front: Front,
-        jumps: Arc<Jumps>,
-        client: TcpStream,
-        conn: ConnId,
-        closed: bool,
-    }
-
-    impl Stand {
-        fn new() -> Stand {
-            let jumps = Arc::<Jumps>::default();
-            let mut engine = Engine::with_clock(Clock::jumping(jumps.clone())).expect("a poll handle");
-            let any = SocketAddr::from(([127, 0, 0, 1], 0));
-            let (_, address) = engine.listen_raw(any, Limits::default()).expect("a free port");
-            let client = TcpStream::connect(address).expect("a connection");
-            let mut front = Front::new(8, 1 << 20);
-            let conn = loop {
-                let mut events = Vec::new();
-                engine.turn(10_000, &mut events).expect("a turn");
-                let came = |e: &Event| if let Event::Accepted { conn, .. } = e { Some(*conn) } else { None };
-                if let Some(conn) = events.iter().find_map(came) {
-                    break conn;
-                }
-            };
-            front.accepted(&mut engine, conn);
-            Stand { engine, front, jumps, client, conn, closed: false }
-        }
-
-        fn turn(&mut self) {
-            let mut events = Vec::new();
-            self.engine.turn(0, &mut events).expect("a turn");
-            self.closed |= events.iter().any(|e| matches!(e, Event::Closed { .. }));
-        }
-
-        /// A command came and was answered; the answer is queued.
-        fn answers(&mut self, value: usize) {
-            self.front.bytes(&mut self.engine, self.conn, b"*1\r\n$4\r\nPING\r\n");
-            let Came { slot, .. } = self.front.next(&mut self.engine, self.conn).expect("a whole command");
-            self.front.answer(self.conn, slot, Frame::BulkString(vec![b'v'; value].into()));
-            self.front.flush(&mut self.engine, self.conn);
-        }
-
-        fn sweeps_after(&mut self, micros: i64) -> bool {
-            self.jumps.jump(micros);
-            self.front.sweep(&mut self.engine);
-            self.turn();
-            self.closed
-        }
-    }
-
-    #[test]
-    fn an_answer_queued_in_this_turn_is_not_what_its_client_left_unread() {
-        let mut stand = Stand::new();
-        stand.answers(4);
-        assert!(!stand.sweeps_after(0), "closed over its first answer");
-        let mut came = [0; 10];
-        stand.client.read_exact(&mut came).expect("the whole answer");
-        assert_eq!(&came, b"$4\r\nvvvv\r\n");
-    }
-
-    #[test]
-    fn a_client_is_given_its_time_from_when_it_stopped_taking_bytes() {
-        let mut stand = Stand::new();
-        assert!(!stand.sweeps_after(0));
-        stand.jumps.jump(9 * SECOND);
-        stand.answers(32 << 20);
-        stand.turn();
-        assert!(!stand.sweeps_after(2 * SECOND), "the last look before was long ago");
-        assert!(!stand.sweeps_after(9 * SECOND));
-        assert!(stand.sweeps_after(2 * SECOND), "it never took a byte");
-    }
-
-    #[test]
-    fn a_client_that_reads_more_slowly_than_it_asks_is_not_taken_for_one_that_stopped() {
-        let mut stand = Stand::new();
-        stand.client.set_nonblocking(true).expect("a socket");
-        stand.front.bytes(&mut stand.engine, stand.conn, &b"*1\r\n$4\r\nPING\r\n".repeat(7));
-        let mut slots: Vec<u64> = Vec::new();
-        while let Some(Came { slot, .. }) = stand.front.next(&mut stand.engine, stand.conn) {
-            slots.push(slot);
-        }
-        for slot in slots {
-            stand.front.answer(stand.conn, slot, Frame::BulkString(vec![b'v'; 8 << 20].into()));
-            stand.front.flush(&mut stand.engine, stand.conn);
-            let mut some = vec![0; 4 << 20];
-            let mut taken = 0;
-            while taken < 1 << 20 {
-                stand.turn();
-                taken += stand.client.read(&mut some).unwrap_or(0);
-            }
-            assert!(!stand.sweeps_after(4 * SECOND), "it took {taken} bytes since the last look");
-        }
-    }
-
-    #[test]
-    fn what_came_unread_while_the_gateway_stood_still_is_read_before_its_client_counts_as_silent() {
-        let mut stand = Stand::new();
-        stand.client.write_all(b"*1\r\n$4\r\nPING\r\n").expect("it is sent");
-        while stand.engine.is_quiet(stand.conn) {}
-        assert!(!stand.sweeps_after(3 * SECOND), "closed with a command waiting");
-        let mut other = Stand::new();
-        assert!(other.sweeps_after(3 * SECOND), "it never said a word");
-    }
-
-    #[test]
-    fn a_first_command_that_trickles_in_is_not_waited_for_without_end() {
-        let mut stand = Stand::new();
-        for byte in b"*1" {
-            assert!(!stand.sweeps_after(900_000));
-            stand.front.bytes(&mut stand.engine, stand.conn, &[*byte]);
-        }
-        assert!(stand.sweeps_after(300_000), "its first command is still to come");
-    }
-}
+mod stops;
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -27,8 +27,10 @@
 const LONGEST_WAIT: u64 = 100_000;
 /// How often connections are looked at that stand still.
 const SWEEP: u64 = 250_000;
-/// New connections still come so long after SIGTERM, and are served.
-const STOP_SERVES: u64 = 550_000;
+/// New connections still come so long after SIGTERM, and are served; then connections are let go one after another.
+const STOP_SERVES: u64 = 420_000;
+/// How often a stopping gateway looks whether connections can go.
+const STOP_LOOK: u64 = 5_000;
 /// Descriptors set aside for the loop, logs, the listener, discovery and the counter (old and new addresses).
 const SET_ASIDE: usize = 32;
 /// Of the others so many hundredths are clients'; the rest are the backends'.
@@ -44,6 +46,7 @@
     Count,
     Look(u64),
     Sweep,
+    Stop,
 }
 
 /// A request without its final answer.
@@ -74,8 +77,8 @@
     counts_watched: bool,
     discovery: Discovery,
     events: Vec<NetEvent>,
-    /// When SIGTERM came, and whether clients are being let go.
-    stop: Option<(u64, bool)>,
+    /// When SIGTERM came.
+    stop: Option<u64>,
 }
 
 impl Shell {
@@ -149,24 +152,24 @@
     pub fn stop(&mut self) {
         if self.stop.is_none() {
             tracing::info!(open = self.calls.len(), "stopping: serves what still comes, then ends");
-            self.stop = Some((self.engine.now(), false));
+            self.stop = Some(self.engine.now());
+            self.due_in(STOP_SERVES, Due::Stop);
         }
     }
 
-    /// Lets clients go when no new ones come any more; whether all is done.
-    pub fn stopped(&mut self) -> bool {
-        let Some((since, letting_go)) = self.stop else { return false };
-        let gone = self.engine.now().saturating_sub(since);
-        if gone < STOP_SERVES {
-            return false;
-        }
-        if !letting_go {
-            self.stop = Some((since, true));
-            self.front.stop(&mut self.engine);
-            self.engine.unlisten(self.listener);
-        }
+    /// Whether a stop is over: all clients are let go, or the longest deadline has passed.
+    pub fn stopped(&self) -> bool {
+        let Some(gone) = self.stop.map(|since| self.engine.now().saturating_sub(since)) else { return false };
         let longest = self.config.settings().classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
-        letting_go && self.front.len() == 0 || gone >= STOP_SERVES + longest
+        let alone = || self.front.lets_go() && self.engine.held_by(self.listener) == 0;
+        alone() || gone >= STOP_SERVES + longest
+    }
+
+    /// No new connections come any more: those that stand are let go.
+    fn stop_on(&mut self) {
+        self.engine.unlisten(self.listener);
+        self.front.stop(self.engine.now());
+        self.due_in(STOP_LOOK, Due::Stop);
     }
 
     /// Waits for what happens, at most so many microseconds, and deals with it.
@@ -184,6 +187,7 @@
             self.commands(conn);
             self.settle();
         }
+        self.front.let_go(&mut self.engine);
         Ok(())
     }
 
@@ -261,6 +265,7 @@
                 let news = self.discovery.due(&mut self.engine, call);
                 news.into_iter().for_each(|n| self.news(n));
             }
+            Some(Due::Stop) => self.stop_on(),
             Some(Due::Sweep) => {
                 self.due_in(SWEEP, Due::Sweep);
                 self.backends.sweep(&mut self.engine);
