Stops: a connection that is read no further is closed, not only ended in one direction

Cause: Front::leave ended our direction after the last answer and waited for the client; the client went on sending and nobody read it. Ruled out: the ends in let_go (at most 0.75 s after SIGTERM). Now such a connection closes at once when nothing waits, else 50 ms after its client could hear of the end.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -32,6 +32,8 @@
 /// A connection that was never between two requests by then is read no further: a client that always has a command on the way
 /// would be served for good.
 const LAST_READ: u64 = 330_000;
+/// How long its client may take to hear of such an end.
+const LEAVE: u64 = 50_000;
 
 #[derive(Default)]
 struct Session {
@@ -270,7 +272,7 @@
         for (conn, session) in self.sessions.iter().filter(|(c, s)| !s.over && s.may_go(**c, since, now)) {
             if session.between_requests() && !session.leaves {
                 idle.push(*conn);
-            } else if now >= since + LAST_READ && session.bytes.is_empty() {
+            } else if now >= since + LAST_READ && session.bytes.is_empty() || session.leaves {
                 busy.push(*conn);
             }
         }
@@ -284,15 +286,26 @@
         busy.into_iter().for_each(|conn| self.leave(engine, conn));
     }
 
+    /// Reads nothing more of a connection and ends it with its last answer. What its client has sent beyond that was never read,
+    /// and it hears of the end before the reset that bytes left unread bring about: that could take the answer along.
     fn leave(&mut self, engine: &mut Engine, conn: ConnId) {
         let Some(session) = self.sessions.get_mut(&conn) else { return };
         if !std::mem::replace(&mut session.leaves, true) {
             engine.pause(conn, true);
         }
-        if session.answers.pending() == 0 {
-            session.over = true;
-            session.lingers = Some(engine.now());
+        if session.answers.pending() > 0 {
+            return;
+        }
+        if engine.close_if_quiet(conn) {
+            self.sessions.remove(&conn);
+            return;
+        }
+        let since = *session.lingers.get_or_insert_with(|| {
             engine.leave(conn);
+            engine.now()
+        });
+        if engine.now() >= since + LEAVE {
+            engine.close(conn);
         }
     }
 
--- a/crates/platform/src/front/stops.rs
+++ b/crates/platform/src/front/stops.rs
@@ -144,7 +144,7 @@
                 self.jumps.jump(rng.i64(0..60_000));
             }
             self.turn(&mut rng);
-            if step >= stop_at && self.clients.values().all(|c| c.over) {
+            if step >= stop_at && self.clients.values().all(|c| c.over) && self.engine.held().0 == 0 {
                 break;
             }
         }
@@ -154,7 +154,9 @@
             (taken != c.answers || c.read % PING.len() > 0 || !c.over).then_some(told)
         });
         self.open.clear();
-        lost
+        // One that only ended its own direction would leave what its client still sends without an answer.
+        lost.or((self.engine.held().0 > 0)
+            .then(|| "a connection stands though its client has heard its end".into()))
     }
 }
 
