--- a/crates/net/src/plain.rs
+++ b/crates/net/src/plain.rs
@@ -45,11 +45,6 @@
     pub fn linger(&mut self, conn: ConnId) {
         self.end_as(conn, Ending::Linger);
     }
-    /// Ends our direction of a plain connection once its queued bytes are out, and reads nothing more: what its peer still sends
-    /// was never taken.
-    pub fn leave(&mut self, conn: ConnId) {
-        self.end_as(conn, Ending::Leave);
-    }
     fn end_as(&mut self, conn: ConnId, ending: Ending) {
         if let Some((raw, waker)) = self.raw(conn) {
             raw.ending = ending;
--- a/crates/net/src/raw.rs
+++ b/crates/net/src/raw.rs
@@ -19,8 +19,6 @@
     Close,
     /// Alone: what comes is dropped until the peer ends too.
     Linger,
-    /// Alone: what comes is left unread until the peer ends too.
-    Leave,
 }
 
 pub(crate) struct Raw {
@@ -72,10 +70,6 @@
             _ if !self.out.is_empty() => Step::Wait,
             Ending::Close => Step::Close("closed here".to_string()),
             Ending::Linger => self.drop_input(),
-            Ending::Leave => match self.shut_write() && !self.ends {
-                true => Step::Wait,
-                false => Step::Close("closed by the peer".to_string()),
-            },
         }
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -29,11 +29,6 @@
 /// Connections end one after another over this time after a stop began to let them go, so that their clients do not all come
 /// to the other gateways at once.
 const LET_GO: u64 = 250_000;
-/// A connection that was never between two requests by then is read no further: a client that always has a command on the way
-/// would be served for good.
-const LAST_READ: u64 = 330_000;
-/// How long its client may take to hear of such an end.
-const LEAVE: u64 = 50_000;
 
 #[derive(Default)]
 struct Session {
@@ -49,8 +44,6 @@
     over: bool,
     /// Since when it may read the error that it was told of.
     lingers: Option<u64>,
-    /// Nothing more is read, and it ends with its last answer: the gateway stops.
-    leaves: bool,
     spoke: bool,
     came: u64,
     /// When it last began, continued or was answered.
@@ -142,7 +135,7 @@
         }
         match take(&mut session.bytes, &BOUNDS) {
             Taken::Partial => {
-                if std::mem::take(&mut session.paused) && !session.leaves {
+                if std::mem::take(&mut session.paused) {
                     engine.pause(conn, false);
                 }
                 None
@@ -268,45 +261,16 @@
     /// to be called when all events of a turn were dealt with.
     pub(crate) fn let_go(&mut self, engine: &mut Engine) {
         let (Some(since), now) = (self.stopping, engine.now()) else { return };
-        let (mut idle, mut busy) = (Vec::new(), Vec::new());
-        for (conn, session) in self.sessions.iter().filter(|(c, s)| !s.over && s.may_go(**c, since, now)) {
-            if session.between_requests() && !session.leaves {
-                idle.push(*conn);
-            } else if now >= since + LAST_READ && session.bytes.is_empty() || session.leaves {
-                busy.push(*conn);
-            }
-        }
+        let goes = |(conn, s): (&ConnId, &Session)| {
+            (s.between_requests() && !s.over && s.may_go(*conn, since, now)).then_some(*conn)
+        };
+        let mut idle: Vec<ConnId> = self.sessions.iter().filter_map(goes).collect();
         idle.sort_unstable();
         for conn in idle {
             if engine.close_if_quiet(conn) {
                 self.sessions.remove(&conn);
             }
         }
-        busy.sort_unstable();
-        busy.into_iter().for_each(|conn| self.leave(engine, conn));
-    }
-
-    /// Reads nothing more of a connection and ends it with its last answer. What its client has sent beyond that was never read,
-    /// and it hears of the end before the reset that bytes left unread bring about: that could take the answer along.
-    fn leave(&mut self, engine: &mut Engine, conn: ConnId) {
-        let Some(session) = self.sessions.get_mut(&conn) else { return };
-        if !std::mem::replace(&mut session.leaves, true) {
-            engine.pause(conn, true);
-        }
-        if session.answers.pending() > 0 {
-            return;
-        }
-        if engine.close_if_quiet(conn) {
-            self.sessions.remove(&conn);
-            return;
-        }
-        let since = *session.lingers.get_or_insert_with(|| {
-            engine.leave(conn);
-            engine.now()
-        });
-        if engine.now() >= since + LEAVE {
-            engine.close(conn);
-        }
     }
 
     pub(crate) fn lets_go(&self) -> bool {
--- a/crates/platform/src/front/stops.rs
+++ b/crates/platform/src/front/stops.rs
@@ -43,9 +43,10 @@
             }
         };
         self.answers += heard;
-        if !self.over
-            && (heard > 0 && rng.u8(..) < 200 || !self.sent.is_multiple_of(PING.len()) || rng.u8(..) < 20)
-        {
+        // Now and then it has nothing out: one that always has is served up to the longest deadline.
+        let half = !self.sent.is_multiple_of(PING.len());
+        let few = self.sent / PING.len() < self.answers + 3;
+        if !self.over && (half || few && (heard > 0 && rng.u8(..) < 200 || rng.u8(..) < 20)) {
             self.sends(rng);
         }
     }
