Stops: ends with the last answer it owes, not 0.42 s and the longest deadline after SIGTERM

Cause: Shell::stopped ended the process then, also over requests that had come later than 0.42 s, on connections that are never idle because a quarter of the backends hang. Now it ends when all clients are let go.

--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -29,6 +29,11 @@
 const SWEEP: u64 = 250_000;
 /// New connections still come so long after SIGTERM, and are served; then connections are let go one after another.
 const STOP_SERVES: u64 = 420_000;
+/// The platform kills a gateway so long after SIGTERM and the longest deadline, of which it counts three seconds at most.
+const KILLED: u64 = 700_000;
+const KILLED_COUNTS: u64 = 3_000_000;
+/// What comes during a stop has its answer so long before that.
+const KILLED_SPARE: u64 = 60_000;
 /// How often a stopping gateway looks whether connections can go.
 const STOP_LOOK: u64 = 5_000;
 /// Descriptors set aside for the loop, logs, the listener, discovery and the counter (old and new addresses).
@@ -157,12 +162,21 @@
         }
     }
 
-    /// Whether a stop is over: all clients are let go, or the longest deadline has passed.
+    /// Whether a stop is over: all clients are let go, or all that was taken before it must have had its answer.
     pub fn stopped(&self) -> bool {
-        let Some(gone) = self.stop.map(|since| self.engine.now().saturating_sub(since)) else { return false };
-        let longest = self.config.settings().classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
-        let alone = || self.front.lets_go() && self.engine.held_by(self.listener) == 0;
-        alone() || gone >= STOP_SERVES + longest
+        let Some(since) = self.stop else { return false };
+        let alone = self.front.lets_go() && self.engine.held_by(self.listener) == 0;
+        alone || self.engine.now() >= since + KILLED + self.longest_deadline()
+    }
+
+    fn longest_deadline(&self) -> u64 {
+        self.config.settings().classes.iter().map(|c| c.deadline.0).max().unwrap_or(0)
+    }
+
+    /// When what comes now has to be answered at the latest: a stopping gateway does not outlive its patience.
+    fn ends_by(&self) -> u64 {
+        let patience = KILLED - KILLED_SPARE + self.longest_deadline().min(KILLED_COUNTS);
+        self.stop.map_or(u64::MAX, |since| since + patience)
     }
 
     /// No new connections come any more: those that stand are let go.
@@ -393,10 +407,11 @@
         }
         let id = RequestId(self.next_id + 1);
         let bytes = words.iter().map(Bytes::len).sum();
-        let (command, arrival) = match request::read(words, id, self.engine.now(), &self.config.read) {
+        let (command, mut arrival) = match request::read(words, id, self.engine.now(), &self.config.read) {
             Ok(read) => read,
             Err(why) => return Some(error(&why)),
         };
+
         if self.ids.contains_key(command.id()) {
             return Some(error("id: expected one that no open request has"));
         }
--- a/crates/platform/tests/peers.rs
+++ b/crates/platform/tests/peers.rs
@@ -364,6 +364,35 @@
     assert!(stage.closed.contains(&busy) || stage.heard.is_empty() || !stage.heard.contains_key(&busy));
 }
 
+#[test]
+fn what_comes_late_into_a_stop_has_its_answer_before_the_platform_kills_it() {
+    let mut stage = Stage::new(6, WIDE);
+    let busy = stage.client();
+    let sale = SALE.replace("d=2000", "d=3000");
+    stage.ask(busy, "n1", &sale);
+    stage.arrived();
+    stage.shell.stop();
+    // On a connection that is never between two requests, with backends that are silent.
+    let mut waits = Vec::new();
+    for (after, id) in [(600_000, "n2"), (400_000, "n3")] {
+        stage.jumps.jump(after);
+        stage.ask(busy, id, &sale);
+        let (_, words) = stage.arrived();
+        let list = String::from_utf8_lossy(&words[3]).into_owned();
+        let wait = list.split(',').find_map(|p| p.strip_prefix("d=")?.parse::<u64>().ok());
+        waits.push(wait.expect("it states the time"));
+    }
+    // The second's own time would be over 4 s after the stop; the platform's patience ends at 3.7 s.
+    assert!(waits[0] > 2_800 && waits[1] <= 2_640, "{waits:?}");
+    // 3.45 s after the stop: the first has failed at its deadline, two are open.
+    stage.jumps.jump(2_450_000);
+    stage.hears(busy, "-ERR failed\r\n");
+    assert!(!stage.shell.stopped(), "two that it took are open");
+    stage.jumps.jump(200_000);
+    stage.hears(busy, "-ERR failed\r\n-ERR failed\r\n");
+    stage.until("all is over", |s| s.shell.stopped().then_some(()));
+}
+
 #[test]
 fn without_discovery_and_counter_the_known_list_and_the_local_share_serve() {
     let mut stage = Stage::new(1, WIDE);
