--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -411,7 +411,7 @@
             Ok(read) => read,
             Err(why) => return Some(error(&why)),
         };
-
+        arrival.deadline.0 = arrival.deadline.0.min(self.ends_by());
         if self.ids.contains_key(command.id()) {
             return Some(error("id: expected one that no open request has"));
         }
