Discovery: HTTP by ureq-proto, times that follow the grace; typed errors of resp, net, platform

A call waits a quarter of the settings' grace and is given up a fifth later. HTTP was read by hand above httparse; ureq-proto does it now, without I/O, so lengths, chunks and ends are no longer ours.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,15 +1,17 @@
 //! `chalkdeck`: the gateway, its checks and its demo.
 #![forbid(unsafe_code)]
 
+mod failure;
 mod site;
 
 use chalkdeck_gateway::{logs, Settings};
-use chalkdeck_lab::cli::{exit, Command as Lab};
+use chalkdeck_lab::cli::Command as Lab;
 use chalkdeck_lab::rig::demo::DemoArgs;
 use chalkdeck_lab::rig::serve::{serve, ServeArgs};
 use chalkdeck_net::signals::Signals;
 use chalkdeck_platform::{Config, Shell};
 use clap::{Parser, Subcommand};
+use failure::Failure;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -47,7 +49,7 @@
     Lab(Lab),
 }
 
-fn platform() -> anyhow::Result<()> {
+fn platform() -> Result<(), Failure> {
     logs::start("info", false);
     let config = Config::from_env()?;
     let signals = Signals::take()?;
@@ -55,17 +57,29 @@
     Ok(Shell::start(config)?.run(&signals)?)
 }
 
-fn main() -> ExitCode {
-    exit(match Cli::parse().command {
-        Command::Serve(args) => serve(&args),
-        Command::Platform => platform(),
+fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Serve(args) => serve(&args)?,
+        Command::Platform => platform()?,
         Command::Check { config } => {
-            Settings::load(&config).map(|_| println!("{}: ok", config.display())).map_err(Into::into)
+            Settings::load(&config).map_err(anyhow::Error::from)?;
+            println!("{}: ok", config.display());
+        }
+        Command::Demo(args) => Lab::Demo(args).run_as(&["lab"])?,
+        Command::Counter(command) => command.run()?,
+        Command::Site { word } => site::run(&word)?,
+        Command::Plan(command) => command.run()?,
+        Command::Lab(command) => command.run_as(&["lab"])?,
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::FAILURE
         }
-        Command::Demo(args) => Lab::Demo(args).run_as(&["lab"]),
-        Command::Counter(command) => command.run(),
-        Command::Site { word } => site::run(&word),
-        Command::Plan(command) => command.run(),
-        Command::Lab(command) => command.run_as(&["lab"]),
-    })
+    }
 }
--- a/crates/client/src/driver.rs
+++ b/crates/client/src/driver.rs
@@ -4,7 +4,7 @@
 use crate::handle::{Call, Command, Done, Live, Reply};
 use crate::stats::Counters;
 use crate::stream::{StreamEvent, MOST_QUEUED};
-use crate::wire::{addresses_of, end_of, head};
+use crate::wire::{addresses_of, end_of, head, FileError};
 use bytes::Bytes;
 use chalkdeck_net::grpc::{self, Code, FrameError};
 use chalkdeck_net::unary::Gather;
@@ -169,7 +169,7 @@
         let Some(watch) = &mut self.watch else { return };
         self.engine.timer(self.engine.now() + LOOK, LOOK_TOKEN);
         let Some(bytes) = watch.look() else { return };
-        match bytes.and_then(|b| addresses_of(&b)) {
+        match bytes.map_err(FileError::from).and_then(|b| addresses_of(&b)) {
             Ok(addresses) => self.relist(addresses),
             Err(why) => {
                 tracing::error!(file = %watch.path().display(), "the last good list of gateways stays: {why}")
--- a/crates/client/src/wire.rs
+++ b/crates/client/src/wire.rs
@@ -3,6 +3,7 @@
 use crate::core::TryEnd;
 use crate::handle::Call;
 use chalkdeck_net::grpc::{self, Code};
+use chalkdeck_net::watch::WatchError;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use std::net::SocketAddr;
 
@@ -38,18 +39,28 @@
     }
 }
 
+/// Why a file of gateways is not taken over; the last good one stays.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum FileError {
+    #[error(transparent)]
+    Read(#[from] WatchError),
+    #[error("expected UTF-8 text")]
+    Text(#[from] std::str::Utf8Error),
+    #[error("line {line}: expected ip:port, found '{found}'")]
+    Address { line: usize, found: String },
+}
+
 /// The gateways of a file's text. Errors name the line.
-pub(crate) fn addresses_of(bytes: &[u8]) -> Result<Vec<SocketAddr>, String> {
-    let text = std::str::from_utf8(bytes).map_err(|_| "expected UTF-8 text".to_string())?;
+pub(crate) fn addresses_of(bytes: &[u8]) -> Result<Vec<SocketAddr>, FileError> {
+    let text = std::str::from_utf8(bytes)?;
     let mut addresses = Vec::new();
     for (i, line) in text.lines().enumerate() {
         let line = line.split('#').next().unwrap_or("").trim();
         if line.is_empty() {
             continue;
         }
-        let address =
-            line.parse().map_err(|_| format!("line {}: expected ip:port, found '{line}'", i + 1))?;
-        addresses.push(address);
+        let wrong = |_| FileError::Address { line: i + 1, found: line.to_string() };
+        addresses.push(line.parse().map_err(wrong)?);
     }
     Ok(addresses)
 }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -2,6 +2,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod fields;
+pub mod fields;
 pub mod settings;
 pub mod wire;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -7,6 +7,7 @@
 pub use crate::base::server::Server;
 use crate::base::server::{number_of, zone_of};
 use chalkdeck::api::{CellId, Listed, Micros, ServerEntry, ServerId};
+use chalkdeck_net::watch::WatchError;
 use chalkdeck_proto::envoy::config::core::v3::{address, socket_address, HealthStatus};
 use chalkdeck_proto::envoy::config::endpoint::v3::{
     lb_endpoint, ClusterLoadAssignment, LbEndpoint, LocalityLbEndpoints,
@@ -28,6 +29,17 @@
 #[error("{0}")]
 pub struct ListError(String);
 
+/// Why a watched list is not taken over.
+#[derive(Debug, thiserror::Error)]
+pub enum LookError {
+    /// Its file was not read.
+    #[error(transparent)]
+    Read(#[from] WatchError),
+    /// It is no list.
+    #[error(transparent)]
+    List(#[from] ListError),
+}
+
 fn bad<T>(what: impl Into<String>) -> Result<T, ListError> {
     Err(ListError(what.into()))
 }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -6,7 +6,7 @@
 use crate::calls::Calls;
 use crate::counter::Told;
 use crate::counters::{Counters, News};
-use crate::endpoints;
+use crate::endpoints::{self, LookError};
 use crate::entry::Entry;
 use crate::fault::Fault;
 use crate::metrics::Metrics;
@@ -327,8 +327,8 @@
         self.due_in(self.set.poll, Due::Look);
         self.pool.close_idle(&mut self.engine);
         let Some(bytes) = self.watch.look() else { return };
-        let list = bytes.and_then(|b| endpoints::read(self.watch.path(), &b).map_err(|e| e.to_string()));
-        match list {
+        let list = |b: Vec<u8>| endpoints::read(self.watch.path(), &b).map_err(LookError::from);
+        match bytes.map_err(LookError::from).and_then(list) {
             Ok(servers) => {
                 tracing::info!(servers = servers.len(), "server list read");
                 self.metrics.servers.set(servers.len() as i64);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,7 +1,8 @@
 //! What the platform tells a gateway: variables and one JSON file. The settings go through the drill's own reader.
 
 use crate::list::{self, List};
-use chalkdeck::api::Settings;
+use chalkdeck::api::{Settings, SettingsError};
+use chalkdeck_drill::fields::WireError;
 use chalkdeck_drill::settings::{self, Read};
 use serde::Deserialize;
 use serde_json::Value;
@@ -15,13 +16,83 @@
 const MOST_BYTES: u64 = 16 << 20;
 
 /// What is wrong with a configuration, and where.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
 #[error("{place}: {what}")]
 pub struct ConfigError {
     /// The variable or the file.
     pub place: String,
     /// What was found there and what was expected.
-    pub what: String,
+    #[diagnostic_source]
+    pub what: Fault,
+}
+
+/// What is wrong with a configuration.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum Fault {
+    /// The variable is not there.
+    #[error("expected the path of the configuration")]
+    #[diagnostic(
+        code(chalkdeck::config::variable),
+        help("set ROUTER_CONFIG to the path of the gateway's JSON file")
+    )]
+    Variable,
+    /// The file is not given by the system.
+    #[error("cannot be read: {0}")]
+    #[diagnostic(
+        code(chalkdeck::config::read),
+        help("see that the file is there and that this user may read it")
+    )]
+    Read(#[from] std::io::Error),
+    /// The file is too long.
+    #[error("expected at most {MOST_BYTES} bytes, found {0}")]
+    #[diagnostic(code(chalkdeck::config::too_long), help("see whether it is the right file"))]
+    TooLong(u64),
+    /// Not the form of a configuration.
+    #[error("expected a configuration: {0}")]
+    #[diagnostic(
+        code(chalkdeck::config::shape),
+        help("the file is JSON with at least `listen`, `discovery` and `settings`; after SIGHUP the earlier one stays in force")
+    )]
+    Shape(#[from] serde_json::Error),
+    /// An address that cannot be read.
+    #[error("{field}: expected ip:port, found '{found}'")]
+    #[diagnostic(
+        code(chalkdeck::config::address),
+        help("give an address and a port, not a name: there is no DNS here")
+    )]
+    Address {
+        /// Its field.
+        field: &'static str,
+        /// What stood there.
+        found: String,
+    },
+    /// A seed that cannot be read.
+    #[error("seed: expected hex digits, found '{0}'")]
+    #[diagnostic(code(chalkdeck::config::seed), help("give at most 16 hex digits, new with each start"))]
+    Seed(String),
+    /// A setting that cannot be read.
+    #[error(transparent)]
+    #[diagnostic(
+        code(chalkdeck::config::setting),
+        help("the place named is a path below `settings`; times are whole numbers of microseconds")
+    )]
+    Setting(#[from] WireError),
+    /// A time that cannot be read.
+    #[error("settings: {path}: expected a whole number of microseconds, found '{found}'")]
+    #[diagnostic(code(chalkdeck::config::time), help("times are whole numbers of microseconds"))]
+    Time {
+        /// Its path.
+        path: &'static str,
+        /// What stood there.
+        found: String,
+    },
+    /// Settings that make no sense together.
+    #[error("settings: {0}")]
+    #[diagnostic(
+        code(chalkdeck::config::settings),
+        help("what is named goes against another setting or against sense: see what the platform tells its gateways")
+    )]
+    Settings(#[from] SettingsError),
 }
 
 /// What the platform grants a gateway.
@@ -89,6 +160,8 @@
     pub dial_timeout: u64,
     /// A backend closes a connection that was idle for so long, in microseconds; 0: never.
     pub idle: u64,
+    /// A drain has to be heard and followed within this after it was told, in microseconds.
+    pub grace: u64,
 }
 
 impl Config {
@@ -96,34 +169,31 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         match std::env::var_os(FILE) {
             Some(file) if !file.is_empty() => Config::load(Path::new(&file)),
-            _ => {
-                Err(ConfigError { place: FILE.into(), what: "expected the path of the configuration".into() })
-            }
+            _ => Err(ConfigError { place: FILE.into(), what: Fault::Variable }),
         }
     }
 
     /// Reads a file. Errors name the field, what was expected and what was found.
     pub fn load(file: &Path) -> Result<Config, ConfigError> {
-        let fail = |what: String| ConfigError { place: file.display().to_string(), what };
-        let size = std::fs::metadata(file).map_err(|e| fail(e.to_string()))?.len();
+        Config::read(file).map_err(|what| ConfigError { place: file.display().to_string(), what })
+    }
+
+    fn read(file: &Path) -> Result<Config, Fault> {
+        let size = std::fs::metadata(file)?.len();
         if size > MOST_BYTES {
-            return Err(fail(format!("expected at most {MOST_BYTES} bytes, found {size}")));
+            return Err(Fault::TooLong(size));
         }
-        let text = std::fs::read(file).map_err(|e| fail(e.to_string()))?;
-        Config::parse(file, &text).map_err(fail)
+        Config::parse(file, &std::fs::read(file)?)
     }
 
-    fn parse(file: &Path, text: &[u8]) -> Result<Config, String> {
-        let told: File =
-            serde_json::from_slice(text).map_err(|e| format!("expected a configuration: {e}"))?;
+    fn parse(file: &Path, text: &[u8]) -> Result<Config, Fault> {
+        let told: File = serde_json::from_slice(text)?;
         let paths = flatten(&told.settings);
-        let mut read = settings::read_paths(&paths).map_err(|e| e.to_string())?;
-        read.settings.check().map_err(|e| format!("settings: {e}"))?;
-        let micros = |path: &str, default: u64| match paths.get(path) {
+        let mut read = settings::read_paths(&paths)?;
+        read.settings.check()?;
+        let micros = |path: &'static str, default: u64| match paths.get(path) {
             None => Ok(default),
-            Some(text) => text.parse::<u64>().map_err(|_| {
-                format!("settings: {path}: expected a whole number of microseconds, found '{text}'")
-            }),
+            Some(text) => text.parse::<u64>().map_err(|_| Fault::Time { path, found: text.clone() }),
         };
         let known = told.known.as_ref().map(|k| list::read(k, &mut read.zones)).transpose();
         if let Err(e) = &known {
@@ -140,6 +210,7 @@
             known: known.unwrap_or_default(),
             dial_timeout: micros("bounds.dial_timeout", 250_000)?,
             idle: micros("bounds.conn_idle", 0)?,
+            grace: micros("rules.stop_sending_within", 2_000_000)?,
             read,
         })
     }
@@ -150,16 +221,14 @@
     }
 }
 
-fn address(field: &str, text: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{field}: expected ip:port, found '{text}'"))
+fn address(field: &'static str, text: &str) -> Result<SocketAddr, Fault> {
+    text.parse().map_err(|_| Fault::Address { field, found: text.to_string() })
 }
 
-fn seed(text: &str) -> Result<u64, String> {
+fn seed(text: &str) -> Result<u64, Fault> {
     match text {
         "" => Ok(0),
-        text => {
-            u64::from_str_radix(text, 16).map_err(|_| format!("seed: expected hex digits, found '{text}'"))
-        }
+        text => u64::from_str_radix(text, 16).map_err(|_| Fault::Seed(text.to_string())),
     }
 }
 
@@ -238,7 +307,7 @@
             ),
             (&file(SETTINGS).replace("\"ff\"", "\"zz\""), "seed: expected hex digits"),
         ] {
-            let error = load(text).expect_err(text);
+            let error = load(text).expect_err(text).to_string();
             assert!(error.contains(want), "{error}");
         }
         let missing = Config::load(Path::new("nowhere/c.json")).expect_err("there is no file");
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,23 +1,106 @@
 //! The watch on discovery: one HTTP/1.1 call after another, each within the time that a watch allows after the last answer.
 //! A broken answer leaves the last good list in force and the whole list is asked for; a silent agent is dialled again.
+//!
+//! HTTP is `ureq-proto`'s, which does no I/O: it says what to write and takes what was read.
 
-use crate::list::{self, List};
+use crate::list::{self, List, ListError};
 use bytes::{Buf, BytesMut};
 use chalkdeck_net::{ConnId, Engine};
+use http::{Request, StatusCode};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use ureq_proto::client::state::{RecvBody, RecvResponse, SendRequest};
+use ureq_proto::client::{Call, RecvBodyResult, RecvResponseResult, SendRequestResult};
+use ureq_proto::BodyMode;
 
-/// How long a call may wait at the agent, in milliseconds. Short, so that a silent agent is soon noticed and nothing counts as
-/// told long before it was heard.
-const WAIT_MS: u64 = 2_000;
-/// A call without a whole answer is given up then, in microseconds.
-const SILENT: u64 = 2_800_000;
-/// Between a failed call and the next, in microseconds.
-const PAUSE: u64 = 100_000;
-/// The longest answer, and the most headers of one.
+/// The longest answer, and what is decoded of one at a time.
 const MOST_BYTES: usize = 8 << 20;
-const MOST_HEADERS: usize = 64;
+const PIECE: usize = 16 << 10;
+/// The longest head of a call.
+const MOST_HEAD: usize = 1 << 10;
+
+/// Why an answer is not taken; the last good list stays.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum DiscoveryError {
+    /// Not HTTP/1.1.
+    #[error("expected an HTTP answer: {0}")]
+    #[diagnostic(
+        code(chalkdeck::discovery::http),
+        help("see what listens at the address that `discovery` names in the configuration")
+    )]
+    Http(#[from] ureq_proto::Error),
+    /// The address makes no request.
+    #[error("cannot ask: {0}")]
+    #[diagnostic(
+        code(chalkdeck::discovery::request),
+        help("see the address that `discovery` names in the configuration")
+    )]
+    Request(#[from] http::Error),
+    /// Another status than 200.
+    #[error("expected status 200, found {}", .0.as_u16())]
+    #[diagnostic(
+        code(chalkdeck::discovery::status),
+        help("the agent does not give the list: see its log; the gateway goes on by the last good one")
+    )]
+    Status(StatusCode),
+    /// Its length is not told, so half of it could pass for the whole.
+    #[error("expected a content-length or chunks")]
+    #[diagnostic(
+        code(chalkdeck::discovery::length),
+        help("the agent has to tell the length of its answers; see whether a proxy stands between")
+    )]
+    Length,
+    /// Longer than is read.
+    #[error("expected an answer of at most {MOST_BYTES} bytes")]
+    #[diagnostic(code(chalkdeck::discovery::too_long), help("see why the list has grown so long"))]
+    TooLong,
+    /// No JSON.
+    #[error("expected JSON: {0}")]
+    #[diagnostic(
+        code(chalkdeck::discovery::json),
+        help("the agent's answer is spoilt: see its log; the gateway asks for the whole list again")
+    )]
+    Json(#[from] serde_json::Error),
+    /// No list.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    List(#[from] ListError),
+    /// Changes since a version that is not held are no news to build on.
+    #[error("changes to version {found}, which is not held")]
+    #[diagnostic(
+        code(chalkdeck::discovery::version),
+        help("the agent was started anew or went back: the whole list is asked for; nothing is to be done unless it goes on")
+    )]
+    Version {
+        /// The version that was told.
+        found: u64,
+    },
+}
+
+/// The times of the watch, in microseconds. They follow from the grace in which a drain must be heard: a call waits a quarter of
+/// it at the agent and is given up a fifth of it later, so that one that is silent, or was asked while discovery was
+/// down, is asked anew within half of the grace.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    /// How long a call may wait at the agent.
+    wait: u64,
+    /// A call without a whole answer is given up then.
+    silent: u64,
+    /// Between a failed call and the next.
+    pause: u64,
+}
+
+impl Times {
+    pub(crate) fn new(grace: u64) -> Times {
+        let wait = (grace / 4).clamp(20_000, 2_000_000);
+        Times {
+            wait,
+            silent: wait + (grace / 5).clamp(20_000, 800_000),
+            pause: (grace / 20).clamp(5_000, 100_000),
+        }
+    }
+}
 
 /// What is to be done.
 #[derive(Debug)]
@@ -28,11 +111,20 @@
     Look(u64, u64),
 }
 
+/// What of an answer is still to come.
+enum Awaits {
+    Head(Call<RecvResponse>),
+    Body(Call<RecvBody>),
+}
+
 /// The watch.
 pub(crate) struct Discovery {
     address: SocketAddr,
+    times: Times,
     conn: Option<ConnId>,
     bytes: BytesMut,
+    awaits: Option<Awaits>,
+    body: Vec<u8>,
     /// The version that is held; none: the whole list is asked for.
     held: Option<u64>,
     /// Counts calls, so that a time that comes due late is known.
@@ -40,26 +132,30 @@
 }
 
 impl Discovery {
-    pub(crate) fn new(address: SocketAddr) -> Discovery {
-        Discovery { address, conn: None, bytes: BytesMut::new(), held: None, call: 0 }
+    pub(crate) fn new(address: SocketAddr, times: Times) -> Discovery {
+        let (bytes, body) = Default::default();
+        Discovery { address, times, conn: None, bytes, awaits: None, body, held: None, call: 0 }
     }
 
     /// Begins, or begins anew.
     pub(crate) fn dial(&mut self, engine: &mut Engine) -> News {
-        if let Some(conn) = self.conn.take() {
-            engine.close(conn);
-        }
-        self.bytes.clear();
+        self.hang_up(engine);
         self.call += 1;
         match engine.connect_raw(self.address) {
             Ok(conn) => {
                 self.conn = Some(conn);
-                News::Look(SILENT, self.call)
+                News::Look(self.times.silent, self.call)
             }
-            Err(_) => News::Look(PAUSE, self.call),
+            Err(_) => News::Look(self.times.pause, self.call),
         }
     }
 
+    fn hang_up(&mut self, engine: &mut Engine) {
+        self.conn.take().into_iter().for_each(|conn| engine.close(conn));
+        self.bytes.clear();
+        self.awaits = None;
+    }
+
     /// Asks another address from here on, for the whole list first.
     pub(crate) fn moved(&mut self, engine: &mut Engine, address: SocketAddr) -> Option<News> {
         if address == self.address {
@@ -74,22 +170,33 @@
         (call == self.call).then(|| self.dial(engine))
     }
 
-    /// A connection stands: whether it is this one.
-    pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) -> bool {
-        let own = self.conn == Some(conn);
-        if own {
-            self.ask(engine, conn);
+    /// A connection stands; none: it was not this one.
+    pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) -> Option<Vec<News>> {
+        if self.conn != Some(conn) {
+            return None;
         }
-        own
+        let asked = self.ask(engine, conn);
+        Some(asked.err().map(|why| self.broken(engine, &why)).into_iter().collect())
     }
 
-    fn ask(&self, engine: &mut Engine, conn: ConnId) {
+    fn ask(&mut self, engine: &mut Engine, conn: ConnId) -> Result<(), DiscoveryError> {
         let query = match self.held {
-            Some(index) => format!("?since={index}&timeout_ms={WAIT_MS}"),
+            Some(index) => format!("?since={index}&timeout_ms={}", self.times.wait / 1_000),
             None => String::new(),
         };
-        let head = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
-        engine.write(conn, head.as_bytes());
+        let uri = format!("http://{}/v1/endpoints{query}", self.address);
+        let request = Request::get(uri).body(())?;
+        let mut call: Call<SendRequest> = Call::new(request)?.proceed();
+        let mut head = [0; MOST_HEAD];
+        let length = call.write(&mut head)?;
+        engine.write(conn, &head[..length]);
+        self.body.clear();
+        self.awaits = match call.proceed()? {
+            Some(SendRequestResult::RecvResponse(call)) => Some(Awaits::Head(call)),
+            // A GET has no body to be sent or waited for.
+            _ => None,
+        };
+        Ok(())
     }
 
     /// A connection is over; none: it was not this one.
@@ -103,7 +210,7 @@
 
     fn again(&mut self) -> News {
         self.call += 1;
-        News::Look(PAUSE, self.call)
+        News::Look(self.times.pause, self.call)
     }
 
     /// Bytes came; none: not on this connection.
@@ -118,102 +225,105 @@
             return None;
         }
         self.bytes.extend_from_slice(data);
-        let answer = match http(&self.bytes) {
-            Ok(None) => return Some(Vec::new()),
-            Ok(Some(answer)) => answer,
-            Err(why) => return Some(vec![self.broken(engine, &why)]),
-        };
-        let list = serde_json::from_slice::<Value>(&answer.body)
-            .map_err(|e| e.to_string())
-            .and_then(|value| list::read(&value, zones));
-        self.bytes.advance(answer.length);
-        let list = match list {
-            Ok(list) => list,
-            Err(why) => return Some(vec![self.broken(engine, &why)]),
+        let news = match self.answer() {
+            Ok(None) => Ok(Vec::new()),
+            Ok(Some(closes)) => self.take(engine, conn, closes, zones),
+            Err(why) => Err(why),
         };
-        // Changes since a version that is not held are no news to build on.
+        Some(news.unwrap_or_else(|why| vec![self.broken(engine, &why)]))
+    }
+
+    /// Moves the answer on by what came; once it is whole, whether its connection is of no further use.
+    fn answer(&mut self) -> Result<Option<bool>, DiscoveryError> {
+        loop {
+            match self.awaits.take() {
+                None => return Ok(None),
+                Some(Awaits::Head(mut call)) => {
+                    let (used, head) = call.try_response(&self.bytes, false)?;
+                    self.bytes.advance(used);
+                    let Some(head) = head else {
+                        self.awaits = Some(Awaits::Head(call));
+                        return self.within_bounds().map(|()| None);
+                    };
+                    if head.status() != StatusCode::OK {
+                        return Err(DiscoveryError::Status(head.status()));
+                    }
+                    match call.proceed() {
+                        Some(RecvResponseResult::RecvBody(call)) => self.awaits = Some(Awaits::Body(call)),
+                        Some(RecvResponseResult::Cleanup(call)) => {
+                            return Ok(Some(call.must_close_connection()));
+                        }
+                        _ => return Err(DiscoveryError::Status(head.status())),
+                    }
+                }
+                Some(Awaits::Body(call)) => return self.body(call),
+            }
+        }
+    }
+
+    fn body(&mut self, mut call: Call<RecvBody>) -> Result<Option<bool>, DiscoveryError> {
+        if matches!(call.body_mode(), BodyMode::CloseDelimited) {
+            return Err(DiscoveryError::Length);
+        }
+        let mut piece = [0; PIECE];
+        loop {
+            let (used, made) = call.read(&self.bytes, &mut piece)?;
+            self.bytes.advance(used);
+            self.body.extend_from_slice(&piece[..made]);
+            self.within_bounds()?;
+            if call.can_proceed() {
+                break;
+            }
+            if used == 0 && made == 0 {
+                self.awaits = Some(Awaits::Body(call));
+                return Ok(None);
+            }
+        }
+        match call.proceed() {
+            Some(RecvBodyResult::Cleanup(call)) => Ok(Some(call.must_close_connection())),
+            _ => Ok(Some(true)),
+        }
+    }
+
+    fn within_bounds(&self) -> Result<(), DiscoveryError> {
+        let length = self.bytes.len() + self.body.len();
+        if length > MOST_BYTES {
+            Err(DiscoveryError::TooLong)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// An answer is whole: takes its list over and asks on.
+    fn take(
+        &mut self,
+        engine: &mut Engine,
+        conn: ConnId,
+        closes: bool,
+        zones: &mut HashMap<String, u32>,
+    ) -> Result<Vec<News>, DiscoveryError> {
+        let list = list::read(&serde_json::from_slice::<Value>(&self.body)?, zones)?;
         if !list.snapshot && self.held.is_none_or(|held| list.index < held) {
-            return Some(vec![self.broken(engine, "changes to a version that is not held")]);
+            return Err(DiscoveryError::Version { found: list.index });
         }
         self.held = Some(list.index);
-        let next = if answer.close {
+        let next = if closes {
             self.dial(engine)
         } else {
             self.call += 1;
-            self.ask(engine, conn);
-            News::Look(SILENT, self.call)
+            self.ask(engine, conn)?;
+            News::Look(self.times.silent, self.call)
         };
-        Some(vec![News::List(list), next])
+        Ok(vec![News::List(list), next])
     }
 
-    fn broken(&mut self, engine: &mut Engine, why: &str) -> News {
+    fn broken(&mut self, engine: &mut Engine, why: &DiscoveryError) -> News {
         tracing::warn!("discovery: {why}: the last good list stays");
-        if let Some(conn) = self.conn.take() {
-            engine.close(conn);
-        }
-        self.bytes.clear();
+        self.hang_up(engine);
         self.held = None;
         self.again()
     }
 }
 
-/// A whole answer, and how far it reaches.
-#[derive(Debug, PartialEq)]
-struct Answer {
-    body: Vec<u8>,
-    length: usize,
-    close: bool,
-}
-
-/// Reads an HTTP/1.1 answer with a stated length or in chunks.
-fn http(bytes: &[u8]) -> Result<Option<Answer>, String> {
-    if bytes.len() > MOST_BYTES {
-        return Err("too long an answer".into());
-    }
-    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut head = httparse::Response::new(&mut headers);
-    let start = match head.parse(bytes).map_err(|e| format!("expected an HTTP answer: {e}"))? {
-        httparse::Status::Complete(start) => start,
-        httparse::Status::Partial => return Ok(None),
-    };
-    if head.code != Some(200) {
-        return Err(format!("expected status 200, found {}", head.code.unwrap_or(0)));
-    }
-    let find = |name: &str| {
-        let header = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        header.and_then(|h| std::str::from_utf8(h.value).ok()).map(str::trim)
-    };
-    let close = find("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"));
-    if find("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
-        return Ok(chunks(bytes, start)?.map(|(body, length)| Answer { body, length, close }));
-    }
-    let length = find("content-length").and_then(|v| v.parse::<usize>().ok());
-    let Some(length) = length.filter(|n| *n <= MOST_BYTES) else {
-        return Err("expected a content-length".into());
-    };
-    let end = start + length;
-    Ok(bytes.get(start..end).map(|body| Answer { body: body.to_vec(), length: end, close }))
-}
-
-/// The body out of its chunks, and where the last one ends.
-fn chunks(bytes: &[u8], mut at: usize) -> Result<Option<(Vec<u8>, usize)>, String> {
-    let mut body = Vec::new();
-    loop {
-        let (head, size) = match httparse::parse_chunk_size(&bytes[at..]) {
-            Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err("expected a chunk".into()),
-        };
-        let size = usize::try_from(size).ok().filter(|s| *s <= MOST_BYTES).ok_or("too long a chunk")?;
-        let (start, end) = (at + head, at + head + size);
-        let Some(tail) = bytes.get(end..end + 2) else { return Ok(None) };
-        if tail != b"\r\n" {
-            return Err("expected the end of a chunk".into());
-        }
-        body.extend_from_slice(&bytes[start..end]);
-        at = end + 2;
-        if size == 0 {
-            return Ok(Some((body, at)));
-        }
-    }
-}
+#[cfg(test)]
+mod tests;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -145,7 +145,7 @@
                 Some(Came { slot: session.answers.wait(), words })
             }
             Taken::Bad(why) => {
-                session.answers.ready(error(&why));
+                session.answers.ready(error(&why.to_string()));
                 (session.over, session.bytes) = (true, BytesMut::new());
                 None
             }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,7 +5,7 @@
 mod backends;
 pub mod config;
 mod counter;
-mod discovery;
+pub mod discovery;
 mod front;
 pub mod list;
 mod outcome;
@@ -13,4 +13,4 @@
 mod shell;
 
 pub use config::{Config, ConfigError};
-pub use shell::Shell;
+pub use shell::{Shell, StartError};
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -30,6 +30,49 @@
     pub servers: Vec<Server>,
 }
 
+/// Why a list is not taken.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum ListError {
+    /// Not the form of a list.
+    #[error("expected a list of endpoints: {0}")]
+    #[diagnostic(
+        code(chalkdeck::list::shape),
+        help("each endpoint has a name, an address and a status; see what wrote the list")
+    )]
+    Shape(#[from] serde_json::Error),
+    /// More backends than are taken.
+    #[error("endpoints: expected at most {MOST}, found {0}")]
+    #[diagnostic(
+        code(chalkdeck::list::too_many),
+        help("give this gateway the backends of its own part of the fleet")
+    )]
+    TooMany(usize),
+    /// A status that is not known.
+    #[error("{name}: status: expected ready, draining or gone, found '{found}'")]
+    #[diagnostic(
+        code(chalkdeck::list::status),
+        help("the whole list is left out until each status is known here: see whether the list is of a later version")
+    )]
+    Status {
+        /// The backend.
+        name: String,
+        /// What stood there.
+        found: String,
+    },
+    /// An address that cannot be read.
+    #[error("{name}: address: expected ip:port, found '{found}'")]
+    #[diagnostic(
+        code(chalkdeck::list::address),
+        help("the list has to give addresses, not names: there is no DNS here")
+    )]
+    Address {
+        /// The backend.
+        name: String,
+        /// What stood there.
+        found: String,
+    },
+}
+
 #[derive(Deserialize)]
 struct Wire {
     index: u64,
@@ -52,26 +95,24 @@
 }
 
 /// Reads an answer. A list with one line that cannot be read is not taken at all: the last good one is the better guess.
-pub fn read(value: &Value, zones: &mut HashMap<String, u32>) -> Result<List, String> {
-    let wire = Wire::deserialize(value).map_err(|e| format!("expected a list of endpoints: {e}"))?;
+pub fn read(value: &Value, zones: &mut HashMap<String, u32>) -> Result<List, ListError> {
+    let wire = Wire::deserialize(value)?;
     if wire.endpoints.len() > MOST {
-        return Err(format!("endpoints: expected at most {MOST}, found {}", wire.endpoints.len()));
+        return Err(ListError::TooMany(wire.endpoints.len()));
     }
     let servers = wire.endpoints.iter().map(|e| server(e, zones)).collect::<Result<_, _>>()?;
     Ok(List { index: wire.index, snapshot: wire.snapshot, servers })
 }
 
-fn server(e: &Endpoint, zones: &mut HashMap<String, u32>) -> Result<Server, String> {
+fn server(e: &Endpoint, zones: &mut HashMap<String, u32>) -> Result<Server, ListError> {
     let listed = match e.status.as_str() {
         "ready" => Listed::InService,
         "draining" => Listed::Draining,
         "gone" => Listed::Gone,
-        other => {
-            return Err(format!("{}: status: expected ready, draining or gone, found '{other}'", e.name))
-        }
+        other => return Err(ListError::Status { name: e.name.clone(), found: other.to_string() }),
     };
     let Ok(address) = e.address.parse() else {
-        return Err(format!("{}: address: expected ip:port, found '{}'", e.name, e.address));
+        return Err(ListError::Address { name: e.name.clone(), found: e.address.clone() });
     };
     let entry = ServerEntry {
         server: server_id(&e.name),
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -4,13 +4,14 @@
 use crate::backends::{AttemptId, Backends, Ended, Sent};
 use crate::config::{Config, ConfigError};
 use crate::counter::{Counter, Told};
-use crate::discovery::{Discovery, News};
+use crate::discovery::{Discovery, News, Times};
 use crate::front::{error, Came, Front};
 use crate::list::List;
-use crate::request::{self, Command};
+use crate::request::{self, Command, RequestError};
 use bytes::Bytes;
 use chalkdeck::api::{
-    Action, AttemptEnd, Event, ListScope, Micros, Outcome, Report, RequestId, ServerId, TimerId,
+    Action, AttemptEnd, Event, ListScope, Micros, Outcome, Report, RequestId, ServerId, SettingsError,
+    TimerId,
 };
 use chalkdeck::desk::Desk;
 use chalkdeck::rules::Gateway;
@@ -43,6 +44,31 @@
 /// Of the memory granted, this part may be held as bytes of commands under way.
 const BYTES_PART: f64 = 0.125;
 
+/// Why a gateway does not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum StartError {
+    /// The system gives no poll handle.
+    #[error("no poll handle: {0}")]
+    #[diagnostic(code(chalkdeck::platform::poll), help("see the limit of descriptors (ulimit -n)"))]
+    Poll(io::Error),
+    /// The clients' address cannot be listened at.
+    #[error("cannot listen at {address}: {source}")]
+    #[diagnostic(
+        code(chalkdeck::platform::listen),
+        help("see whether another process listens there, and whether the address is this machine's")
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// Settings that make no sense.
+    #[error("settings: {0}")]
+    #[diagnostic(code(chalkdeck::platform::settings), help("see what the platform tells its gateways"))]
+    Settings(#[from] SettingsError),
+}
+
 /// What a timer of the loop is for.
 enum Due {
     Policy(TimerId),
@@ -88,19 +114,21 @@
 
 impl Shell {
     /// Binds the listener and begins to ask discovery. Errors: an address that cannot be bound, settings that make no sense.
-    pub fn start(config: Config) -> io::Result<Shell> {
+    pub fn start(config: Config) -> Result<Shell, StartError> {
         Shell::start_at(config, Clock::start())
     }
 
     /// The same with a clock of the caller's.
-    pub fn start_at(config: Config, clock: Clock) -> io::Result<Shell> {
-        let mut engine = Engine::with_clock(clock)?;
+    pub fn start_at(config: Config, clock: Clock) -> Result<Shell, StartError> {
+        let mut engine = Engine::with_clock(clock).map_err(StartError::Poll)?;
         let sockets = config.limits.sockets.saturating_sub(SET_ASIDE).max(16);
         let clients = sockets * CLIENTS_PART / 100;
         // A few beyond the bound, so that a new client can take the place of an idle one.
         let limits = Limits { connections: clients + SET_ASIDE / 4, ..Limits::default() };
-        let (listener, listen) = engine.listen_raw(config.listen, limits)?;
-        let gateway = Gateway::new(config.seed, config.settings().clone()).map_err(io::Error::other)?;
+        let address = config.listen;
+        let listened = engine.listen_raw(address, limits);
+        let (listener, listen) = listened.map_err(|source| StartError::Listen { address, source })?;
+        let gateway = Gateway::new(config.seed, config.settings().clone())?;
         let memory = config.limits.memory_mb * 1e6;
         let counter = config.counter.map(|a| Counter::new(a, config.settings().count_timeout.0));
         let mut shell = Shell {
@@ -116,7 +144,7 @@
             backends: Backends::new(sockets - clients, memory, config.idle),
             counter,
             counts_watched: false,
-            discovery: Discovery::new(config.discovery),
+            discovery: Discovery::new(config.discovery, Times::new(config.grace)),
             events: Vec::new(),
             stop: None,
             config,
@@ -221,7 +249,9 @@
         let Shell { engine, backends, counter, discovery, .. } = self;
         if backends.owns(conn) {
             backends.connected(engine, conn);
-        } else if !discovery.connected(engine, conn) {
+        } else if let Some(news) = discovery.connected(engine, conn) {
+            news.into_iter().for_each(|n| self.news(n));
+        } else {
             counter.as_mut().into_iter().for_each(|c| c.connected(engine, conn));
         }
     }
@@ -409,11 +439,11 @@
         let bytes = words.iter().map(Bytes::len).sum();
         let (command, mut arrival) = match request::read(words, id, self.engine.now(), &self.config.read) {
             Ok(read) => read,
-            Err(why) => return Some(error(&why)),
+            Err(why) => return Some(error(&why.to_string())),
         };
         arrival.deadline.0 = arrival.deadline.0.min(self.ends_by());
         if self.ids.contains_key(command.id()) {
-            return Some(error("id: expected one that no open request has"));
+            return Some(error(&RequestError::IdTaken.to_string()));
         }
         self.next_id += 1;
         self.ids.insert(command.id().clone(), id);
--- a/crates/resp/src/command.rs
+++ b/crates/resp/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands as a server reads them.
 
+use crate::error::{Unreadable, What};
 use crate::guard::{self, Bounds, Extent};
 use crate::Frame;
 use bytes::{Bytes, BytesMut};
@@ -13,7 +14,7 @@
     /// Its words.
     Command(Vec<Bytes>),
     /// Bytes that cannot be read on from, and why.
-    Bad(String),
+    Bad(Unreadable),
 }
 
 /// Takes the next command off the bytes that came. An empty line, where lines may come, and an empty array are none and are
@@ -22,10 +23,7 @@
     while !bytes.is_empty() {
         if bytes[0] != b'*' {
             if !bounds.inline {
-                return Front::Bad(format!(
-                    "Protocol error: expected '*', got '{}'",
-                    bytes[0].escape_ascii()
-                ));
+                return Front::Bad(What::Mark { expected: "'*'", found: bytes[0] }.into());
             }
             match inline(bytes, bounds) {
                 Front::Command(words) if words.is_empty() => continue,
@@ -34,17 +32,17 @@
         }
         let end = match guard::command(bytes, bounds) {
             Extent::Partial if bytes.len() > bounds.message => {
-                return Front::Bad("Protocol error: too big a request".into())
+                return Front::Bad(What::TooBig("a request").into())
             }
             Extent::Partial => return Front::Partial,
-            Extent::Bad(why) => return Front::Bad(why),
+            Extent::Bad(what) => return Front::Bad(what.into()),
             Extent::Whole(end) => end,
         };
         let command = bytes.split_to(end).freeze();
         return match resp2::decode::decode_bytes(&command) {
             Ok(Some((Frame::Array(words), _))) if words.is_empty() => continue,
             Ok(Some((Frame::Array(words), _))) => Front::Command(words.into_iter().map(word).collect()),
-            _ => Front::Bad("Protocol error: expected an array of bulk strings".into()),
+            _ => Front::Bad(What::Shape("an array of bulk strings").into()),
         };
     }
     Front::Partial
@@ -62,7 +60,7 @@
 fn inline(bytes: &mut BytesMut, bounds: &Bounds) -> Front {
     let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
         return if bytes.len() > bounds.word {
-            Front::Bad("Protocol error: too big inline request".into())
+            Front::Bad(What::TooBig("inline request").into())
         } else {
             Front::Partial
         };
@@ -71,7 +69,7 @@
     let words = line.split(|b| b.is_ascii_whitespace()).filter(|w| !w.is_empty());
     let words: Vec<Bytes> = words.take(bounds.words + 1).map(|w| line.slice_ref(w)).collect();
     if words.len() > bounds.words {
-        return Front::Bad("Protocol error: too many words".into());
+        return Front::Bad(What::Words.into());
     }
     Front::Command(words)
 }
--- a/crates/resp/src/guard.rs
+++ b/crates/resp/src/guard.rs
@@ -1,5 +1,7 @@
 //! How far a message reaches, by its lengths alone.
 
+use crate::error::What;
+
 /// Bounds of what is read. A message is at most `message` bytes long, and no more than that is ever held for it.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -18,7 +20,7 @@
 pub(crate) enum Extent {
     Partial,
     Whole(usize),
-    Bad(String),
+    Bad(What),
 }
 
 /// A line of a number after its mark.
@@ -51,22 +53,18 @@
     }
 }
 
-fn bad(what: &str) -> Extent {
-    Extent::Bad(format!("Protocol error: {what}"))
-}
-
 /// A bulk string whose mark was read; null only where it is allowed.
 fn bulk(bytes: &[u8], at: usize, bounds: &Bounds, null: bool) -> Extent {
     let end = match length(bytes, at, bounds.word) {
         Length::Of { value: Some(value), next } => next + value + 2,
         Length::Of { value: None, next } if null => return Extent::Whole(next),
         Length::Partial => return Extent::Partial,
-        _ => return bad("invalid bulk length"),
+        _ => return Extent::Bad(What::Length("bulk")),
     };
     // As far as the two bytes behind it came, they must be its end.
     let tail = bytes.get(end - 2..bytes.len().min(end)).unwrap_or_default();
     if !b"\r\n".starts_with(tail) {
-        return bad("expected CRLF after a bulk string");
+        return Extent::Bad(What::Tail);
     }
     if bytes.len() < end {
         Extent::Partial
@@ -80,20 +78,20 @@
     let (words, mut at) = match length(bytes, 1, bounds.words) {
         Length::Of { value: Some(value), next } => (value, next),
         Length::Partial => return Extent::Partial,
-        _ => return bad("invalid multibulk length"),
+        _ => return Extent::Bad(What::Length("multibulk")),
     };
     for _ in 0..words {
         match bytes.get(at) {
             None => return Extent::Partial,
             Some(b'$') => {}
-            Some(other) => return bad(&format!("expected '$', got '{}'", other.escape_ascii())),
+            Some(other) => return Extent::Bad(What::Mark { expected: "'$'", found: *other }),
         }
         match bulk(bytes, at + 1, bounds, false) {
             Extent::Whole(end) => at = end,
             other => return other,
         }
         if at > bounds.message {
-            return bad("too big a request");
+            return Extent::Bad(What::TooBig("a request"));
         }
     }
     Extent::Whole(at)
@@ -104,8 +102,8 @@
     let rest = &bytes[at..];
     match rest.iter().take(most + 1).position(|b| *b == b'\n') {
         Some(end) if end > 0 && rest[end - 1] == b'\r' => Extent::Whole(at + end + 1),
-        Some(_) => bad("a line that does not end in CRLF"),
-        None if rest.len() > most => bad("a line without end"),
+        Some(_) => Extent::Bad(What::Line("a line that does not end in CRLF")),
+        None if rest.len() > most => Extent::Bad(What::Line("a line without end")),
         None => Extent::Partial,
     }
 }
@@ -116,7 +114,7 @@
         None => Extent::Partial,
         Some(b'$') => bulk(bytes, at + 1, bounds, true),
         Some(b'+' | b'-' | b':') => line(bytes, at + 1, bounds.line),
-        Some(other) => bad(&format!("expected a reply, got '{}'", other.escape_ascii())),
+        Some(other) => Extent::Bad(What::Mark { expected: "a reply", found: *other }),
     }
 }
 
@@ -129,7 +127,7 @@
         Length::Of { value: Some(value), next } => (value, next),
         Length::Of { value: None, next } => return Extent::Whole(next),
         Length::Partial => return Extent::Partial,
-        Length::Bad => return bad("invalid array length"),
+        Length::Bad => return Extent::Bad(What::Length("array")),
     };
     for _ in 0..items {
         match item(bytes, at, bounds) {
@@ -137,7 +135,7 @@
             other => return other,
         }
         if at > bounds.message {
-            return bad("too long a reply");
+            return Extent::Bad(What::TooBig("a reply"));
         }
     }
     Extent::Whole(at)
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod answers;
 mod command;
+mod error;
 mod guard;
 mod reply;
 
 pub use answers::Answers;
 pub use command::{take, Front};
+pub use error::{Unreadable, What};
 pub use guard::Bounds;
 pub use redis_protocol::resp2::types::BytesFrame as Frame;
 pub use reply::{encode, push_command, take_reply, Reply};
--- a/crates/resp/src/reply.rs
+++ b/crates/resp/src/reply.rs
@@ -1,5 +1,6 @@
 //! Replies as a client reads them, and both kinds as they are written.
 
+use crate::error::{Unreadable, What};
 use crate::guard::{self, Bounds, Extent};
 use crate::Frame;
 use bytes::BytesMut;
@@ -13,7 +14,7 @@
     /// A reply.
     Whole(Frame),
     /// Bytes that cannot be read on from, and why.
-    Bad(String),
+    Bad(Unreadable),
 }
 
 /// Takes the next reply off the bytes that came. A nested array is not read.
@@ -22,14 +23,14 @@
         return Reply::Partial;
     }
     let end = match guard::reply(bytes, bounds) {
-        Extent::Partial if bytes.len() > bounds.message => return Reply::Bad("too long a reply".into()),
+        Extent::Partial if bytes.len() > bounds.message => return Reply::Bad(What::TooBig("a reply").into()),
         Extent::Partial => return Reply::Partial,
-        Extent::Bad(why) => return Reply::Bad(why),
+        Extent::Bad(what) => return Reply::Bad(what.into()),
         Extent::Whole(end) => end,
     };
     match resp2::decode::decode_bytes(&bytes.split_to(end).freeze()) {
         Ok(Some((frame, _))) => Reply::Whole(frame),
-        _ => Reply::Bad("expected a reply".into()),
+        _ => Reply::Bad(What::Shape("a reply").into()),
     }
 }
 
--- a/crates/resp/tests/commands.rs
+++ b/crates/resp/tests/commands.rs
@@ -40,7 +40,7 @@
         let Front::Bad(text) = take(&mut BytesMut::from(bytes), &BOUNDS) else {
             panic!("{bytes:?} was taken")
         };
-        assert!(text.contains(why), "{text}");
+        assert!(text.to_string().contains(why), "{text}");
     }
     let Front::Bad(_) = take(&mut BytesMut::from(&[b'x'; 5_000][..]), &BOUNDS) else {
         panic!("a line without end")
