--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -81,7 +81,11 @@
 
 #[test]
 fn broken_drains_are_caught() {
-    is_caught(3, "drains", demo_day(5, 120.0, trouble("drain", "4", 0.0, 200, 4_700)));
+    // Two zones drain, and more comes than the third can serve: with one server of nine at a third of the load the gateways
+    // may leave it out by themselves, so that a broken drain goes unseen.
+    let mut day = demo_day(5, 170.0, Trouble::default());
+    day.troubles = (3..9).map(|server| trouble("drain", &server.to_string(), 0.0, 200, 4_700)).collect();
+    is_caught(3, "drains", day);
 }
 
 #[test]
