--- a/crates/counter/fuzz/fuzz_targets/decode.rs
+++ b/crates/counter/fuzz/fuzz_targets/decode.rs
@@ -1,7 +1,8 @@
 //! Snapshots and records from arbitrary bytes: no panic, no memory beyond the input's size.
 #![no_main]
 use chalkdeck_counter::state::Limits;
-use chalkdeck_counter::{record, snapshot};
+use chalkdeck_counter::snapshot;
+use chalkdeck_wal::record;
 use libfuzzer_sys::fuzz_target;
 
 fuzz_target!(|bytes: &[u8]| {
--- a/crates/counter/src/cli.rs
+++ b/crates/counter/src/cli.rs
@@ -1,15 +1,16 @@
 //! The command line: serve, look at a folder, look at a running part.
 
-use crate::disk::{Disk, Folder};
-use crate::log::{self, Log};
-use crate::record;
+use crate::log;
 use crate::serve;
 use crate::settings::Settings;
 use crate::snapshot;
 use crate::state::Limits;
 use anyhow::Context;
 use chalkdeck_net::signals::Signals;
-use chalkdeck_proto::chalkdeck::counter::v1::{Batch, SegmentHead};
+use chalkdeck_proto::chalkdeck::counter::v1::Batch;
+use chalkdeck_wal::disk::{Disk, Folder};
+use chalkdeck_wal::log::SegmentHead;
+use chalkdeck_wal::record;
 use clap::{Args, Subcommand};
 use prost::Message;
 use std::io::{Read, Write};
@@ -104,18 +105,18 @@
             LogCommand::Dump(args) => dump(&args.open()?, &mut out),
             LogCommand::Replay { folder, until } => {
                 let replayed = log::replay(&folder.open()?, Limits::default(), until)?;
-                writeln!(out, "# position {} time {}", replayed.counts.position(), replayed.counts.time())?;
-                for t in replayed.counts.all() {
+                writeln!(out, "# position {} time {}", replayed.held.position(), replayed.held.time())?;
+                for t in replayed.held.all() {
                     writeln!(out, "{:016x} {} until {}", t.name, t.total, t.until)?;
                 }
                 Ok(())
             }
             LogCommand::Compact(args) => {
                 let folder = args.open()?;
-                let opened = Log::open(folder.clone(), Limits::default(), 0)?;
-                snapshot::write(&folder, &opened.counts, opened.log.identity)?;
+                let opened = log::open(folder.clone(), Limits::default(), 0)?;
+                snapshot::write(&folder, &opened.held, opened.log.identity)?;
                 log::trim(&folder)?;
-                writeln!(out, "snapshot at {}", opened.counts.position())?;
+                writeln!(out, "snapshot at {}", opened.held.position())?;
                 Ok(())
             }
         }
@@ -124,7 +125,7 @@
 
 fn verify(folder: &Folder, out: &mut impl Write) -> anyhow::Result<()> {
     let replayed = log::replay(folder, Limits::default(), u64::MAX)?;
-    let (counts, found) = (&replayed.counts, &replayed.found);
+    let (counts, found) = (&replayed.held, &replayed.found);
     writeln!(
         out,
         "sound: incarnation {:x} epoch {} position {} names {}; snapshot at {}, {} adds replayed",
--- a/crates/counter/src/lib.rs
+++ b/crates/counter/src/lib.rs
@@ -1,14 +1,12 @@
 //! Named numbers that all gateways share, with a log: what was told as counted is there again after a crash.
 //!
-//! [`state::Counts`] counts and does no I/O; [`log::Log`] and [`snapshot`] keep it on a [`disk::Disk`]; the rest carries.
+//! [`state::Counts`] counts and does no I/O; [`log::Log`] and [`snapshot`] keep it on a disk by `chalkdeck_wal`; the rest carries.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod cli;
-pub mod disk;
 pub mod log;
 mod meters;
-pub mod record;
 pub mod serve;
 pub mod settings;
 pub mod snapshot;
--- a/crates/counter/src/meters.rs
+++ b/crates/counter/src/meters.rs
@@ -1,8 +1,8 @@
 //! Metrics of one part.
 
-use crate::snapshot::Identity;
 use crate::state::Counts;
 use chalkdeck_net::grpc::Code;
+use chalkdeck_wal::held::Identity;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
--- a/crates/counter/src/serve.rs
+++ b/crates/counter/src/serve.rs
@@ -1,9 +1,7 @@
 //! One part of the counter on sockets: adds in, batches to the log, answers out.
 
-use crate::disk::Folder;
-use crate::log::{self, Failed, Found, Log, Opened};
+use crate::log::{self, Failed, Found, Opened};
 use crate::settings::{Part, Settings};
-use crate::snapshot::Identity;
 use crate::state::{Add, Counts, Refusal};
 use crate::top::Top;
 use crate::waiting::Waiting;
@@ -15,6 +13,8 @@
 use chalkdeck_net::signals::Signals;
 use chalkdeck_net::{ConnId, Engine, Event, Limits, ListenerId, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{self as wire, AddRequest, AddResponse};
+use chalkdeck_wal::disk::Folder;
+use chalkdeck_wal::held::Identity;
 use prost::Message;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
@@ -81,9 +81,9 @@
         let (mut writer, mut disk) = (None, None);
         if let Some(path) = &part.folder {
             let folder = Folder::open(path).map_err(|e| anyhow::anyhow!("folder {}: {e}", path.display()))?;
-            let opened = Log::open(folder.clone(), settings.limits, identity.incarnation)
+            let opened = log::open(folder.clone(), settings.limits, identity.incarnation)
                 .map_err(|e| anyhow::anyhow!("folder {}: {e}", path.display()))?;
-            let Opened { log, counts: found_counts, found } = opened;
+            let Opened { log, held: found_counts, found } = opened;
             say(path, &found, &found_counts, log.identity);
             (counts, identity) = (found_counts, log.identity);
             let promise = match settings.promise {
@@ -283,11 +283,11 @@
 
     fn on_failed(&mut self, failed: &Failed) {
         let code = match failed {
-            Failed::NotCounted(_) | Failed::Closed => Code::Unavailable,
-            Failed::MayBeCounted(_) => Code::DataLoss,
+            Failed::NotKept(_) | Failed::Closed => Code::Unavailable,
+            Failed::MayBeKept(_) => Code::DataLoss,
         };
         tracing::error!("{failed}");
-        self.closed |= !matches!(failed, Failed::NotCounted(_));
+        self.closed |= !matches!(failed, Failed::NotKept(_));
         self.meters.closed(self.closed);
         for asked in std::mem::take(&mut self.out) {
             self.answer(asked.stream, asked.add.number, 0.0, code);
--- a/crates/counter/src/snapshot.rs
+++ b/crates/counter/src/snapshot.rs
@@ -1,31 +1,16 @@
 //! Snapshots: all counts at one position, as records. The same counts give the same bytes.
 
-use crate::disk::Disk;
-use crate::record;
 use crate::state::{Caller, Counts, Limits, Name, Seen};
 use chalkdeck_proto::chalkdeck::counter::v1::{CallerState, SnapshotHead, SnapshotPart};
+use chalkdeck_wal::held::{Damage, Identity};
+use chalkdeck_wal::record;
+pub use chalkdeck_wal::snapshot::write;
 use prost::Message;
-use std::io;
 
 /// Version of the format; others are refused.
 pub const VERSION: u32 = 1;
 /// Names in one record, and remembered numbers.
 const PART: usize = 32_768;
-const NEW: &str = "snapshot.new";
-
-/// Whose counts these are.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Identity {
-    /// Made with the folder.
-    pub incarnation: u64,
-    /// Starts of the service so far.
-    pub epoch: u64,
-}
-
-/// Name of the snapshot at a position; names sort by it.
-pub fn name_at(position: u64) -> String {
-    format!("snapshot-{position:020}")
-}
 
 /// All counts as bytes.
 pub fn encode(counts: &Counts, identity: Identity) -> Vec<u8> {
@@ -89,16 +74,6 @@
     pub identity: Identity,
 }
 
-/// What is wrong with a snapshot.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("offset {offset}: expected {expected}")]
-pub struct Damage {
-    /// Where, in bytes.
-    pub offset: usize,
-    /// What was expected there.
-    pub expected: String,
-}
-
 /// Reads a snapshot, whole or not at all.
 pub fn decode(bytes: &[u8], limits: Limits) -> Result<Decoded, Damage> {
     let damage = |offset, expected: &str| Damage { offset, expected: expected.into() };
@@ -144,16 +119,3 @@
     }
     Some(())
 }
-
-/// Writes a snapshot so that a crash leaves it whole or not there: new file, sync, rename, sync of the folder.
-pub fn write<D: Disk>(disk: &D, counts: &Counts, identity: Identity) -> io::Result<()> {
-    if disk.list()?.iter().any(|n| n == NEW) {
-        disk.remove(NEW)?;
-    }
-    let mut file = disk.create(NEW)?;
-    disk.append(&mut file, &encode(counts, identity))?;
-    disk.sync(&mut file)?;
-    drop(file);
-    disk.rename(NEW, &name_at(counts.position))?;
-    disk.sync_folder()
-}
--- a/crates/counter/src/writer.rs
+++ b/crates/counter/src/writer.rs
@@ -1,10 +1,10 @@
 //! The log on a thread of its own, so that the loop takes the next adds while the disk works: one batch at a time.
 
-use crate::disk::Disk;
 use crate::log::{self, Failed, Log};
 use crate::snapshot;
 use crate::state::{Add, Counts};
 use chalkdeck_net::engine::LoopWaker;
+use chalkdeck_wal::disk::Disk;
 use std::io;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::Arc;
--- a/crates/counter/tests/crash.rs
+++ b/crates/counter/tests/crash.rs
@@ -1,9 +1,9 @@
 //! Every crash point: a disk that stops at any call, and what gateways were told before against what stands after.
 mod common;
-use chalkdeck_counter::disk::Disk;
 use chalkdeck_counter::log::{self, encode, Failed, Log, OpenError, Opened};
 use chalkdeck_counter::snapshot;
 use chalkdeck_counter::state::{Add, Counts, Limits};
+use chalkdeck_wal::disk::Disk;
 use common::{add, Sim};
 use std::collections::BTreeMap;
 
@@ -77,7 +77,7 @@
 
 /// Works until the disk stops.
 fn live(disk: &Sim, ledger: &mut Ledger, rng: &mut fastrand::Rng, rounds: usize) -> Result<(), OpenError> {
-    let Opened { mut log, mut counts, .. } = Log::open(disk.clone(), Limits::default(), OWN)?;
+    let Opened { mut log, held: mut counts, .. } = log::open(disk.clone(), Limits::default(), OWN)?;
     for round in 0..rounds {
         let adds = ledger.batch(rng);
         match count(&mut log, &mut counts, &adds, round as u64) {
@@ -92,7 +92,7 @@
 }
 
 fn open(disk: &Sim) -> Opened<Sim> {
-    Log::open(disk.clone(), Limits::default(), OWN).unwrap_or_else(|e| panic!("a crash is no damage: {e}"))
+    log::open(disk.clone(), Limits::default(), OWN).unwrap_or_else(|e| panic!("a crash is no damage: {e}"))
 }
 
 fn history(seed: u64, stop: u64) {
@@ -108,11 +108,11 @@
         }
         disk = disk.after_crash();
         let opened = open(&disk);
-        ledger.check(&opened.counts, seed);
+        ledger.check(&opened.held, seed);
         assert!(opened.log.identity.epoch > epoch, "each start is an epoch");
         epoch = opened.log.identity.epoch;
         // What was never heard arrives again, and counts once whether or not it had.
-        let (mut log, mut counts) = (opened.log, opened.counts);
+        let (mut log, mut counts) = (opened.log, opened.held);
         for add in std::mem::take(&mut ledger.unheard) {
             let totals = count(&mut log, &mut counts, &[add], 0).expect("the disk works");
             ledger.hear(&[add], &totals);
@@ -142,7 +142,7 @@
 /// A folder with two snapshots and several segments.
 fn folder(seed: u64) -> (Sim, Counts, f64) {
     let disk = Sim::new(seed);
-    let Opened { mut log, mut counts, .. } = open(&disk);
+    let Opened { mut log, held: mut counts, .. } = open(&disk);
     let mut last = 0.0;
     for round in 0..9_u64 {
         let adds: Vec<Add> = (0..4).map(|i| add(1, round * 4 + i + 1, i % NAMES)).collect();
@@ -167,7 +167,7 @@
         let bit = rng.usize(..bytes.len() * 8);
         bytes[bit / 8] ^= 1 << (bit % 8);
         disk.put(&name, bytes);
-        match Log::open(disk, Limits::default(), OWN) {
+        match log::open(disk, Limits::default(), OWN) {
             Err(OpenError::Damage { file, .. }) => {
                 assert_eq!(file, name);
                 stopped += 1;
@@ -175,7 +175,7 @@
             Err(e) => panic!("{e}"),
             Ok(opened) => {
                 let sum = |c: &Counts| c.all().iter().map(|t| t.total).sum::<f64>();
-                let lost = sum(&counts) - sum(&opened.counts);
+                let lost = sum(&counts) - sum(&opened.held);
                 let found = &opened.found;
                 skipped += usize::from(!found.bad_snapshots.is_empty());
                 cut += usize::from(found.cut.is_some());
@@ -198,7 +198,7 @@
         disk.put(&newest, bytes);
         let replayed = log::replay(&disk, Limits::default(), u64::MAX).expect("a torn tail is no damage");
         assert_eq!(replayed.found.cut, Some((newest.clone(), tail.len() as u64)));
-        assert_eq!(replayed.counts.all(), counts.all());
+        assert_eq!(replayed.held.all(), counts.all());
     }
     let mut bytes = whole.clone();
     bytes.extend([0; 100]);
@@ -220,27 +220,27 @@
 #[test]
 fn a_disk_that_fails_never_gives_a_wrong_yes() {
     let disk = Sim::new(3);
-    let Opened { mut log, mut counts, .. } = open(&disk);
+    let Opened { mut log, held: mut counts, .. } = open(&disk);
     count(&mut log, &mut counts, &[add(1, 1, 0)], 1).expect("a sound disk");
     disk.fill();
     let full = count(&mut log, &mut counts, &[add(1, 2, 0)], 2).expect_err("full");
-    assert!(matches!(full, Failed::NotCounted(_)), "{full}");
+    assert!(matches!(full, Failed::NotKept(_)), "{full}");
     assert_eq!(count(&mut log, &mut counts, &[add(1, 3, 0)], 3).expect("room again"), [2.0]);
 
     disk.break_sync();
     let bad = count(&mut log, &mut counts, &[add(1, 4, 0)], 4).expect_err("no sync");
-    assert!(matches!(bad, Failed::MayBeCounted(_)), "{bad}");
+    assert!(matches!(bad, Failed::MayBeKept(_)), "{bad}");
     let after = count(&mut log, &mut counts, &[add(1, 5, 0)], 5).expect_err("closed");
     assert!(matches!(after, Failed::Closed) && log.closed(), "{after}");
-    let total = open(&disk.after_crash()).counts.total(0);
+    let total = open(&disk.after_crash()).held.total(0);
     assert!(total == Some(2.0) || total == Some(3.0), "{total:?}");
 
     let disk = Sim::new(4);
     let mut opened = open(&disk);
     disk.break_cut();
     disk.fill();
-    let bad = count(&mut opened.log, &mut opened.counts, &[add(1, 1, 0)], 1).expect_err("read-only by now");
-    assert!(matches!(bad, Failed::MayBeCounted(_)) && opened.log.closed(), "{bad}");
+    let bad = count(&mut opened.log, &mut opened.held, &[add(1, 1, 0)], 1).expect_err("read-only by now");
+    assert!(matches!(bad, Failed::MayBeKept(_)) && opened.log.closed(), "{bad}");
 }
 
 #[test]
@@ -248,22 +248,19 @@
     let (disk, counts, _) = folder(5);
     let replayed = log::replay(&disk, Limits::default(), u64::MAX).expect("sound");
     let whole = snapshot::encode(&counts, replayed.identity);
-    assert_eq!(snapshot::encode(&replayed.counts, replayed.identity), whole);
+    assert_eq!(snapshot::encode(&replayed.held, replayed.identity), whole);
     let decoded = snapshot::decode(&whole, Limits::default()).expect("sound");
     assert_eq!(snapshot::encode(&decoded.counts, decoded.identity), whole);
     let part = log::replay(&disk, Limits::default(), 16).expect("sound");
-    assert_eq!(part.counts.position(), 16, "a replay stops where it is told");
+    assert_eq!(part.held.position(), 16, "a replay stops where it is told");
 }
 
 #[test]
 fn an_emptied_folder_is_another_incarnation_and_a_recovered_one_is_not() {
     let (disk, counts, _) = folder(6);
-    let again = Log::open(disk, Limits::default(), 99).map_err(|e| e.to_string()).expect("sound");
+    let again = log::open(disk, Limits::default(), 99).map_err(|e| e.to_string()).expect("sound");
     assert_eq!((again.log.identity.incarnation, again.log.identity.epoch), (OWN, 2));
-    assert_eq!(again.counts.position(), counts.position());
-    let empty = Log::open(Sim::new(7), Limits::default(), 99).map_err(|e| e.to_string()).expect("empty");
-    assert_eq!(
-        (empty.log.identity.incarnation, empty.log.identity.epoch, empty.counts.position()),
-        (99, 1, 0)
-    );
+    assert_eq!(again.held.position(), counts.position());
+    let empty = log::open(Sim::new(7), Limits::default(), 99).map_err(|e| e.to_string()).expect("empty");
+    assert_eq!((empty.log.identity.incarnation, empty.log.identity.epoch, empty.held.position()), (99, 1, 0));
 }
--- a/crates/counter/tests/fuzz.rs
+++ b/crates/counter/tests/fuzz.rs
@@ -1,8 +1,10 @@
 //! Arbitrary bytes where records and snapshots are expected: an error or counts, never a panic.
 mod common;
 use chalkdeck_counter::state::Limits;
-use chalkdeck_counter::{log, record, snapshot};
-use chalkdeck_proto::chalkdeck::counter::v1::{Batch, SegmentHead, SnapshotHead, SnapshotPart};
+use chalkdeck_counter::{log, snapshot};
+use chalkdeck_proto::chalkdeck::counter::v1::{Batch, SnapshotHead, SnapshotPart};
+use chalkdeck_wal::log::SegmentHead;
+use chalkdeck_wal::record;
 use common::Sim;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -12,7 +14,7 @@
     let mut out = Vec::new();
     for body in bodies {
         out.extend((body.len() as u32).to_le_bytes());
-        out.extend(crc32c::crc32c(body).to_le_bytes());
+        out.extend(record::checksum(body).to_le_bytes());
         out.extend(body);
     }
     out
@@ -43,7 +45,7 @@
         disk.put("segment-00000000000000000000-0000000001", segment);
         let replayed = log::replay(&disk, Limits::default(), u64::MAX);
         if let Ok(replayed) = replayed {
-            prop_assert!(replayed.counts.all().iter().all(|t| t.total.is_finite()));
+            prop_assert!(replayed.held.all().iter().all(|t| t.total.is_finite()));
         }
         let mut bytes = Vec::new();
         record::push(&mut bytes, &SnapshotHead { version: 1, names: names.len() as u64, ..SnapshotHead::default() });
--- a/crates/counter/tests/kill.rs
+++ b/crates/counter/tests/kill.rs
@@ -218,7 +218,7 @@
     program.kill();
 
     let replayed = chalkdeck_counter::log::replay(
-        &chalkdeck_counter::disk::Folder::open(&dir.join("log/part-0")).expect("the folder"),
+        &chalkdeck_wal::disk::Folder::open(&dir.join("log/part-0")).expect("the folder"),
         Default::default(),
         u64::MAX,
     )
@@ -229,7 +229,7 @@
         totals.sort_by(f64::total_cmp);
         // Each add of one heard its own total: 1, 2, 3 and so on.
         assert!(totals.iter().enumerate().all(|(i, t)| *t == (i + 1) as f64), "name {name}");
-        assert_eq!(replayed.counts.total(name).unwrap_or(0.0), totals.len() as f64, "name {name}");
+        assert_eq!(replayed.held.total(name).unwrap_or(0.0), totals.len() as f64, "name {name}");
     }
     assert!(rig.gateways.iter().map(|g| g.retold).sum::<u64>() > 0, "repeats were among them");
     assert!(rig.gateways.iter().all(|g| g.epoch == u64::from(kills) + 1));
