--- a/crates/access/src/compiled.rs
+++ b/crates/access/src/compiled.rs
@@ -29,6 +29,9 @@
 /// Decisions that are remembered of one set.
 const REMEMBERED: usize = 4_096;
 
+/// A call that came, and what was decided.
+type Remembered = (Box<[String; 4]>, Decision);
+
 /// A set ready for calls.
 #[derive(Debug)]
 pub struct Compiled {
@@ -40,7 +43,7 @@
     lengths: Vec<usize>,
     every: Vec<u32>,
     /// Decisions of calls like those that came: an equal call hears the same.
-    known: RefCell<FxHashMap<u64, (Box<[String; 4]>, Decision)>>,
+    known: RefCell<FxHashMap<u64, Remembered>>,
 }
 
 fn names(values: &[String], value: &str) -> bool {
