Keepers' core: a replicated state of duties, contracts and rules, in a simulated world

Change: crates/keeper: the state machine (ours, deterministic), the agreement driven from a library's core, the log on wal, a gateway's session, the registrar's judgement; a world over the shipped cores with loss, cuts, stalls, crashes, lost disks and drift.

--- a/crates/access/src/recent.rs
+++ b/crates/access/src/recent.rs
@@ -61,6 +61,22 @@
         self.before = std::mem::take(&mut self.now);
         self.others = 0;
     }
+    /// Kinds of this span, and of the one before.
+    pub fn now(&self) -> &BTreeMap<Seen, u64> {
+        &self.now
+    }
+    /// See [`Recent::now`].
+    pub fn before(&self) -> &BTreeMap<Seen, u64> {
+        &self.before
+    }
+    /// Kinds of both spans with how often they came.
+    pub fn kinds(&self) -> Vec<(Seen, u64)> {
+        let mut all = self.before.clone();
+        for (seen, count) in &self.now {
+            *all.entry(seen.clone()).or_default() += count;
+        }
+        all.into_iter().collect()
+    }
     /// What a set would do to what came.
     pub fn try_set(&self, set: &RuleSet) -> WouldHit {
         let compiled = Compiled::new(set.clone());
--- a/crates/contract/tests/promises.rs
+++ b/crates/contract/tests/promises.rs
@@ -64,7 +64,8 @@
 #[test]
 fn what_a_new_promise_takes_back_is_named() {
     let plain = Bounds::default();
-    let cases: [(fn(&mut Promise), Bounds, &[Rule]); 13] = [
+    type Case = (fn(&mut Promise), Bounds, &'static [Rule]);
+    let cases: [Case; 13] = [
         (|_| {}, plain, &[]),
         (|p| p.effect = Effect::Unsafe, plain, &[Rule::PromiseEffect]),
         (|p| p.effect = Effect::Safe, plain, &[]),
--- /dev/null
+++ b/crates/keeper/src/state/sessions.rs
@@ -0,0 +1,152 @@
+//! Gateways' sessions, and what they report.
+
+use super::{done, refuse, wire, Code, Shared};
+use chalkdeck_access::Seen;
+
+/// Sessions at once.
+pub const MOST_SESSIONS: usize = 1_000;
+/// Gateways that are remembered as cut off.
+const MOST_DEPARTED: usize = 2_000;
+/// Customers with hits or recent calls that are kept.
+const MOST_CUSTOMERS: usize = 20_000;
+/// Lines of folded hits of one customer.
+const MOST_LINES: usize = 20_002;
+
+impl Shared {
+    pub(super) fn open(&mut self, open: &wire::Open) -> wire::Answer {
+        if open.gateway.is_empty() || open.incarnation == 0 {
+            return refuse(Code::Refused, "expected a gateway's name and incarnation");
+        }
+        // Said again, over another connection or after a lost answer: the same session.
+        let same = |s: &&wire::Session| s.gateway == open.gateway && s.incarnation == open.incarnation;
+        if let Some(session) = self.sessions.values().find(same) {
+            return wire::Answer { id: session.id, ..done(0) };
+        }
+        if self.sessions.len() >= MOST_SESSIONS {
+            return refuse(Code::Full, format!("there are {MOST_SESSIONS} sessions"));
+        }
+        self.next_session += 1;
+        let id = self.next_session;
+        let session = wire::Session {
+            id,
+            gateway: open.gateway.clone(),
+            site: open.site.clone(),
+            incarnation: open.incarnation,
+            renewed: self.index,
+            candidate: open.candidate,
+            ..wire::Session::default()
+        };
+        self.sessions.insert(id, session);
+        // An earlier life of it is over: it is this one that holds rules there now.
+        self.departed.remove(&open.gateway);
+        self.bump();
+        self.place_free();
+        wire::Answer { id, ..done(0) }
+    }
+
+    pub(super) fn renew(&mut self, renew: &wire::Renew) -> wire::Answer {
+        let index = self.index;
+        for renewed in &renew.sessions {
+            if let Some(session) = self.sessions.get_mut(&renewed.session) {
+                session.renewed = index;
+                session.applied = session.applied.max(renewed.applied);
+            }
+        }
+        done(0)
+    }
+
+    /// A gateway says that it ends: its duties go on at once.
+    pub(super) fn close(&mut self, id: u64) -> wire::Answer {
+        let Some(session) = self.sessions.remove(&id) else {
+            return refuse(Code::NoSession, "no such session");
+        };
+        self.ended.insert(session.incarnation);
+        self.free_duties(id);
+        done(0)
+    }
+
+    /// A session was not renewed for longer than its holder counts on.
+    pub(super) fn lapse(&mut self, lapse: &wire::Lapse) -> wire::Answer {
+        // Renewed meanwhile: it stays.
+        if self.sessions.get(&lapse.session).is_none_or(|s| s.renewed != lapse.renewed) {
+            return refuse(Code::Changed, "renewed since, or gone");
+        }
+        let Some(session) = self.sessions.remove(&lapse.session) else {
+            return refuse(Code::NoSession, "no such session");
+        };
+        self.ended.insert(session.incarnation);
+        // One of the same name may be back already, with a session of its own.
+        let back = self.sessions.values().any(|s| s.gateway == session.gateway);
+        if !back {
+            let departed = wire::Departed {
+                gateway: session.gateway.clone(),
+                applied: session.applied,
+                ended_ms: self.time_ms,
+                incarnation: session.incarnation,
+            };
+            self.departed.insert(session.gateway, departed);
+            while self.departed.len() > MOST_DEPARTED {
+                let oldest = self.departed.values().min_by_key(|d| d.ended_ms).map(|d| d.gateway.clone());
+                oldest.into_iter().for_each(|o| drop(self.departed.remove(&o)));
+            }
+        }
+        self.free_duties(lapse.session);
+        done(0)
+    }
+
+    /// Hits by the larger; the rest counts once by the report's number.
+    pub(super) fn report(&mut self, report: &wire::Report) -> wire::Answer {
+        let Some(session) = self.sessions.get_mut(&report.session) else {
+            return refuse(Code::NoSession, "no such session");
+        };
+        let new = report.number > session.report;
+        session.report = session.report.max(report.number);
+        let incarnation = session.incarnation;
+        for line in &report.hits {
+            if self.hits.len() >= MOST_CUSTOMERS && !self.hits.contains_key(&line.customer) {
+                continue;
+            }
+            let totals = self.hits.entry(line.customer.clone()).or_default();
+            totals.tell(incarnation, line.version, &line.rule, line.count);
+        }
+        for spoke in report.spoke.iter().filter(|_| new) {
+            self.spoke(spoke);
+        }
+        for seen in report.seen.iter().filter(|_| new) {
+            if self.recents.len() >= MOST_CUSTOMERS && !self.recents.contains_key(&seen.customer) {
+                continue;
+            }
+            let kind = Seen {
+                caller: seen.caller_region.clone(),
+                gateway: seen.gateway_region.clone(),
+                path: seen.path.clone(),
+                class: seen.class.clone(),
+            };
+            self.recents.entry(seen.customer.clone()).or_default().came(kind, seen.count);
+        }
+        wire::Answer { id: report.number, ..done(0) }
+    }
+
+    /// The tally's holder folds what ended sessions left.
+    pub(super) fn fold(&mut self, token: u64) -> wire::Answer {
+        if let Err(stale) = self.held(super::TALLY, token) {
+            return stale;
+        }
+        for incarnation in std::mem::take(&mut self.ended) {
+            for totals in self.hits.values_mut() {
+                totals.fold(incarnation);
+            }
+        }
+        self.hits.values_mut().for_each(|t| t.bound(MOST_LINES));
+        done(0)
+    }
+
+    /// Sessions that stand, by their numbers.
+    pub fn sessions(&self) -> impl Iterator<Item = &wire::Session> {
+        self.sessions.values()
+    }
+    /// One session.
+    pub fn session(&self, id: u64) -> Option<&wire::Session> {
+        self.sessions.get(&id)
+    }
+}
--- a/crates/proto/build.rs
+++ b/crates/proto/build.rs
@@ -1,8 +1,11 @@
 //! Compiles the schemas without an outside compiler and keeps their descriptors for the text form.
 use prost::Message;
 
-const FILES: [&str; 10] = [
+const FILES: [&str; 13] = [
     "chalkdeck/client/v1/settings.proto",
+    "chalkdeck/keeper/v1/keeper.proto",
+    "chalkdeck/keeper/v1/settings.proto",
+    "chalkdeck/keeper/v1/state.proto",
     "chalkdeck/lab/v1/day.proto",
     "chalkdeck/plan/v1/plan.proto",
     "chalkdeck/config/v1/config.proto",
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -23,6 +23,13 @@
     out[at + 4..at + FRAME].copy_from_slice(&crc.to_le_bytes());
 }
 
+/// Appends bytes as a record; they may not be empty.
+pub fn push_bytes(out: &mut Vec<u8>, body: &[u8]) {
+    out.extend((body.len() as u32).to_le_bytes());
+    out.extend(checksum(body).to_le_bytes());
+    out.extend_from_slice(body);
+}
+
 /// The body of the record at `at`, if a whole and sound one stands there.
 pub fn body(bytes: &[u8], at: usize) -> Option<&[u8]> {
     let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
