--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -1,4 +1,4 @@
-//! The fleet's shared state: duties, contracts, access rules, hits, operators' words on sites.
+//! The fleet's shared state: agreed on by a few keepers, watched by gateways over sessions.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -6,6 +6,8 @@
 pub mod core;
 pub mod journal;
 pub mod registrar;
+pub mod serve;
 pub mod session;
+pub mod settings;
 pub mod state;
 pub mod store;
