Gateway's side of the shared state as one core; hits of a lapsed session no longer count twice

Cause: Shared::lapse marked the incarnation as ended, the tally folded what it had told, and the same life came back with cumulative counts (sessions.rs, lapse). Ruled out: repeated reports (merged by the larger).

--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod agree;
 pub mod core;
 pub mod journal;
+pub mod member;
 pub mod registrar;
+mod seen;
 pub mod serve;
 pub mod session;
 pub mod settings;
--- a/crates/keeper/src/session.rs
+++ b/crates/keeper/src/session.rs
@@ -174,6 +174,10 @@
         }
     }
 
+    /// What was agreed on, or is taken to be until the keepers say.
+    pub fn terms(&self) -> &Terms {
+        self.lease.terms()
+    }
     /// Its number; 0: none.
     pub fn id(&self) -> u64 {
         self.id
--- a/crates/keeper/src/state/looks.rs
+++ b/crates/keeper/src/state/looks.rs
@@ -132,7 +132,8 @@
         }
     }
 
-    fn hit_lines(&self, customer: &str) -> Vec<wire::HitLine> {
+    /// Hits of the fleet by customer, version and rule; empty: of all customers.
+    pub fn hit_lines(&self, customer: &str) -> Vec<wire::HitLine> {
         let fit = self.hits.iter().filter(|(c, _)| customer.is_empty() || *c == customer);
         let lines = fit.flat_map(|(c, totals)| {
             let line = |((version, rule), count): ((u64, String), u64)| wire::HitLine {
--- a/crates/keeper/src/state/sessions.rs
+++ b/crates/keeper/src/state/sessions.rs
@@ -38,7 +38,12 @@
         };
         self.sessions.insert(id, session);
         // An earlier life of it is over: it is this one that holds rules there now.
-        self.departed.remove(&open.gateway);
+        if let Some(earlier) = self.departed.remove(&open.gateway) {
+            // A later life of it: the earlier one reports no more. The same life goes on with its counts.
+            if earlier.incarnation != open.incarnation {
+                self.ended.insert(earlier.incarnation);
+            }
+        }
         self.bump();
         self.place_free();
         wire::Answer { id, ..done(0) }
@@ -74,26 +79,32 @@
         let Some(session) = self.sessions.remove(&lapse.session) else {
             return refuse(Code::NoSession, "no such session");
         };
-        self.ended.insert(session.incarnation);
-        // One of the same name may be back already, with a session of its own.
-        let back = self.sessions.values().any(|s| s.gateway == session.gateway);
-        if !back {
-            let departed = wire::Departed {
-                gateway: session.gateway.clone(),
-                applied: session.applied,
-                ended_ms: self.time_ms,
-                incarnation: session.incarnation,
-            };
-            self.departed.insert(session.gateway, departed);
-            while self.departed.len() > MOST_DEPARTED {
-                let oldest = self.departed.values().min_by_key(|d| d.ended_ms).map(|d| d.gateway.clone());
-                oldest.into_iter().for_each(|o| drop(self.departed.remove(&o)));
-            }
+        // One of the same name may be back already, with a session of its own. What lapsed in the same life goes on counting and is
+        // folded only once that life is surely over: folded before, all that it told would count again when it is back.
+        match self.sessions.values().find(|s| s.gateway == session.gateway) {
+            Some(back) if back.incarnation == session.incarnation => {}
+            Some(_) => drop(self.ended.insert(session.incarnation)),
+            None => self.depart(session),
         }
         self.free_duties(lapse.session);
         done(0)
     }
 
+    fn depart(&mut self, session: wire::Session) {
+        let departed = wire::Departed {
+            gateway: session.gateway.clone(),
+            applied: session.applied,
+            ended_ms: self.time_ms,
+            incarnation: session.incarnation,
+        };
+        self.departed.insert(session.gateway, departed);
+        while self.departed.len() > MOST_DEPARTED {
+            let oldest = self.departed.values().min_by_key(|d| d.ended_ms).map(|d| d.gateway.clone());
+            let gone = oldest.and_then(|o| self.departed.remove(&o));
+            self.ended.extend(gone.map(|d| d.incarnation));
+        }
+    }
+
     /// Hits by the larger; the rest counts once by the report's number.
     pub(super) fn report(&mut self, report: &wire::Report) -> wire::Answer {
         let Some(session) = self.sessions.get_mut(&report.session) else {
--- a/crates/keeper/tests/seeds.rs
+++ b/crates/keeper/tests/seeds.rs
@@ -102,6 +102,8 @@
     world.fault(FAULTS_END, Fault::HealAll);
     (0..keepers).for_each(|k| world.fault(FAULTS_END, Fault::Start(k)));
     (0..gateways).for_each(|g| world.fault(FAULTS_END, Fault::StartGateway(g)));
+    world.run_until(FAULTS_END + HELD_AGAIN / 2);
+    world.quiet = true;
     world.run_until(FAULTS_END + HELD_AGAIN);
     if world.broken.is_empty() {
         world.check_quiet();
--- a/crates/keeper/tests/world/faults.rs
+++ b/crates/keeper/tests/world/faults.rs
@@ -39,15 +39,20 @@
             Fault::Stall(Node::Keeper(k), until) => self.keepers[k].stalled = until,
             Fault::Stall(Node::Gateway(g), until) => self.gateways[g].stalled = until,
             Fault::Stall(..) => {}
-            Fault::KillGateway(g) => self.gateways[g].session = None,
-            Fault::StartGateway(g) if self.gateways[g].session.is_none() => self.start_gateway(g),
+            Fault::KillGateway(g) => {
+                let node = &mut self.gateways[g];
+                if node.member.take().is_some() {
+                    self.hits_killed += node.hits;
+                }
+            }
+            Fault::StartGateway(g) if self.gateways[g].member.is_none() => self.start_gateway(g),
             Fault::StartGateway(_) => {}
             Fault::EndGateway(g) => {
-                if let Some(session) = &mut self.gateways[g].session {
-                    session.close();
+                if let Some(member) = &mut self.gateways[g].member {
+                    member.close();
                     self.flush(g);
+                    self.befall(Fault::KillGateway(g));
                 }
-                self.gateways[g].session = None;
             }
             Fault::DiskFull(k) => self.keepers[k].disk.fill(),
         }
@@ -72,7 +77,7 @@
         }
         let holds = |g: &GatewayNode| {
             let now = g.clock.at(real);
-            g.session.as_ref().and_then(|s| s.holds(LAB, now))
+            g.member.as_ref().and_then(|m| m.session().holds(LAB, now))
         };
         let holders: Vec<(usize, u64)> =
             self.gateways.iter().enumerate().filter_map(|(i, g)| Some((i, holds(g)?))).collect();
@@ -84,7 +89,7 @@
         }
         for (customer, version) in &self.in_force {
             for (i, g) in self.gateways.iter().enumerate() {
-                let Some(session) = &g.session else { continue };
+                let Some(session) = g.member.as_ref().map(Member::session) else { continue };
                 let held = session.held.rules.get(customer).map_or(0, |s| s.version);
                 // Without a session the set denies; with one its version must be the one in force at least.
                 if session.stands(g.clock.at(real)) && held < *version {
@@ -115,7 +120,7 @@
         for duty in [LAB, REGISTRAR, TALLY] {
             let held = self.gateways.iter().any(|g| {
                 let now = g.clock.at(self.now);
-                g.session.as_ref().is_some_and(|s| s.holds(duty, now).is_some())
+                g.member.as_ref().is_some_and(|m| m.session().holds(duty, now).is_some())
             });
             if !held {
                 let held: Vec<String> =
@@ -124,6 +129,21 @@
             }
         }
         self.check_history();
+        self.check_hits();
+    }
+
+    /// No hit counts twice, whatever was lost, repeated, lapsed and folded; only killed gateways lose any.
+    fn check_hits(&mut self) {
+        let Some(state) = self.keepers.iter().filter_map(|k| k.core.as_ref()).find(|k| k.has_majority())
+        else {
+            return;
+        };
+        let told: u64 = state.state().hit_lines("c0").iter().map(|l| l.count).sum();
+        let least = self.hits - self.hits_killed;
+        if !(least..=self.hits).contains(&told) {
+            self.broken
+                .push(format!("{told} hits of {}, of which {} at killed ones", self.hits, self.hits_killed));
+        }
     }
 
     /// Answers are numbers that only grow: a command that began after another ended has the larger one.
--- a/crates/keeper/tests/world/fleet.rs
+++ b/crates/keeper/tests/world/fleet.rs
@@ -97,70 +97,34 @@
             incarnation: (g as u64 + 1) << 20 | node.life,
             candidate: true,
         };
-        node.session = Some(Session::new(open, TERMS, node.kept.clone()));
-        (node.connected, node.judging, node.hits, node.stream) = (false, false, 0, 0);
+        let (now, seed) = (node.clock.at(self.now), self.rng.u64(..));
+        let set = MemberSet { open, keepers: self.keepers.len(), report_every: 300 * MS, seed };
+        node.member = Some(Member::new(set, node.kept.clone(), now));
+        (node.hits, node.stream) = (0, 0);
     }
 
     pub(super) fn gateway_tick(&mut self, g: usize) {
-        let real = self.now;
-        let keepers = self.keepers.len();
         let node = &mut self.gateways[g];
-        let now = node.clock.at(real);
-        let Some(session) = &mut node.session else { return };
-        // Nothing heard for a while: another keeper.
-        if !node.connected || real > node.heard + 900 * MS {
-            node.keeper = (node.keeper + 1) % keepers;
-            node.stream = self.rng.u64(1..u64::MAX);
-            (node.connected, node.heard) = (true, real);
-            session.disconnected();
-            session.connected();
-        }
-        session.tick(now);
-        if session.may_report() && self.rng.u8(..) < 20 {
+        let now = node.clock.at(self.now);
+        let Some(member) = &mut node.member else { return };
+        member.tick(now);
+        if !self.quiet && self.rng.u8(..) < 40 && member.access().get("c0").is_some() {
+            let call = Call { caller: "eu", gateway: "north", path: "/farm.v1.Farm/View", class: "view" };
+            member.arrives(now, "c0", &call, None);
             node.hits += 1;
-            let line =
-                wire::HitLine { customer: "c0".into(), version: 1, rule: "r".into(), count: node.hits };
-            session.report(wire::Report { hits: vec![line], ..wire::Report::default() });
-        }
-        self.duties(g, now);
-        self.flush(g);
-    }
-
-    pub(super) fn duties(&mut self, g: usize, now: u64) {
-        let node = &mut self.gateways[g];
-        let Some(session) = &mut node.session else { return };
-        for (name, token) in session.asked_for() {
-            if session.untold() == 0 {
-                let id = session.id();
-                session.tell(What::Release(wire::Release {
-                    duty: name,
-                    token,
-                    progress: vec![1],
-                    session: id,
-                }));
-            }
-        }
-        let (proposals, unfolded, _) = session.hints();
-        if proposals && !node.judging && session.holds(REGISTRAR, now).is_some() {
-            node.judging = true;
-            session.look(wire::LookRequest {
-                what: wire::look_request::What::Proposals as i32,
-                ..Default::default()
-            });
-        }
-        if let Some(token) = session.holds(TALLY, now).filter(|_| unfolded && session.untold() == 0) {
-            session.tell(What::Fold(wire::Fold { token }));
+            self.hits += 1;
         }
-        if let Some(token) = session.holds(LAB, now) {
+        if let Some(token) = member.session().holds(LAB, now) {
             // It looked; it may stand still before it acts.
             let (wait, life) =
                 (if self.rng.u8(..) < 4 { self.rng.u64(0..3 * TERMS.lease) } else { 0 }, node.life);
             self.at(wait, Event::Act(g, token, life));
         }
+        self.flush(g);
     }
 
     pub(super) fn act(&mut self, g: usize, token: u64, life: u64) {
-        if self.gateways[g].life != life || self.gateways[g].session.is_none() {
+        if self.gateways[g].life != life || self.gateways[g].member.is_none() {
             return;
         }
         self.gateways[g].acted += 1;
@@ -180,42 +144,40 @@
         }
     }
 
+    /// What a gateway has to do. A connection stands as soon as it is asked for; one that is cut carries nothing.
     pub(super) fn flush(&mut self, g: usize) {
-        let node = &mut self.gateways[g];
-        let (stream, keeper) = (node.stream, node.keeper);
-        let ups = node.session.as_mut().map(Session::take_out).unwrap_or_default();
-        for up in ups {
-            self.send(Node::Gateway(g), Node::Keeper(keeper), Message::Up(stream, up));
+        loop {
+            let node = &mut self.gateways[g];
+            let now = node.clock.at(self.now);
+            let Some(member) = &mut node.member else { return };
+            let acts = member.take();
+            if acts.is_empty() {
+                return;
+            }
+            for act in acts {
+                let node = &mut self.gateways[g];
+                let Some(member) = &mut node.member else { return };
+                match act {
+                    Act::Dial(place) => {
+                        (node.keeper, node.stream) = (place, self.rng.u64(1..u64::MAX));
+                        member.connected(now);
+                    }
+                    Act::Up(up) => {
+                        let (keeper, stream) = (node.keeper, node.stream);
+                        self.send(Node::Gateway(g), Node::Keeper(keeper), Message::Up(stream, *up));
+                    }
+                    Act::Keep => node.kept = member.session().held.clone(),
+                    Act::Recheck(_) | Act::RecheckAll | Act::Contracts | Act::Word(_) => {}
+                }
+            }
         }
     }
 
     pub(super) fn down(&mut self, g: usize, stream: u64, down: wire::Down) {
-        let real = self.now;
         let node = &mut self.gateways[g];
-        if stream != node.stream {
-            return;
-        }
-        node.heard = real;
-        let now = node.clock.at(real);
-        let Some(session) = &mut node.session else { return };
-        let came = session.down(now, down);
-        if came.changes.is_some() {
-            node.kept = session.held.clone();
-        }
-        if let Some(look) = came.looked {
-            node.judging = false;
-            if let Some(token) = session.holds(REGISTRAR, now) {
-                if let Some(judge) = registrar::judge(&look, token) {
-                    session.tell(What::Judge(judge));
-                }
-            }
-        }
-        if came.session_changed {
-            node.judging = false;
-        }
-        if came.elsewhere {
-            node.connected = false;
-        }
+        let now = node.clock.at(self.now);
+        let Some(member) = node.member.as_mut().filter(|_| stream == node.stream) else { return };
+        member.down(now, down);
         self.flush(g);
     }
 
--- a/crates/keeper/tests/world/mod.rs
+++ b/crates/keeper/tests/world/mod.rs
@@ -5,11 +5,12 @@
 mod faults;
 mod fleet;
 
+use chalkdeck_access::Call;
 use chalkdeck_duty::{Gate, Terms, Token};
 use chalkdeck_keeper::core::{Asker, Keeper, Out, Set, Start};
 use chalkdeck_keeper::journal::{Begun, Journal};
-use chalkdeck_keeper::registrar;
-use chalkdeck_keeper::session::{Held, Session};
+use chalkdeck_keeper::member::{Act, Member, Set as MemberSet};
+use chalkdeck_keeper::session::Held;
 use chalkdeck_keeper::state::{REGISTRAR, TALLY};
 use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
 use chalkdeck_wal::sim::Sim;
@@ -102,18 +103,15 @@
 }
 
 pub struct GatewayNode {
-    pub session: Option<Session>,
+    pub member: Option<Member>,
     clock: Clock,
     stalled: u64,
     life: u64,
     stream: u64,
     keeper: usize,
-    connected: bool,
-    heard: u64,
     kept: Held,
     acted: u64,
-    judging: bool,
-    /// Hits told so far, by this life.
+    /// Calls that rules decided in this life.
     hits: u64,
 }
 
@@ -182,6 +180,10 @@
     /// When the lab's duty was last not held, in real time.
     pub unheld: u64,
     pub applied_in_force: u64,
+    /// Calls that rules decided, of all lives, and of those that were killed; none come once it is quiet.
+    pub hits: u64,
+    pub hits_killed: u64,
+    pub quiet: bool,
     proposals: u64,
 }
 
@@ -210,6 +212,9 @@
             broken: Vec::new(),
             unheld: 0,
             applied_in_force: 0,
+            hits: 0,
+            hits_killed: 0,
+            quiet: false,
             proposals: 0,
             rng: rng.fork(),
         };
@@ -233,17 +238,14 @@
         for g in 0..gateways {
             let clock = world.clock();
             let node = GatewayNode {
-                session: None,
+                member: None,
                 clock,
                 stalled: 0,
                 life: 0,
                 stream: 0,
-                keeper: g % keepers,
-                connected: false,
-                heard: 0,
+                keeper: 0,
                 kept: Held::default(),
                 acted: 0,
-                judging: false,
                 hits: 0,
             };
             world.gateways.push(node);
