Gateways keep what they hold on disk before they say that they apply it; duties go on at a stop

Need: a set is in force only if no gateway goes back to an earlier one after a restart. A session says no version that the disk lacks. Duties are handed on when a stop begins while the session, and with it what rests on it, stands to its end.

--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod agree;
 pub mod core;
 pub mod journal;
+pub mod kept;
 pub mod member;
 pub mod registrar;
 mod seen;
--- a/crates/keeper/src/member.rs
+++ b/crates/keeper/src/member.rs
@@ -26,8 +26,8 @@
     Dial(usize),
     /// Say this on the connection.
     Up(Box<wire::Up>),
-    /// What is held changed: keep it for the next start.
-    Keep,
+    /// What is held changed by this: keep it for the next start, then [`Member::kept`].
+    Keep(Box<wire::News>),
     /// Look at the open streams of these customers again, by [`Member::still_goes`].
     Recheck(Vec<String>),
     /// The session lapsed, or stands again: the same for the streams of all customers.
@@ -192,10 +192,10 @@
         if matches!(self.link, Link::Up(_)) {
             self.link = Link::Up(now);
         }
+        let news = down.news.clone();
         let mut came = self.session.down(now, down);
-        if let Some(changes) = came.changes.take() {
-            self.changed(&changes);
-            came.changes = Some(changes);
+        if let Some((changes, news)) = came.changes.as_ref().zip(news) {
+            self.changed(changes, news);
         }
         if came.reported {
             self.access.hits().report_came();
@@ -217,7 +217,11 @@
         came
     }
 
-    fn changed(&mut self, changes: &Changes) {
+    fn changed(&mut self, changes: &Changes, news: wire::News) {
+        if *changes == Changes::default() {
+            return;
+        }
+        self.acts.push(Act::Keep(Box::new(news)));
         let held = &self.session.held;
         for customer in &changes.rules {
             let set = held.rules.get(customer).and_then(set_of);
@@ -237,7 +241,6 @@
             self.acts.push(Act::Contracts);
         }
         self.acts.extend(changes.words.iter().cloned().map(Act::Word));
-        self.acts.push(Act::Keep);
     }
 
     // ---- duties ----
@@ -290,7 +293,15 @@
         self.session.report(wire::Report { hits, spoke, seen, ..wire::Report::default() });
     }
 
-    /// The gateway ends: its duties go on at once.
+    /// What is held is on the disk as far as this version; to be told at the start, too, where anything is kept there.
+    pub fn kept(&mut self, now: u64, version: u64) {
+        self.session.kept(now, version);
+    }
+    /// The gateway is about to end: its duties go on at once.
+    pub fn resign(&mut self) {
+        self.session.resign();
+    }
+    /// The gateway ends.
     pub fn close(&mut self) {
         self.session.close();
     }
--- a/crates/keeper/src/session.rs
+++ b/crates/keeper/src/session.rs
@@ -145,6 +145,8 @@
     hello_at: Option<u64>,
     /// The version that was said to be applied.
     said: u64,
+    /// The version that the disk holds; none: nothing is kept there, so nothing of an earlier life can come back.
+    kept: Option<u64>,
     next: u64,
     commands: BTreeMap<u64, wire::Command>,
     report: Option<wire::Report>,
@@ -166,6 +168,7 @@
             renew_at: 0,
             hello_at: None,
             said: 0,
+            kept: None,
             next: 0,
             commands: BTreeMap::new(),
             report: None,
@@ -260,10 +263,27 @@
         [renew, self.hello_at].into_iter().flatten().min().filter(|_| self.connected)
     }
 
+    /// What is held is kept on disk, too, as far as this version. From here on no newer one is said to be applied: after a restart
+    /// this gateway would go by an earlier one.
+    pub fn kept(&mut self, now: u64, version: u64) {
+        self.kept = Some(version);
+        self.say_soon(now);
+    }
+    /// What this gateway can say that it goes by, in this life and a next one.
+    fn applied(&self) -> u64 {
+        self.kept.map_or(self.held.version, |k| k.min(self.held.version))
+    }
+    /// What is applied is said soon: others wait for it.
+    fn say_soon(&mut self, now: u64) {
+        if self.applied() > self.said {
+            self.renew_at = self.renew_at.min(now + SOONEST);
+        }
+    }
+
     fn renew(&mut self, now: u64) {
         let number = self.lease.sent(now);
         self.renew_at = now + self.lease.terms().renew_after();
-        self.said = self.held.version;
+        self.said = self.applied();
         let renewal = wire::Renewal { session: self.id, number, applied: self.said };
         self.say(What::Renewal(renewal));
     }
@@ -290,7 +310,13 @@
                 self.duties.extend(news.duties.iter().map(|d| (d.name.clone(), d.clone())));
                 self.hints = (news.proposals, news.unfolded, news.unpublished);
             }
-            came.changes = Some(self.held.apply(news));
+            let before = self.held.version;
+            let changes = self.held.apply(news);
+            // Nothing of it has to be kept.
+            if changes == Changes::default() && self.kept == Some(before) {
+                self.kept = Some(self.held.version);
+            }
+            came.changes = Some(changes);
         }
         if down.session > 0 {
             came.session_changed = down.session != self.id;
@@ -302,10 +328,7 @@
             self.renew_at = now;
             self.again();
         }
-        // What is applied is said soon: others wait for it.
-        if self.held.version > self.said {
-            self.renew_at = self.renew_at.min(now + SOONEST);
-        }
+        self.say_soon(now);
         if down.granted > 0 {
             self.lease.granted(down.granted);
         }
@@ -365,7 +388,13 @@
         self.report = Some(report.clone());
         self.say(What::Report(report));
     }
-    /// The gateway ends: its duties go on at once.
+    /// The gateway is about to end: its duties go on at once, and it gets no others. The session stands on.
+    pub fn resign(&mut self) {
+        if std::mem::replace(&mut self.open.candidate, false) && self.id > 0 {
+            self.tell(wire::command::What::Open(self.open.clone()));
+        }
+    }
+    /// The gateway ends.
     pub fn close(&mut self) {
         if self.id > 0 {
             let session = self.id;
--- a/crates/keeper/src/state/sessions.rs
+++ b/crates/keeper/src/state/sessions.rs
@@ -20,7 +20,12 @@
         // Said again, over another connection or after a lost answer: the same session.
         let same = |s: &&wire::Session| s.gateway == open.gateway && s.incarnation == open.incarnation;
         if let Some(session) = self.sessions.values().find(same) {
-            return wire::Answer { id: session.id, ..done(0) };
+            let (id, resigns) = (session.id, session.candidate && !open.candidate);
+            if resigns {
+                self.sessions.get_mut(&id).into_iter().for_each(|s| s.candidate = false);
+                self.free_duties(id);
+            }
+            return wire::Answer { id, ..done(0) };
         }
         if self.sessions.len() >= MOST_SESSIONS {
             return refuse(Code::Full, format!("there are {MOST_SESSIONS} sessions"));
--- a/crates/keeper/tests/world/faults.rs
+++ b/crates/keeper/tests/world/faults.rs
@@ -49,6 +49,7 @@
             Fault::StartGateway(_) => {}
             Fault::EndGateway(g) => {
                 if let Some(member) = &mut self.gateways[g].member {
+                    member.resign();
                     member.close();
                     self.flush(g);
                     self.befall(Fault::KillGateway(g));
--- a/crates/keeper/tests/world/fleet.rs
+++ b/crates/keeper/tests/world/fleet.rs
@@ -99,7 +99,9 @@
         };
         let (now, seed) = (node.clock.at(self.now), self.rng.u64(..));
         let set = MemberSet { open, keepers: self.keepers.len(), report_every: 300 * MS, seed };
-        node.member = Some(Member::new(set, node.kept.clone(), now));
+        let mut member = Member::new(set, node.kept.clone(), now);
+        member.kept(now, node.kept.version);
+        node.member = Some(member);
         (node.hits, node.stream) = (0, 0);
     }
 
@@ -166,7 +168,10 @@
                         let (keeper, stream) = (node.keeper, node.stream);
                         self.send(Node::Gateway(g), Node::Keeper(keeper), Message::Up(stream, *up));
                     }
-                    Act::Keep => node.kept = member.session().held.clone(),
+                    Act::Keep(_) => {
+                        node.kept = member.session().held.clone();
+                        member.kept(now, node.kept.version);
+                    }
                     Act::Recheck(_) | Act::RecheckAll | Act::Contracts | Act::Word(_) => {}
                 }
             }
