Gateways take part in the shared state: rules at arrival, contracts of servers, words, a status

A call is decided once at its arrival on both fronts, before the counter is asked; a denied one is PERMISSION_DENIED with rule and set (DENIED on RESP), with no come-back time. Streams that a new set, or a lapsed session, forbids are ended. A gateway that never heard a state takes no calls. Servers whose contract was not admitted count as draining, unless all in service are such. /keepers shows it. Not measured yet.

--- a/crates/access/src/compiled.rs
+++ b/crates/access/src/compiled.rs
@@ -11,7 +11,7 @@
     pub caller: &'a str,
     /// The gateway's.
     pub gateway: &'a str,
-    /// The path; on the limits front its command.
+    /// The path; on the limits front its command, after a `/`.
     pub path: &'a str,
     /// The class.
     pub class: &'a str,
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -9,6 +9,7 @@
 mod breaks;
 mod promise;
 mod reads;
+mod service;
 mod spoken;
 mod types;
 mod version;
@@ -17,6 +18,7 @@
 
 pub use breaks::{Break, Direction, Rule, Witness};
 pub use promise::{Effect, Group, Promise};
+pub use service::{hold_back, HoldBack};
 pub use spoken::{Spoken, Use};
 pub use version::{Level, Version, VersionError, MOST_BYTES};
 pub use walk::{check, Bounds};
--- /dev/null
+++ b/crates/contract/src/service.rs
@@ -0,0 +1,53 @@
+//! Which servers are put in service by the version of their contract.
+
+/// What is held back of a list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldBack {
+    /// Whether each server is held back, in the order of the list.
+    pub held: Vec<bool>,
+    /// None of those in service has an admitted version, so none is held back: calls that an unadmitted version may misread are
+    /// worse than none only where there is another to take them.
+    pub last_resort: bool,
+}
+
+/// Servers that tell a version which was not admitted are held back, unless all that are in service are such. `told`: for each
+/// server whether it is in service, and the service and version that it tells; one that tells none is not held back.
+pub fn hold_back<'a>(
+    told: impl Iterator<Item = (bool, Option<&'a str>)>,
+    admits: impl Fn(&str, &str) -> bool,
+) -> HoldBack {
+    let admitted = |contract: &str| {
+        let (service, version) = contract.split_once(' ').unwrap_or((contract, ""));
+        admits(service, version)
+    };
+    let (mut held, mut in_service, mut left) = (Vec::new(), 0, 0);
+    for (serves, contract) in told {
+        let back = contract.is_some_and(|c| !admitted(c));
+        in_service += usize::from(serves);
+        left += usize::from(serves && !back);
+        held.push(back);
+    }
+    let last_resort = in_service > 0 && left == 0;
+    if last_resort {
+        held.fill(false);
+    }
+    HoldBack { held, last_resort }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unadmitted_versions_wait_unless_there_is_no_other() {
+        let admits = |service: &str, version: &str| service == "farm.v1.Farm" && version == "1";
+        let (one, two) = (Some("farm.v1.Farm 1"), Some("farm.v1.Farm 2"));
+        let hold = |list: &[(bool, Option<&str>)]| hold_back(list.iter().copied(), admits);
+        assert_eq!(hold(&[(true, one), (true, two), (true, None)]).held, [false, true, false]);
+        let all = hold(&[(true, two), (true, two)]);
+        assert_eq!((all.held, all.last_resort), (vec![false, false], true));
+        // A server that drains is no other to take calls.
+        assert!(hold(&[(false, one), (true, two)]).last_resort);
+        assert!(!hold(&[(false, two)]).last_resort);
+    }
+}
--- a/crates/gateway/src/base/server.rs
+++ b/crates/gateway/src/base/server.rs
@@ -10,6 +10,8 @@
     pub address: SocketAddr,
     /// The name of its zone.
     pub zone_name: String,
+    /// The service and version that it tells, parted by a space; none: it tells none.
+    pub contract: Option<String>,
     /// Its line of the list.
     pub entry: ServerEntry,
 }
--- a/crates/gateway/src/base/settings.rs
+++ b/crates/gateway/src/base/settings.rs
@@ -48,6 +48,29 @@
     pub connections: usize,
 }
 
+/// The fleet's shared state, as a gateway reaches it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeeperSettings {
+    /// Where the keepers are.
+    pub addresses: Vec<SocketAddr>,
+    /// This gateway's name in the fleet.
+    pub name: String,
+    /// Where it stands, as access rules name it.
+    pub region: String,
+    /// The metadata in which a trusted front tells the caller's region.
+    pub region_metadata: Option<http::HeaderName>,
+    /// A table of prefixes and regions.
+    pub regions: Option<PathBuf>,
+    /// Where the last known state is kept.
+    pub state: Option<PathBuf>,
+    /// Between reports, in microseconds.
+    pub report: u64,
+    /// Whether it may hold duties.
+    pub candidate: bool,
+    /// The metadata in which a caller tells the version that it speaks.
+    pub version_metadata: http::HeaderName,
+}
+
 /// Checked settings.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -83,6 +106,8 @@
     pub site_floor: bool,
     /// Where an operator's words on sites are kept; none: nowhere.
     pub site_words: Option<PathBuf>,
+    /// The fleet's shared state; none: there is none.
+    pub keepers: Option<KeeperSettings>,
     /// The name of the own zone.
     pub zone_name: String,
     /// The counter's parts, in the order that all gateways have; none: there is no counter.
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -33,6 +33,13 @@
     pub(crate) skip: usize,
 }
 
+/// Who calls on a stream, for rules that may come to forbid it.
+pub(crate) struct Who {
+    pub(crate) customer: String,
+    /// The caller's region.
+    pub(crate) caller: String,
+}
+
 /// One call of a client.
 pub(crate) struct Call {
     pub(crate) front: StreamId,
@@ -42,6 +49,8 @@
     pub(crate) path: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) tries_before: u32,
+    /// Only of streams, and only where there are rules.
+    pub(crate) who: Option<Box<Who>>,
     pub(crate) kept: Kept,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) answer: Answer,
@@ -61,6 +70,7 @@
             path: asked.path,
             headers: asked.headers,
             tries_before: asked.tries_before,
+            who: None,
             kept: Kept::new(keep, ended),
             attempts: Vec::new(),
             answer: Answer::None,
@@ -132,6 +142,9 @@
             self.open -= 1;
         }
     }
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Call> {
+        self.by_id.values().map(Box::as_ref)
+    }
     pub(crate) fn open_ids(&self) -> Vec<RequestId> {
         self.by_front.values().copied().collect()
     }
--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -19,16 +19,20 @@
 impl Shell {
     // ---- calls ----
 
-    pub(crate) fn on_call(&mut self, front: StreamId, head: &request::Parts, ended: bool) {
+    pub(crate) fn on_call(&mut self, front: StreamId, conn: ConnId, head: &request::Parts, ended: bool) {
         let (id, now) = (self.calls.next_id(), self.engine.now());
-        let asked = match front::read(&self.set, id, now, head) {
+        let mut asked = match front::read(&self.set, id, now, head) {
             Ok(asked) => asked,
             Err(why) => return self.reject(front, id, why),
         };
+        let who = match self.admits(&mut asked, head, conn) {
+            Ok(who) => who,
+            Err(why) => return self.reject(front, id, why),
+        };
         tracing::debug!(call = id.0, path = asked.path.as_str(), units = asked.arrival.units, "taken");
         let arrival = asked.arrival.clone();
         let call = Call::new(asked, front, now, self.set.keep_bytes, ended);
-        self.calls.insert(call);
+        self.calls.insert(Call { who, ..call });
         self.metrics.taken.inc();
         self.metrics.open.inc();
         self.enter(arrival);
@@ -269,6 +273,9 @@
     // ---- the servers' side ----
 
     pub(crate) fn on_connected(&mut self, conn: ConnId) {
+        if self.keeper_connected(conn) {
+            return;
+        }
         if let Shell { counter: Some(counter), engine, .. } = self {
             if let Some(told) = counter.connected(engine, conn) {
                 return self.counted(told);
@@ -282,6 +289,9 @@
     }
 
     pub(crate) fn on_closed(&mut self, conn: ConnId, why: &str) {
+        if self.keeper_closed(conn) {
+            return;
+        }
         if let Some(told) = self.counter.as_mut().and_then(|c| c.closed(conn)) {
             tracing::warn!(why, "counter connection over");
             return self.counted(told);
@@ -296,6 +306,9 @@
     }
 
     pub(crate) fn on_head(&mut self, stream: StreamId, head: Box<response::Parts>, ended: bool) {
+        if self.keeper_heard(stream, &[], ended) {
+            return;
+        }
         if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = if ended { counter.on_over(&mut self.engine) } else { Vec::new() };
             return self.counted(told);
@@ -336,6 +349,9 @@
     }
 
     pub(crate) fn on_data(&mut self, stream: StreamId, data: Bytes) {
+        if self.keeper_heard(stream, &data, false) {
+            return;
+        }
         if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = counter.on_data(&mut self.engine, stream, &data);
             return self.counted(told);
@@ -396,6 +412,9 @@
     }
 
     pub(crate) fn on_end(&mut self, stream: StreamId, trailers: Option<HeaderMap>) {
+        if self.keeper_heard(stream, &[], true) {
+            return;
+        }
         if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = counter.on_over(&mut self.engine);
             return self.counted(told);
@@ -443,6 +462,9 @@
     }
 
     pub(crate) fn on_broken(&mut self, stream: StreamId, how: Broken) {
+        if self.keeper_heard(stream, &[], true) {
+            return;
+        }
         if let Some(counter) = self.counter.as_mut().and_then(|c| c.of(stream)) {
             let told = counter.on_over(&mut self.engine);
             return self.counted(told);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -2,7 +2,8 @@
 //!
 //! Metadata under the key `chalkdeck`: `cell` (text; none: the locality's) and `started_ms` (Unix time in milliseconds
 //! at which the server last started; none: long ago), `server` (text; by which all gateways know it where they reach it
-//! under different addresses; none: its address).
+//! under different addresses; none: its address), `contract` (text; the service and version that it serves, parted by a
+//! space; none: it is put in service whatever the fleet admits).
 
 pub use crate::base::server::Server;
 use crate::base::server::{number_of, zone_of};
@@ -109,7 +110,14 @@
         weight: f64::from(weight),
         started,
     };
-    Ok(Server { address, zone_name: zone.to_string(), entry })
+    let contract = match field(endpoint, "contract") {
+        None => None,
+        Some(Kind::StringValue(contract)) if contract.split(' ').count() == 2 => Some(contract.clone()),
+        Some(_) => {
+            return bad("metadata chalkdeck.contract: expected a service and its version, parted by a space")
+        }
+    };
+    Ok(Server { address, zone_name: zone.to_string(), contract, entry })
 }
 
 fn address_of(endpoint: &LbEndpoint) -> Result<SocketAddr, ListError> {
--- /dev/null
+++ b/crates/gateway/src/keepers.rs
@@ -0,0 +1,480 @@
+//! The fleet's shared state at a gateway: the session with a keeper over gRPC, what is kept on disk, and what calls, streams, the
+//! server list and sites hear of it. What is decided is decided in `chalkdeck_keeper::member` and `chalkdeck_access`.
+
+use crate::base::asked::{Asked, Rejected};
+use crate::base::server::Server;
+use crate::base::settings::{KeeperSettings, Settings};
+use crate::calls::Who;
+use crate::shell::{Due, Shell};
+use chalkdeck::api::{Listed, RequestId};
+use chalkdeck_access::{Call, RegionError, Regions, Verdict};
+use chalkdeck_keeper::kept::{Kept, KeptError};
+use chalkdeck_keeper::member::{Act, Member, Set};
+use chalkdeck_keeper::serve::{limits, SESSION};
+use chalkdeck_net::clock::incarnation;
+use chalkdeck_net::grpc::{self, Code, Deframer};
+use chalkdeck_net::{ConnId, Engine, StreamId};
+use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
+use http::request;
+use prost::Message;
+use std::path::PathBuf;
+
+/// How often what is due is looked at, in microseconds.
+const TICK: u64 = 20_000;
+/// The longest message of a keeper: the whole state of 200,000 rules fits.
+const MOST: usize = 256 << 20;
+/// After the disk failed, the whole is tried again, in microseconds.
+const KEEP_AGAIN: u64 = 1_000_000;
+
+/// Why the shared state cannot be taken part in.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum KeepersError {
+    /// See [`KeptError`].
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Kept(#[from] KeptError),
+    /// The table of regions is not read.
+    #[error("{}: {source}", file.display())]
+    #[diagnostic(
+        code(chalkdeck::gateway::regions_file),
+        help("see keepers.regions_file in the settings, and whether it may be read")
+    )]
+    RegionsFile {
+        /// Its path.
+        file: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The table of regions is not sound.
+    #[error("{}: {source}", file.display())]
+    #[diagnostic(
+        code(chalkdeck::gateway::regions),
+        help("one prefix and one region a line; the line is named")
+    )]
+    Regions {
+        /// Its path.
+        file: PathBuf,
+        /// What is wrong there.
+        source: RegionError,
+    },
+}
+
+/// What `/keepers` shows.
+#[derive(Debug, Default, Clone, serde::Serialize, serde::Deserialize)]
+pub struct KeepersStatus {
+    /// This gateway's name in the fleet.
+    pub name: String,
+    /// The keeper that it speaks to, or dials next.
+    pub keeper: String,
+    /// Its session; 0: none.
+    pub session: u64,
+    /// Whether the session stands by this gateway's own reckoning.
+    pub stands: bool,
+    /// Whether anything of the state is known; without it no call is taken.
+    pub knows: bool,
+    /// The version of the state that is held.
+    pub version: u64,
+    /// Duties held now, each with its token.
+    pub duties: Vec<(String, u64)>,
+    /// Customers with a set of rules, each with its version.
+    pub sets: Vec<(String, u64)>,
+    /// Rules of all sets.
+    pub rules: usize,
+    /// Servers held back since the version of their contract was not admitted.
+    pub held_back: Vec<String>,
+    /// All servers in service are of versions that were not admitted, so they are used.
+    pub last_resort: bool,
+    /// What is held could not be written to the disk; no newer version is said to be applied.
+    pub disk_fails: bool,
+}
+
+pub(crate) struct Keepers {
+    member: Member,
+    set: KeeperSettings,
+    regions: Regions,
+    kept: Option<Kept>,
+    /// The disk failed: tried again from then on.
+    keep_at: Option<u64>,
+    conn: Option<ConnId>,
+    stream: Option<StreamId>,
+    deframer: Deframer,
+    /// The server list as it was read.
+    listed: Vec<Server>,
+    held_back: Vec<String>,
+    last_resort: bool,
+}
+
+impl Keepers {
+    /// Errors: a file that is there and not sound; better no start than rules forgotten.
+    pub(crate) fn new(set: &KeeperSettings, zone: &str, now: u64) -> Result<Keepers, KeepersError> {
+        let regions = match &set.regions {
+            None => Regions::default(),
+            Some(file) => {
+                let text = std::fs::read_to_string(file)
+                    .map_err(|source| KeepersError::RegionsFile { file: file.clone(), source })?;
+                Regions::read(&text).map_err(|source| KeepersError::Regions { file: file.clone(), source })?
+            }
+        };
+        let (kept, held) = match &set.state {
+            None => (None, Default::default()),
+            Some(file) => {
+                let (kept, held) = Kept::open(file)?;
+                (Some(kept), held)
+            }
+        };
+        let open = wire::Open {
+            gateway: set.name.clone(),
+            site: zone.to_string(),
+            incarnation: incarnation(now),
+            candidate: set.candidate,
+        };
+        let member_set =
+            Set { open, keepers: set.addresses.len(), report_every: set.report, seed: fastrand::u64(..) };
+        let version = held.version;
+        let mut member = Member::new(member_set, held, now);
+        if kept.is_some() {
+            member.kept(now, version);
+        }
+        Ok(Keepers {
+            member,
+            set: set.clone(),
+            regions,
+            kept,
+            keep_at: None,
+            conn: None,
+            stream: None,
+            deframer: Deframer::default(),
+            listed: Vec::new(),
+            held_back: Vec::new(),
+            last_resort: false,
+        })
+    }
+
+    fn hang_up(&mut self, engine: &mut Engine) {
+        (self.stream, self.deframer) = (None, Deframer::default());
+        self.conn.take().into_iter().for_each(|conn| engine.close(conn));
+    }
+
+    fn dial(&mut self, engine: &mut Engine, place: usize) {
+        self.hang_up(engine);
+        match engine.connect(self.set.addresses[place], limits()) {
+            Ok(conn) => self.conn = Some(conn),
+            Err(_) => self.member.lost(engine.now()),
+        }
+    }
+
+    /// The connection stands: the session's stream is opened on it.
+    fn connected(&mut self, engine: &mut Engine, conn: ConnId) {
+        let head = grpc::request(&self.set.addresses[self.member.place()].to_string(), SESSION);
+        self.stream = head.and_then(|head| engine.open(conn, head, false));
+        match self.stream {
+            Some(_) => self.member.connected(engine.now()),
+            None => self.lost(engine),
+        }
+    }
+
+    fn lost(&mut self, engine: &mut Engine) {
+        self.hang_up(engine);
+        self.member.lost(engine.now());
+    }
+
+    fn data(&mut self, engine: &mut Engine, data: &[u8]) {
+        self.deframer.push(data);
+        loop {
+            match self.deframer.next(MOST) {
+                Ok(None) => return,
+                Ok(Some(message)) => match wire::Down::decode(&message[..]) {
+                    Ok(down) => drop(self.member.down(engine.now(), down)),
+                    Err(_) => return self.lost(engine),
+                },
+                Err(_) => return self.lost(engine),
+            }
+            // The keeper may have been left for another by what came.
+            if self.stream.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn keep(&mut self, now: u64, news: &wire::News) {
+        let Some(kept) = &mut self.kept else { return };
+        let held = &self.member.session().held;
+        let version = held.version;
+        match kept.keep(news, held) {
+            Ok(()) => {
+                self.keep_at = None;
+                self.member.kept(now, version);
+            }
+            Err(e) => {
+                if self.keep_at.is_none() {
+                    tracing::error!("{e}");
+                }
+                self.keep_at = Some(now + KEEP_AGAIN);
+            }
+        }
+    }
+
+    /// Marks servers whose version was not admitted as draining: nothing new goes to them.
+    fn hold_back(&mut self, servers: &mut [Server]) {
+        let held = &self.member.session().held;
+        let told = servers.iter().map(|s| (s.entry.listed == Listed::InService, s.contract.as_deref()));
+        let back = chalkdeck_contract::hold_back(told, |service, version| held.admits(service, version));
+        self.held_back.clear();
+        for (server, _) in servers.iter_mut().zip(&back.held).filter(|(_, held)| **held) {
+            server.entry.listed = Listed::Draining;
+            self.held_back.push(server.address.to_string());
+        }
+        if back.last_resort != std::mem::replace(&mut self.last_resort, back.last_resort) && back.last_resort
+        {
+            tracing::error!("no server in service is of an admitted version: they are used as a last resort");
+        }
+    }
+
+    fn status(&self, now: u64) -> KeepersStatus {
+        let (session, access) = (self.member.session(), self.member.access());
+        let holds = |d: &wire::Duty| Some((d.name.clone(), session.holds(&d.name, now)?));
+        let mut sets: Vec<(String, u64)> =
+            access.customers().filter_map(|c| Some((c.to_string(), access.get(c)?.set().version))).collect();
+        sets.sort_unstable();
+        sets.truncate(1_000);
+        KeepersStatus {
+            name: self.set.name.clone(),
+            keeper: self.set.addresses[self.member.place()].to_string(),
+            session: session.id(),
+            stands: session.stands(now),
+            knows: self.member.knows(),
+            version: session.held.version,
+            duties: session.duties().filter_map(holds).collect(),
+            sets,
+            rules: access.rules(),
+            held_back: self.held_back.clone(),
+            last_resort: self.last_resort,
+            disk_fails: self.keep_at.is_some(),
+        }
+    }
+}
+
+fn rejected(code: Code, kind: &'static str, what: String) -> Rejected {
+    Rejected { code: Some(code), what, kind }
+}
+
+fn denied(rule: &str, version: u64, stale: bool) -> String {
+    if stale {
+        format!("denied: this gateway's session has lapsed, and set {version} says DENY then")
+    } else {
+        format!("denied by rule {rule} of set {version}")
+    }
+}
+
+impl Shell {
+    // ---- calls ----
+
+    /// Whether the customer's rules admit a call; where a stream may have to end later, who calls.
+    pub(crate) fn admits(
+        &mut self,
+        asked: &mut Asked,
+        head: &request::Parts,
+        conn: ConnId,
+    ) -> Result<Option<Box<Who>>, Rejected> {
+        let Shell { keepers: Some(keepers), set, engine, .. } = self else { return Ok(None) };
+        if !keepers.member.knows() {
+            return Err(unknown());
+        }
+        let text = |name: &http::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let customer = text(&set.customer_metadata).unwrap_or("");
+        let told = keepers.set.region_metadata.as_ref().and_then(text);
+        let found = || engine.came_from(conn).and_then(|a| keepers.regions.of(a));
+        let caller = told.or_else(found).unwrap_or("").to_string();
+        keepers.set.region_metadata.iter().for_each(|name| drop(asked.headers.remove(name)));
+        let class = asked.arrival.class.0;
+        let call = Call {
+            caller: &caller,
+            gateway: &keepers.set.region,
+            path: head.uri.path(),
+            class: &set.class_names[class],
+        };
+        let version = text(&keepers.set.version_metadata);
+        match keepers.member.arrives(engine.now(), customer, &call, version) {
+            Verdict::Denied { rule, version, stale } => {
+                Err(rejected(Code::PermissionDenied, "denied", denied(&rule, version, stale)))
+            }
+            Verdict::Goes if set.policy.classes[class].stream => {
+                Ok(Some(Box::new(Who { customer: customer.to_string(), caller })))
+            }
+            Verdict::Goes => Ok(None),
+        }
+    }
+
+    /// The same for a request of the limits front; the error's text says why not.
+    pub(crate) fn admits_ask(&mut self, conn: ConnId, customer: &str, command: &str) -> Option<String> {
+        let Shell { keepers: Some(keepers), set, engine, metrics, .. } = self else { return None };
+        let count = |kind: &str| {
+            metrics.rejected.get_or_create(&crate::metrics::Kind { kind: kind.into() }).inc();
+        };
+        if !keepers.member.knows() {
+            let why = unknown();
+            count(why.kind);
+            return Some(format!("UNAVAILABLE {}", why.what));
+        }
+        let class = set.resp.as_ref().map_or(0, |r| r.class);
+        let caller = engine.came_from(conn).and_then(|a| keepers.regions.of(a)).unwrap_or("");
+        let call =
+            Call { caller, gateway: &keepers.set.region, path: command, class: &set.class_names[class] };
+        match keepers.member.arrives(engine.now(), customer, &call, None) {
+            Verdict::Goes => None,
+            Verdict::Denied { rule, version, stale } => {
+                count("denied");
+                Some(format!("DENIED {}", denied(&rule, version, stale)))
+            }
+        }
+    }
+
+    /// Ends the streams that rules do not admit any more; of these customers, or of all.
+    fn end_denied(&mut self, customers: Option<&[String]>) {
+        let Shell { keepers: Some(keepers), calls, set, engine, .. } = self else { return };
+        let now = engine.now();
+        let mut over: Vec<(RequestId, String)> = Vec::new();
+        for call in calls.all() {
+            let Some(who) = call.who.as_deref().filter(|_| !call.is_done()) else { continue };
+            if customers.is_some_and(|c| !c.contains(&who.customer)) {
+                continue;
+            }
+            let like = Call {
+                caller: &who.caller,
+                gateway: &keepers.set.region,
+                path: call.path.path(),
+                class: &set.class_names[call.arrival.class.0],
+            };
+            if let Verdict::Denied { rule, version, stale } =
+                keepers.member.still_goes(now, &who.customer, &like)
+            {
+                over.push((call.arrival.id, denied(&rule, version, stale)));
+            }
+        }
+        for (id, why) in over {
+            self.break_off(id, Code::PermissionDenied, &why);
+        }
+    }
+
+    // ---- the session ----
+
+    /// Looks at what is due.
+    pub(crate) fn keeper_tick(&mut self) {
+        let Shell { keepers: Some(keepers), engine, .. } = self else { return };
+        let now = engine.now();
+        if keepers.keep_at.is_some_and(|at| now >= at) {
+            let whole = wire::News { whole: true, ..wire::News::default() };
+            keepers.keep(now, &whole);
+        }
+        keepers.member.tick(now);
+        self.due_in(TICK, Due::Keepers);
+        self.keeper_acts();
+    }
+
+    /// Carries out what the shared state asks for, until nothing follows.
+    fn keeper_acts(&mut self) {
+        loop {
+            let Some(keepers) = &mut self.keepers else { return };
+            let acts = keepers.member.take();
+            if acts.is_empty() {
+                return;
+            }
+            acts.into_iter().for_each(|act| self.keeper_act(act));
+        }
+    }
+
+    fn keeper_act(&mut self, act: Act) {
+        let Shell { keepers: Some(keepers), engine, .. } = self else { return };
+        match act {
+            Act::Dial(place) => keepers.dial(engine, place),
+            Act::Up(up) => {
+                if let Some(stream) = keepers.stream {
+                    engine.send(stream, grpc::frame(&up.encode_to_vec()));
+                }
+            }
+            Act::Keep(news) => keepers.keep(engine.now(), &news),
+            Act::Recheck(customers) => self.end_denied(Some(&customers)),
+            Act::RecheckAll => self.end_denied(None),
+            Act::Contracts => {
+                let listed = keepers.listed.clone();
+                if !listed.is_empty() {
+                    self.take_list(listed);
+                }
+            }
+            Act::Word(word) => self.site_word(&word.site, &word.word),
+        }
+    }
+
+    /// The list as it is to be used: servers of versions that were not admitted are held back.
+    pub(crate) fn keeper_list(&mut self, servers: &mut [Server]) {
+        if let Some(keepers) = &mut self.keepers {
+            keepers.listed = servers.to_vec();
+            keepers.hold_back(servers);
+        }
+    }
+
+    /// Whether it was the connection to a keeper.
+    pub(crate) fn keeper_connected(&mut self, conn: ConnId) -> bool {
+        let Shell { keepers: Some(keepers), engine, .. } = self else { return false };
+        let own = keepers.conn == Some(conn);
+        if own {
+            keepers.connected(engine, conn);
+            self.keeper_acts();
+        }
+        own
+    }
+    /// See [`Shell::keeper_connected`].
+    pub(crate) fn keeper_closed(&mut self, conn: ConnId) -> bool {
+        let Shell { keepers: Some(keepers), engine, .. } = self else { return false };
+        let own = keepers.conn == Some(conn);
+        if own {
+            keepers.lost(engine);
+            self.keeper_acts();
+        }
+        own
+    }
+    /// Whether it was the session's stream; `over`: nothing more comes on it.
+    pub(crate) fn keeper_heard(&mut self, stream: StreamId, data: &[u8], over: bool) -> bool {
+        let Shell { keepers: Some(keepers), engine, .. } = self else { return false };
+        let own = keepers.stream == Some(stream);
+        if own {
+            engine.consume(stream, data.len());
+            keepers.data(engine, data);
+            if over && keepers.stream == Some(stream) {
+                keepers.lost(engine);
+            }
+            self.keeper_acts();
+        }
+        own
+    }
+
+    /// A stop begins: duties go on at once; the session stands as long as calls may need it.
+    pub(crate) fn keeper_resigns(&mut self) {
+        self.keepers.iter_mut().for_each(|k| k.member.resign());
+        self.keeper_acts();
+    }
+    /// The gateway ends.
+    pub(crate) fn keeper_leaves(&mut self) {
+        self.keepers.iter_mut().for_each(|k| k.member.close());
+        self.keeper_acts();
+    }
+
+    /// Whether calls can be taken as far as the shared state is concerned.
+    pub(crate) fn keeper_ready(&self) -> bool {
+        self.keepers.as_ref().is_none_or(|k| k.member.knows())
+    }
+    /// `/keepers`; none: there is no shared state.
+    pub(crate) fn keeper_status(&self) -> Option<KeepersStatus> {
+        Some(self.keepers.as_ref()?.status(self.engine.now()))
+    }
+}
+
+fn unknown() -> Rejected {
+    let what = "this gateway has not heard yet which calls its customers' rules deny";
+    rejected(Code::Unavailable, "rules_unknown", what.to_string())
+}
+
+/// Takes part, where the settings say so.
+pub(crate) fn of(set: &Settings, now: u64) -> Result<Option<Keepers>, KeepersError> {
+    set.keepers.as_ref().map(|k| Keepers::new(k, &set.zone_name, now)).transpose()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod entry;
 mod fault;
 mod front;
+pub mod keepers;
 pub mod logs;
 mod metrics;
 mod outcome;
--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -163,10 +163,12 @@
         }
         match command {
             Command::Quit => self.resp_end(conn, Reply::Ok),
-            Command::Throttle { customer, units } => self.resp_ask(conn, &customer, units, None),
+            Command::Throttle { customer, units } => {
+                self.resp_ask(conn, (&customer, "/CL.THROTTLE"), units, None)
+            }
             Command::Take { customer, units, lease } => {
                 let lease = lease.or(self.set.resp.as_ref().map(|r| r.lease));
-                self.resp_ask(conn, &customer, units, lease);
+                self.resp_ask(conn, (&customer, "/CHALK.TAKE"), units, lease);
             }
             Command::Give { ticket, units } => {
                 let given = self.resp_give(&ticket, units);
@@ -180,7 +182,7 @@
         }
     }
 
-    fn resp_ask(&mut self, conn: ConnId, customer: &str, units: f64, lease: Option<u64>) {
+    fn resp_ask(&mut self, conn: ConnId, (customer, command): (&str, &str), units: f64, lease: Option<u64>) {
         let (most, plan) = (self.set.policy.most_units, self.set.plan_for(customer));
         let class = self.set.resp.as_ref().map_or(0, |r| r.class);
         let Some(resp) = &mut self.resp else { return };
@@ -195,7 +197,12 @@
         if lease.is_some() && session.tickets >= MOST_TICKETS {
             return session.ready(Reply::Error("ERR too many tickets on this connection".into()));
         }
+        if let Some(why) = self.admits_ask(conn, customer, command) {
+            return self.resp_say(conn, Reply::Error(why));
+        }
         let (id, now) = (self.calls.next_id(), self.engine.now());
+        let Shell { resp: Some(resp), .. } = self else { return };
+        let Some(session) = resp.sessions.get_mut(&conn) else { return };
         let customer = CustomerId(crate::base::server::number_of(customer));
         resp.asks.insert(id, Ask { conn, slot: session.wait(), customer, plan, lease });
         self.metrics.resp_asks.inc();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway: read from protobuf text, checked, and turned into what the decisions take.
 
 use crate::base::server::zone_of;
-pub use crate::base::settings::{RespSettings, Route, Settings, SettingsError};
+pub use crate::base::settings::{KeeperSettings, RespSettings, Route, Settings, SettingsError};
 use chalkdeck::api::{self, Effect, Group, Micros};
 use chalkdeck_net::Limits;
 use chalkdeck_proto::chalkdeck::config::v1 as wire;
@@ -134,6 +134,10 @@
         if let Some(folder) = path.parent() {
             settings.endpoints = folder.join(&settings.endpoints);
             settings.site_words = settings.site_words.map(|file| folder.join(file));
+            if let Some(keepers) = &mut settings.keepers {
+                keepers.regions = keepers.regions.take().map(|file| folder.join(file));
+                keepers.state = keepers.state.take().map(|file| folder.join(file));
+            }
         }
         Ok(settings)
     }
@@ -211,6 +215,38 @@
     }))
 }
 
+fn keepers(source: &Source, wire: &wire::Gateway) -> Result<Option<KeeperSettings>> {
+    let Some(keepers) = &wire.keepers else { return Ok(None) };
+    let addresses = keepers
+        .addresses
+        .iter()
+        .map(|a| source.address("keepers.addresses", a))
+        .collect::<Result<Vec<_>>>()?;
+    if addresses.is_empty() || addresses.len() > 5 {
+        return source.fail(format!("keepers.addresses: expected one to five, found {}", addresses.len()));
+    }
+    let metadata = |field: &str, name: &str| match name.parse::<http::HeaderName>() {
+        Ok(name) => Ok(name),
+        Err(_) => source.fail_at(name, format!("keepers.{field}: expected a metadata name, found '{name}'")),
+    };
+    let some = |text: &str| Some(text.to_string()).filter(|t| !t.is_empty());
+    let region_metadata = some(&keepers.region_metadata);
+    Ok(Some(KeeperSettings {
+        addresses,
+        name: some(&keepers.name).unwrap_or_else(|| format!("{}/{}", wire.zone, wire.number)),
+        region: some(&keepers.region).unwrap_or_else(|| wire.zone.clone()),
+        region_metadata: region_metadata.map(|name| metadata("region_metadata", &name)).transpose()?,
+        regions: some(&keepers.regions_file).map(PathBuf::from),
+        state: some(&keepers.state_file).map(PathBuf::from),
+        report: u64::from(or(keepers.report_ms, 1_000)) * 1_000,
+        candidate: !keepers.no_duties,
+        version_metadata: match keepers.version_metadata.as_str() {
+            "" => http::HeaderName::from_static("x-protocol-version"),
+            name => metadata("version_metadata", name)?,
+        },
+    }))
+}
+
 fn check(source: &Source, wire: &wire::Gateway) -> Result<Settings> {
     let mut class_names: Vec<String> = wire.classes.iter().map(|c| c.name.clone()).collect();
     let plan_names: Vec<String> = wire.plans.iter().map(|p| p.name.clone()).collect();
@@ -323,6 +359,7 @@
             .iter()
             .find(|s| !s.words_file.is_empty())
             .map(|s| PathBuf::from(&s.words_file)),
+        keepers: keepers(source, wire)?,
         zone_name: wire.zone.clone(),
         counter: parts,
         resp,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -6,9 +6,10 @@
 use crate::calls::Calls;
 use crate::counter::Told;
 use crate::counters::{Counters, News};
-use crate::endpoints::{self, LookError};
+use crate::endpoints::{self, LookError, Server};
 use crate::entry::Entry;
 use crate::fault::Fault;
+use crate::keepers::{self, Keepers};
 use crate::metrics::Metrics;
 use crate::pool::{AttemptId, Pool};
 use crate::resp::Resp;
@@ -45,6 +46,7 @@
     Connect(ConnId),
     Look,
     Sites,
+    Keepers,
 }
 
 /// A running gateway.
@@ -61,6 +63,7 @@
     pub(crate) resp: Option<Resp>,
     pub(crate) entry: Option<Entry>,
     pub(crate) sites: Option<Sites>,
+    pub(crate) keepers: Option<Keepers>,
     pub(crate) pool: Pool,
     watch: Watch,
     pub(crate) metrics: Metrics,
@@ -86,6 +89,7 @@
         let policy = Gateway::new(seed, set.policy.clone()).map_err(io::Error::other)?;
         let resp = set.resp.as_ref().map(|r| Resp::start(&mut engine, r)).transpose()?;
         let counter = Counters::new(&set.counter, engine.now());
+        let keepers = keepers::of(&set, engine.now()).map_err(io::Error::other)?;
         let mut shell = Shell {
             engine,
             desk: Desk::new(policy),
@@ -98,6 +102,7 @@
             resp,
             entry: set.door.clone().map(Entry::new),
             sites: set.sites.then(|| Sites::new(&set)).transpose()?,
+            keepers,
             pool: Pool::new(set.server_connections, set.server_streams, set.keepalive),
             watch: Watch::new(set.endpoints.clone()),
             metrics: Metrics::new(&set.class_names, &set.plan_names),
@@ -114,6 +119,7 @@
             shell.site_look();
             shell.settle();
         }
+        shell.keeper_tick();
         Ok(shell)
     }
 
@@ -166,6 +172,7 @@
         self.engine.unlisten(self.listener);
         self.engine.drain(self.listener);
         self.resp_stop();
+        self.keeper_resigns();
         tracing::info!(open = self.calls.open, "stopping: takes no calls, finishes what it holds");
     }
 
@@ -183,6 +190,7 @@
             self.break_off(id, Code::Unavailable, "the gateway stops");
         }
         self.settle();
+        self.keeper_leaves();
         let flush_by = self.engine.now() + LONGEST_WAIT;
         while self.engine.held().1 > 0 && self.engine.now() < flush_by {
             self.turn(1_000)?;
@@ -216,7 +224,7 @@
         match event {
             NetEvent::Accepted { listener, conn } => self.resp_accepted(listener, conn),
             NetEvent::Bytes { conn, data } => self.resp_bytes(conn, &data),
-            NetEvent::Opened { stream, head, ended, .. } => self.on_call(stream, &head, ended),
+            NetEvent::Opened { stream, conn, head, ended } => self.on_call(stream, conn, &head, ended),
             NetEvent::Connected { conn } => self.on_connected(conn),
             NetEvent::Closed { conn, why, .. } => {
                 self.resp_closed(conn);
@@ -276,6 +284,7 @@
             }
             Some(Due::Look) => self.look(),
             Some(Due::Sites) => self.site_look(),
+            Some(Due::Keepers) => self.keeper_tick(),
             None => {}
         }
     }
@@ -332,19 +341,7 @@
             Ok(servers) => {
                 tracing::info!(servers = servers.len(), "server list read");
                 self.metrics.servers.set(servers.len() as i64);
-                let unsent = self.pool.update(&mut self.engine, &servers);
-                unsent.into_iter().for_each(|attempt| self.ended(attempt, Outcome::ConnectFailed, false));
-                self.site_list(&servers);
-                let mut entries: Vec<_> = servers.into_iter().map(|s| s.entry).collect();
-                for entry in &mut entries {
-                    if self.fault == Some(Fault::Drains) {
-                        entry.listed = Listed::InService;
-                    }
-                    if self.fault == Some(Fault::Cold) && entry.started.is_some() {
-                        self.freshest = Some(entry.server);
-                    }
-                }
-                self.desk.tell(Event::Servers(ListScope::Whole, entries));
+                self.take_list(servers);
             }
             Err(why) => {
                 self.metrics.list_failures.inc();
@@ -354,6 +351,24 @@
         self.settle();
     }
 
+    /// Uses a list from here on.
+    pub(crate) fn take_list(&mut self, mut servers: Vec<Server>) {
+        self.keeper_list(&mut servers);
+        let unsent = self.pool.update(&mut self.engine, &servers);
+        unsent.into_iter().for_each(|attempt| self.ended(attempt, Outcome::ConnectFailed, false));
+        self.site_list(&servers);
+        let mut entries: Vec<_> = servers.into_iter().map(|s| s.entry).collect();
+        for entry in &mut entries {
+            if self.fault == Some(Fault::Drains) {
+                entry.listed = Listed::InService;
+            }
+            if self.fault == Some(Fault::Cold) && entry.started.is_some() {
+                self.freshest = Some(entry.server);
+            }
+        }
+        self.desk.tell(Event::Servers(ListScope::Whole, entries));
+    }
+
     /// Takes over what can change in service; the decisions' own settings need a new start.
     pub fn reload(&mut self) {
         let Some(file) = &self.file else { return };
@@ -362,7 +377,13 @@
             Err(e) => return tracing::error!("the earlier settings stay: {e}"),
         };
         let fixed = |s: &Settings| {
-            (format!("{:?}", s.policy), s.listen, s.admin, s.counter.clone(), s.resp.clone(), s.sites)
+            (
+                format!("{:?}", s.policy),
+                (s.listen, s.admin, s.sites),
+                s.counter.clone(),
+                s.resp.clone(),
+                s.keepers.clone(),
+            )
         };
         if fixed(&new) != fixed(&self.set) {
             tracing::error!(
@@ -382,6 +403,13 @@
         self.metrics.connections.set(connections as i64);
         match path {
             "/healthz" if self.stop_by.is_some() => self.engine.reply(conn, 503, "stopping\n"),
+            "/healthz" if !self.keeper_ready() => {
+                self.engine.reply(
+                    conn,
+                    503,
+                    "no keeper was heard yet: it is not known which calls are denied\n",
+                );
+            }
             "/healthz" => self.engine.reply(conn, 200, "ok\n"),
             "/metrics" => {
                 let text = self.metrics.text();
@@ -391,7 +419,11 @@
                 Ok(text) => self.engine.reply(conn, 200, &text),
                 Err(what) => self.engine.reply(conn, 400, &what),
             },
-            _ => self.engine.reply(conn, 404, "expected /healthz, /metrics or /sites\n"),
+            "/keepers" => match self.keeper_status().and_then(|s| serde_json::to_string(&s).ok()) {
+                Some(text) => self.engine.reply(conn, 200, &text),
+                None => self.engine.reply(conn, 400, "settings have no keepers\n"),
+            },
+            _ => self.engine.reply(conn, 404, "expected /healthz, /metrics, /sites or /keepers\n"),
         }
     }
 }
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -235,6 +235,28 @@
         self.desk.tell(api::Event::Sites(shares, floor));
     }
 
+    /// A word that reached the whole fleet; it counts from the first list that names its site on, and is kept like one that was
+    /// said here.
+    pub(crate) fn site_word(&mut self, name: &str, word: &str) {
+        let now = self.engine.now();
+        let Some(sites) = &mut self.sites else { return };
+        let command = match word {
+            "drain" => Command::Drain,
+            "hold" => Command::Hold,
+            _ => Command::LetBack,
+        };
+        if let Err(e) = sites.words.keep(name, command != Command::LetBack) {
+            tracing::error!(
+                site = name,
+                word,
+                "the word could not be kept and lasts until this gateway ends: {e}"
+            );
+        }
+        tracing::warn!(site = name, word, "an operator's word to the fleet");
+        sites.core.on(now, Event::Command(site_of(zone_of(name)), command));
+        self.site_plan();
+    }
+
     /// `/sites`, and `/sites/drain/NAME`, `/sites/hold/NAME`, `/sites/let-back/NAME`. Errors: what was expected.
     pub(crate) fn site_asked(&mut self, path: &str) -> Result<String, String> {
         let now = self.engine.now();
--- a/crates/keeper/src/core.rs
+++ b/crates/keeper/src/core.rs
@@ -312,7 +312,7 @@
             return refuse(Code::Full, "too many commands wait here to be agreed on");
         }
         if !self.is_configured() {
-            return refuse(Code::Refused, "this keeper takes no part in the agreement yet");
+            return refuse(Code::Elsewhere, "this keeper takes no part in the agreement yet");
         }
         None
     }
--- a/crates/keeper/src/session.rs
+++ b/crates/keeper/src/session.rs
@@ -300,7 +300,8 @@
             return came;
         }
         if down.news.as_ref().is_some_and(|n| self.held.misses(n)) {
-            self.hello_at = Some(now + REOPEN);
+            // Not later for each further piece: where news come often, it would never be said.
+            self.hello_at.get_or_insert(now + REOPEN);
         } else if let Some(news) = &down.news {
             let newer = news.cluster != self.held.cluster || news.version >= self.held.version;
             if newer {
--- a/crates/keeper/tests/world/faults.rs
+++ b/crates/keeper/tests/world/faults.rs
@@ -142,6 +142,12 @@
         let told: u64 = state.state().hit_lines("c0").iter().map(|l| l.count).sum();
         let least = self.hits - self.hits_killed;
         if !(least..=self.hits).contains(&told) {
+            if std::env::var("TELL").is_ok() {
+                println!("{:?}", state.state().hit_lines("c0"));
+                for (i, g) in self.gateways.iter().enumerate() {
+                    println!("g{i}: {} {:?}", g.hits, g.member.as_ref().map(Member::session));
+                }
+            }
             self.broken
                 .push(format!("{told} hits of {}, of which {} at killed ones", self.hits, self.hits_killed));
         }
--- a/crates/keeper/tests/world/mod.rs
+++ b/crates/keeper/tests/world/mod.rs
@@ -398,12 +398,12 @@
                 self.keeper(k, |core, _| core.up(asker, up));
             }
             (Node::Keeper(k), Message::Tell(stream, command)) => {
-                let asker = Asker(stream);
+                let asker = call_of(from, stream);
                 self.keepers[k].streams.insert(asker, (from, stream));
                 self.keeper(k, |core, _| core.tell(asker, command));
             }
             (Node::Keeper(k), Message::Look(stream, request)) => {
-                let asker = Asker(stream);
+                let asker = call_of(from, stream);
                 self.keepers[k].streams.insert(asker, (from, stream));
                 self.keeper(k, |core, _| core.look(asker, &request));
             }
@@ -416,6 +416,12 @@
     }
 }
 
+/// Operators number their calls each for itself.
+fn call_of(from: Node, call: u64) -> Asker {
+    let Node::Operator(o) = from else { return Asker(call) };
+    Asker((o as u64 + 1) << 48 | call)
+}
+
 /// Streams and calls run over connections: what comes is in order, or not at all.
 fn stream_of(message: &Message) -> Option<u64> {
     match message {
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -38,6 +38,8 @@
     pub(crate) limits: Limits,
     /// The listener that took it in.
     pub(crate) listener: Option<u64>,
+    /// Where it came from, where that is known.
+    pub(crate) from: Option<std::net::IpAddr>,
     /// Streams of it that are open.
     pub(crate) streams: usize,
     /// The address was reached at least once.
@@ -70,6 +72,7 @@
 impl Conn {
     pub(crate) fn accepted(
         stream: TcpStream,
+        from: std::net::IpAddr,
         limits: Limits,
         listener: u64,
         speaks: Speaks,
@@ -85,6 +88,7 @@
             waker,
             limits,
             listener: Some(listener),
+            from: Some(from),
             streams: 0,
             reached: true,
             resets: 0,
@@ -102,6 +106,7 @@
             waker,
             limits,
             listener: None,
+            from: None,
             streams: 0,
             reached: false,
             resets: 0,
@@ -249,3 +254,10 @@
         .max_send_buffer_size(limits.stream_window as usize);
     builder
 }
+
+impl crate::engine::Engine {
+    /// The address that a connection came in from; none: it is not held, or was made from here.
+    pub fn came_from(&self, conn: crate::engine::ConnId) -> Option<std::net::IpAddr> {
+        self.conns.get(&conn.0)?.from
+    }
+}
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -561,8 +561,8 @@
                 listener.paused = true;
                 return;
             }
-            let mut stream = match listener.socket.accept() {
-                Ok((stream, _)) => stream,
+            let (mut stream, from) = match listener.socket.accept() {
+                Ok(came) => came,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) => {
@@ -583,7 +583,7 @@
             }
             let waker = self.ready.waker(id, Turn::Then);
             waker.wake_by_ref();
-            self.conns.insert(id, Conn::accepted(stream, limits, key, speaks, waker));
+            self.conns.insert(id, Conn::accepted(stream, from.ip(), limits, key, speaks, waker));
             self.out.push_back(Event::Accepted { listener: ListenerId(key), conn: ConnId(id) });
         }
     }
