Commands keeper, rules and contract: run, status, apply, check, hits, propose, retire

Need: operators and publishers reach the shared state. A command goes to one keeper after another under its own number, so it counts once; without an answer its outcome is said to be not known. 'In force' is read off a look by a pure function with its test.

--- /dev/null
+++ b/crates/cli/src/contract.rs
@@ -0,0 +1,166 @@
+//! `chalkdeck contract`: versions of services, who speaks them, and whether a new one breaks them.
+
+use crate::failure::Failure;
+use crate::keeper::Keepers;
+use crate::rules::{propose, read, RulesError};
+use chalkdeck_keeper::registrar::version_of;
+use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
+use clap::Subcommand;
+use prost::Message;
+use std::path::{Path, PathBuf};
+use wire::command::What;
+use wire::look_request::What as Look;
+
+const MESSAGE: &str = "chalkdeck.keeper.v1.Contract";
+
+/// Why a version cannot be proposed.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum ContractError {
+    /// The schema does not compile.
+    #[error("{file}: {what}")]
+    #[diagnostic(
+        code(chalkdeck::contract::schema),
+        help("see the named file and line; --include names the folders that imports start at")
+    )]
+    Schema {
+        /// Its path.
+        file: String,
+        /// What the compiler says.
+        what: String,
+    },
+    /// The version is not sound by itself.
+    #[error("{file}: {what}")]
+    #[diagnostic(
+        code(chalkdeck::contract::wrong),
+        help("docs/contracts.md has each field; every method wants a promise")
+    )]
+    Wrong {
+        /// Its path.
+        file: String,
+        /// What is wrong.
+        what: String,
+    },
+}
+
+/// What is done.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Propose a version; it is admitted if it breaks none that is still spoken
+    Propose {
+        /// Protobuf text of chalkdeck.keeper.v1.Contract: service, version, promises of each method
+        file: PathBuf,
+        /// The schema; in place of descriptors in the file
+        #[arg(long)]
+        proto: Option<PathBuf>,
+        /// Where imports of the schema start; its own folder if none is given
+        #[arg(long)]
+        include: Vec<PathBuf>,
+        #[command(flatten)]
+        to: Keepers,
+    },
+    /// Say that a customer speaks a version, whether or not it calls now
+    Subscribe {
+        /// The customer
+        customer: String,
+        /// The service, with its package
+        service: String,
+        /// The version
+        version: String,
+        /// How long it goes on repeating a call, in milliseconds
+        #[arg(long, default_value_t = 0)]
+        repeats_ms: u64,
+        /// It no longer does
+        #[arg(long)]
+        gone: bool,
+        #[command(flatten)]
+        to: Keepers,
+    },
+    /// Say that a version counts as spoken no more, whoever called it until now
+    Retire {
+        /// The service, with its package
+        service: String,
+        /// The version
+        version: String,
+        #[command(flatten)]
+        to: Keepers,
+    },
+    /// Versions of a service, and who speaks them
+    Spoken {
+        /// The service; all if none is given
+        service: Option<String>,
+        #[command(flatten)]
+        to: Keepers,
+    },
+}
+
+/// Runs it.
+pub fn run(command: &Command) -> Result<(), Failure> {
+    match command {
+        Command::Propose { file, proto, include, to } => {
+            let contract = contract(file, proto.as_deref(), include)?;
+            let what = Some(wire::propose::What::Contract(contract));
+            propose(to, wire::Propose { what, force: false })
+        }
+        Command::Subscribe { customer, service, version, repeats_ms, gone, to } => {
+            let subscribe = wire::Subscribe {
+                customer: customer.clone(),
+                service: service.clone(),
+                version: version.clone(),
+                gone: *gone,
+                repeats_ms: *repeats_ms,
+            };
+            to.asking()?.tell(What::Subscribe(subscribe), to.patience())?;
+            println!("taken");
+            Ok(())
+        }
+        Command::Retire { service, version, to } => {
+            let retire = wire::Retire { service: service.clone(), version: version.clone() };
+            to.asking()?.tell(What::Retire(retire), to.patience())?;
+            println!("retired; calls that still come are shown as 'retired and called again'");
+            Ok(())
+        }
+        Command::Spoken { service, to } => spoken(service.as_deref().unwrap_or(""), to),
+    }
+}
+
+fn contract(path: &Path, proto: Option<&Path>, include: &[PathBuf]) -> Result<wire::Contract, Failure> {
+    let mut contract: wire::Contract = read::<wire::Contract>(MESSAGE, path).map_err(|e: RulesError| e)?;
+    if let Some(proto) = proto {
+        let own = [proto.parent().unwrap_or(Path::new(".")).to_path_buf()];
+        let include = if include.is_empty() { &own[..] } else { include };
+        let file = proto.display().to_string();
+        let set = protox::compile([proto], include)
+            .map_err(|e| ContractError::Schema { file, what: e.to_string() })?;
+        contract.descriptors = set.encode_to_vec();
+    }
+    match version_of(&contract) {
+        Ok(_) => Ok(contract),
+        Err(what) => Err(ContractError::Wrong { file: path.display().to_string(), what }.into()),
+    }
+}
+
+fn spoken(service: &str, to: &Keepers) -> Result<(), Failure> {
+    let request = wire::LookRequest {
+        what: Look::Spoken as i32,
+        service: service.into(),
+        ..wire::LookRequest::default()
+    };
+    let answer = to.asking()?.look(&request, to.patience())?;
+    for admitted in &answer.admitted {
+        let c = admitted.contract.clone().unwrap_or_default();
+        let state = if admitted.retired { "retired" } else { "admitted" };
+        println!("{} {} {state}", c.service, c.version);
+    }
+    for version in &answer.spoken {
+        for u in &version.uses {
+            let word = if u.declared { "subscribes" } else { "seen" };
+            let ago = answer.time_ms.saturating_sub(u.last_ms) / 1_000;
+            let last = if u.last_ms > 0 { format!(", last {ago} s ago") } else { String::new() };
+            println!(
+                "{} {} {}: {word}, {} calls{last}",
+                version.service, version.version, u.customer, u.calls
+            );
+        }
+    }
+    Ok(())
+}
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -1,5 +1,10 @@
 //! How the program tells of an error: what is wrong, its code, and what an operator can do.
 
+use crate::contract::ContractError;
+use crate::rules::RulesError;
+use chalkdeck_keeper::ask::AskError;
+use chalkdeck_keeper::serve::KeeperError;
+use chalkdeck_keeper::settings::SettingsError;
 use chalkdeck_platform::{ConfigError, StartError};
 use miette::Diagnostic;
 use std::fmt::{Display, Formatter};
@@ -32,7 +37,7 @@
         }
     )*};
 }
-told!(ConfigError, StartError);
+told!(ConfigError, StartError, AskError, KeeperError, SettingsError, RulesError, ContractError);
 
 /// The error itself, or the one within it that has a code.
 fn coded(error: &dyn Diagnostic) -> &dyn Diagnostic {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,10 @@
 //! `chalkdeck`: the gateway, its checks and its demo.
 #![forbid(unsafe_code)]
 
+mod contract;
 mod failure;
+mod keeper;
+mod rules;
 mod site;
 
 use chalkdeck_gateway::{logs, Settings};
@@ -36,6 +39,15 @@
     /// The counter: serve, tools for its log
     #[command(subcommand)]
     Counter(chalkdeck_counter::cli::Command),
+    /// Keepers of the fleet's shared state
+    #[command(subcommand)]
+    Keeper(keeper::Command),
+    /// Customers' access rules
+    #[command(subcommand)]
+    Rules(rules::Command),
+    /// Versions of services, and who speaks them
+    #[command(subcommand)]
+    Contract(contract::Command),
     /// Sites as gateways see them, and an operator's words to them
     Site {
         #[command(subcommand)]
@@ -67,6 +79,9 @@
         }
         Command::Demo(args) => Lab::Demo(args).run_as(&["lab"])?,
         Command::Counter(command) => command.run()?,
+        Command::Keeper(command) => keeper::run(&command)?,
+        Command::Rules(command) => rules::run(&command)?,
+        Command::Contract(command) => contract::run(&command)?,
         Command::Site { word } => site::run(&word)?,
         Command::Plan(command) => command.run()?,
         Command::Lab(command) => command.run_as(&["lab"])?,
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 pub mod agree;
+pub mod apply;
 pub mod ask;
 pub mod core;
 pub mod journal;
--- a/crates/keeper/tests/session.rs
+++ b/crates/keeper/tests/session.rs
@@ -56,7 +56,8 @@
 fn no_version_is_said_to_be_applied_that_the_disk_lacks() {
     let mut session = standing(0);
     session.kept(0, 10);
-    let set = wire::RuleSet { customer: "c".into(), version: 1, otherwise: 1, stale: 1, ..Default::default() };
+    let set =
+        wire::RuleSet { customer: "c".into(), version: 1, otherwise: 1, stale: 1, ..Default::default() };
     session.down(10 * MS, down(wire::News { rules: vec![set], ..news(11, 10) }));
     session.tick(2_000 * MS);
     assert_eq!(applied(&session.take_out()), Some(10), "held, but a restart would go back");
