--- a/crates/keeper/src/session.rs
+++ b/crates/keeper/src/session.rs
@@ -142,6 +142,8 @@
     /// What waits for a holder: proposals, hits to be folded, words to be published.
     hints: (bool, bool, bool),
     renew_at: u64,
+    /// When something was last heard.
+    heard: u64,
     hello_at: Option<u64>,
     /// The version that was said to be applied.
     said: u64,
@@ -166,6 +168,7 @@
             duties: BTreeMap::new(),
             hints: (false, false, false),
             renew_at: 0,
+            heard: 0,
             hello_at: None,
             said: 0,
             kept: None,
@@ -253,10 +256,15 @@
             self.hello_at = None;
             self.connected();
         }
-        if self.id > 0 && now >= self.renew_at {
+        if self.id > 0 && now >= self.renew_at && self.hears(now) {
             self.renew(now);
         }
     }
+    /// Whether the keepers' answers come. Guards against a gateway that is heard and hears nothing: it would hold its duties back from
+    /// all others while it may not act itself.
+    fn hears(&self, now: u64) -> bool {
+        now < self.heard + self.lease.terms().lease / 2
+    }
     /// When the next tick is due.
     pub fn due(&self) -> Option<u64> {
         let renew = (self.id > 0).then_some(self.renew_at);
@@ -291,6 +299,7 @@
     /// Something came down.
     pub fn down(&mut self, now: u64, down: wire::Down) -> Came {
         let mut came = Came::default();
+        self.heard = now;
         if down.ended {
             came.elsewhere = self.id == 0;
             self.lease.ended();
--- a/crates/keeper/tests/session.rs
+++ b/crates/keeper/tests/session.rs
@@ -70,6 +70,26 @@
     assert_eq!(applied(&session.take_out()), Some(12));
 }
 
+#[test]
+fn a_session_that_hears_nothing_is_renewed_no_more() {
+    let (mut session, mut last) = (standing(0), 0);
+    for now in (0..20_000 * MS).step_by(100_000) {
+        session.tick(now);
+        if applied(&session.take_out()).is_some() {
+            last = now;
+        }
+    }
+    let half = Terms::default().lease / 2;
+    assert!((half / 2..half).contains(&last), "its last renewal goes at {last}");
+    // Heard again, it goes on.
+    session.down(
+        20_000 * MS,
+        wire::Down { session: 5, lease_us: 6_000_000, drift: 10_000, ..Default::default() },
+    );
+    session.tick(20_000 * MS);
+    assert!(applied(&session.take_out()).is_some());
+}
+
 #[test]
 fn one_that_resigns_keeps_its_session_and_holds_nothing() {
     let mut session = standing(0);
