Access rules over processes: in force under cuts, restarts, streams, exact hits; kept news without gaps

Found by the test of a gateway that restarts while cut off: its file held set and whole, and the set was not read back, as pieces of news without anything to keep lay between and the reader took that for a gap (Kept::keep); it let calls through that its set denies when stale. Records now say what they follow in the file. Unit test and process test were seen to fail without.

--- /dev/null
+++ b/crates/cli/tests/access.rs
@@ -0,0 +1,192 @@
+//! Customers' access rules over processes with faults between them: in force is a promise, and hits are exact.
+
+mod fleet;
+
+use chalkdeck_net::grpc::Code;
+use fleet::{until, Caller, Fleet, VIEW, WATCH};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+fn apply(fleet: &Fleet, file: &str) -> String {
+    fleet.does(&["rules", "apply", file, "--force", "--wait", "30"])
+}
+
+fn hits(fleet: &Fleet, customer: &str) -> u64 {
+    let text = fleet.does(&["rules", "hits", customer]);
+    text.lines().filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Applies a deny while one of three gateways is cut off, with calls all the time; returns what `apply` said, and how many calls were
+/// admitted after it had. Calls at the one that is cut off count where its earlier set says DENY.
+fn deny_under_a_cut(stale: &str, counts: [bool; 3]) -> (String, u64) {
+    let fleet = Fleet::start(3, 3);
+    apply(&fleet, &fleet.set("c", stale, "ALLOW", ""));
+    let deny = fleet.set("c", stale, "DENY", "");
+    fleet.cut_off("g2", true);
+    let (said, over) = (AtomicBool::new(false), AtomicBool::new(false));
+    let (words, admitted) = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..3)
+            .map(|g| {
+                let (address, said, over) = (fleet.grpc(g), &said, &over);
+                scope.spawn(move || {
+                    let (mut caller, mut before, mut after) = (Caller::new(address), 0, 0);
+                    while !over.load(Ordering::SeqCst) {
+                        let known = said.load(Ordering::SeqCst);
+                        if caller.admits("c") {
+                            *(if known { &mut after } else { &mut before }) += 1;
+                        }
+                    }
+                    assert!(before > 0, "g{g} admitted calls before");
+                    after
+                })
+            })
+            .collect();
+        let words = apply(&fleet, &deny);
+        said.store(true, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(400));
+        over.store(true, Ordering::SeqCst);
+        let after: Vec<u64> = callers.into_iter().map(|c| c.join().expect("it called")).collect();
+        (words, after.iter().zip(counts).filter(|(_, counts)| *counts).map(|(n, _)| n).sum())
+    });
+    // One that restarts in the cut goes by what it kept: as with the set before, and never by an earlier one.
+    let mut fleet = fleet;
+    fleet.kill_gateway(2);
+    fleet.start_gateway(2);
+    let mut caller = Caller::new(fleet.grpc(2));
+    assert_eq!(caller.admits("c"), stale == "KEEP", "restarted while cut off");
+    fleet.cut_off("g2", false);
+    until("it hears the new set", || (!caller.admits("c")).then_some(()));
+    (words, admitted)
+}
+
+#[test]
+fn a_deny_in_force_is_kept_by_all_where_the_set_denies_when_stale() {
+    let (words, admitted) = deny_under_a_cut("DENY", [true, true, true]);
+    assert!(words.contains("in force") && !words.contains("cut off"), "{words}");
+    assert_eq!(admitted, 0, "admitted after it was said to be in force");
+}
+
+#[test]
+fn a_deny_in_force_names_who_is_cut_off_where_the_set_is_kept() {
+    let (words, admitted) = deny_under_a_cut("KEEP", [true, true, false]);
+    assert!(words.contains("in force") && words.contains("cut off") && words.contains("g2"), "{words}");
+    assert_eq!(admitted, 0, "admitted after it was said to be in force");
+}
+
+#[test]
+fn rules_decide_by_region_path_and_class_before_anything_else_and_end_streams() {
+    let mut fleet = Fleet::start(3, 3);
+    fleet.add_server("");
+    let rules = format!(
+        "rules {{ id: 'no-eu-view' action: DENY caller_regions: 'eu' routes: '{VIEW}' }}
+         rules {{ id: 'no-south' action: DENY gateway_regions: 'south' }}"
+    );
+    let set = fleet.set("c", "KEEP", "ALLOW", &rules);
+    apply(&fleet, &set);
+    let mut callers: Vec<Caller> = (0..3).map(|g| Caller::new(fleet.grpc(g))).collect();
+    let served = |c: &mut Caller, region: &str| c.call(&[("x-customer", "c"), ("x-region", region)]);
+    until("the server is known", || (served(&mut callers[0], "us").0 == Some(Code::Ok)).then_some(()));
+    let (code, why) = served(&mut callers[0], "eu");
+    assert_eq!(code, Some(Code::PermissionDenied));
+    assert!(why.contains("no-eu-view") && why.contains("set 1"), "{why}");
+    assert!(served(&mut callers[2], "us").1.contains("no-south"));
+    // Another customer has no set.
+    assert_eq!(callers[2].call(&[("x-customer", "other"), ("x-region", "eu")]).0, Some(Code::Ok));
+
+    // Streams that are open end when a set turns to deny; those of others go on.
+    let stream = callers[0].open(WATCH, &[("x-customer", "c"), ("x-region", "us")]);
+    let other = callers[0].open(WATCH, &[("x-customer", "other")]);
+    until("both streams began", || {
+        callers[0].turn();
+        (callers[0].heads.contains(&stream) && callers[0].heads.contains(&other)).then_some(())
+    });
+    let begun = Instant::now();
+    apply(&fleet, &fleet.set("c", "KEEP", "DENY", ""));
+    assert_eq!(callers[0].end(stream).0, Some(Code::PermissionDenied));
+    println!(
+        "a stream that a new set denies ended {:.3} s after the set was given",
+        begun.elapsed().as_secs_f64()
+    );
+    assert!(!callers[0].ended.contains_key(&other));
+
+    // What came of late would have been denied altogether: only an explicit word puts that into force.
+    let lock = fleet.set("other", "KEEP", "DENY", "");
+    until("the calls were reported", || {
+        fleet.does(&["rules", "check", &lock]).contains("lock the customer out").then_some(())
+    });
+    let refused = fleet.fails(&["rules", "apply", &lock]);
+    assert!(refused.contains("chalkdeck::rules::rejected") && refused.contains("--force"), "{refused}");
+    let broken = fleet.write("broken.txtpb", "customer: 'x'\notherwise: MAYBE");
+    assert!(fleet.fails(&["rules", "apply", &broken]).contains("broken.txtpb:2:"));
+}
+
+#[test]
+fn hits_are_exact_over_lost_links_and_lose_at_most_a_report_where_a_gateway_is_killed() {
+    let mut fleet = Fleet::start(3, 3);
+    apply(&fleet, &fleet.set("c", "KEEP", "ALLOW", "rules { id: 'eu' action: DENY caller_regions: 'eu' }"));
+    let mut callers: Vec<Caller> = (0..3).map(|g| Caller::new(fleet.grpc(g))).collect();
+    let mut calls = 0;
+    let mut call = |callers: &mut [Caller], rounds: usize| {
+        for i in 0..rounds {
+            for caller in callers.iter_mut() {
+                caller.call(&[("x-customer", "c"), ("x-region", ["eu", "us"][i % 2])]);
+                calls += 1;
+            }
+        }
+        calls
+    };
+    // Reports that are lost, late, and said again; a session that lapses and comes back in the same life.
+    fleet.links("from=g0&loss=0.3&jitter_ms=30");
+    call(&mut callers, 100);
+    fleet.cut_off("g1", true);
+    until("its session lapsed", || fleet.does(&["keeper", "status"]).contains("cut off").then_some(()));
+    call(&mut callers, 50);
+    fleet.cut_off("g1", false);
+    fleet.links("heal=1");
+    let sent = call(&mut callers, 10);
+    until("all are told", || (hits(&fleet, "c") == sent).then_some(()));
+    // A new set ends the counts of the one before and keeps them.
+    apply(&fleet, &fleet.set("c", "KEEP", "ALLOW", "rules { id: 'us' action: DENY caller_regions: 'us' }"));
+    let sent = call(&mut callers, 10);
+    until("both sets' are told", || (hits(&fleet, "c") == sent).then_some(()));
+    let text = fleet.does(&["rules", "hits", "c"]);
+    assert!(text.contains("c 1 eu") && text.contains("c 2 us"), "{text}");
+    // Killed right after calls: what came since its last report is lost, and nothing else; a later life counts on.
+    let sent = call(&mut callers, 40);
+    fleet.kill_gateway(2);
+    fleet.start_gateway(2);
+    callers[2] = Caller::new(fleet.grpc(2));
+    until("it has a session", || fleet.status(2).filter(|s| s.stands));
+    let more = call(&mut callers, 10) - sent;
+    until("the rest is told", || (hits(&fleet, "c") >= sent - 40 + more).then_some(()));
+    std::thread::sleep(Duration::from_millis(500));
+    let told = hits(&fleet, "c");
+    assert!((sent - 40 + more..=sent + more).contains(&told), "{told} of {}", sent + more);
+    println!("killed right after 40 calls: {} of them lost", sent + more - told);
+}
+
+#[test]
+fn a_gateway_that_never_heard_a_state_takes_no_calls_and_one_that_did_goes_by_it() {
+    let mut fleet = Fleet::without_gateways(3, 2);
+    fleet.start_gateway(0);
+    fleet.cut_off("g1", true);
+    apply(&fleet, &fleet.set("keeps", "KEEP", "DENY", ""));
+    apply(&fleet, &fleet.set("denies", "DENY", "ALLOW", ""));
+    fleet.start_gateway(1);
+    let mut caller = Caller::new(fleet.grpc(1));
+    let (code, why) = caller.call(&[("x-customer", "keeps")]);
+    assert_eq!(code, Some(Code::Unavailable), "{why}");
+    let health = chalkdeck_lab::parts::control::get(fleet.admin(1), "/healthz");
+    assert!(health.is_err_and(|e| e.to_string().contains("no keeper was heard")));
+    fleet.cut_off("g1", false);
+    until("it has heard", || fleet.status(1).filter(|s| s.stands && s.sets.len() == 2));
+    assert!(!caller.admits("keeps") && caller.admits("denies"));
+    // All keepers gone, and the gateway started anew: what it kept on disk holds.
+    (0..3).for_each(|k| fleet.kill_keeper(k));
+    fleet.kill_gateway(1);
+    fleet.start_gateway(1);
+    let mut caller = Caller::new(fleet.grpc(1));
+    assert!(!caller.admits("keeps"), "kept as it was");
+    assert!(!caller.admits("denies"), "denied without a session");
+    assert!(caller.admits("other"), "nobody else is");
+}
--- a/crates/keeper/src/kept.rs
+++ b/crates/keeper/src/kept.rs
@@ -48,6 +48,8 @@
     file: Option<File>,
     whole: u64,
     changes: u64,
+    /// The version of the last record.
+    version: u64,
 }
 
 impl Kept {
@@ -69,7 +71,7 @@
         if at < bytes.len() && (at == 0 || record::any_after(&bytes, at + 1)) {
             return Err(KeptError::Form { file: path.to_path_buf() });
         }
-        Ok((Kept { path: path.to_path_buf(), file: None, whole: 0, changes: 0 }, held))
+        Ok((Kept { path: path.to_path_buf(), file: None, whole: 0, changes: 0, version: held.version }, held))
     }
 
     /// Keeps news that were applied; returns once they are on the disk. Errors: the disk; the next call writes the whole.
@@ -77,7 +79,8 @@
         let done = match &mut self.file {
             Some(file) if self.changes < LEAST.max(self.whole) && !news.whole => {
                 let mut out = Vec::new();
-                record::push(&mut out, news);
+                // News between that had nothing to be kept are no gap.
+                record::push(&mut out, &wire::News { since: self.version, ..news.clone() });
                 self.changes += out.len() as u64;
                 let fits = out.len() <= record::MOST;
                 if fits {
@@ -88,6 +91,7 @@
             }
             _ => self.write(held),
         };
+        self.version = held.version;
         done.map_err(|source| {
             self.file = None;
             KeptError::File { file: self.path.clone(), source }
@@ -145,12 +149,17 @@
             held.apply(&n);
             kept.keep(&n, &held).expect("written");
         }
+        // A change without anything to be kept lies between.
+        held.apply(&news(6, false, &[]));
+        let last = news(7, false, &[set("c9", 2)]);
+        held.apply(&last);
+        kept.keep(&last, &held).expect("written");
         let (_, again) = Kept::open(&path).expect("sound");
         assert_eq!(again, held, "whole and changes");
         let bytes = std::fs::read(&path).expect("there");
         std::fs::write(&path, &bytes[..bytes.len() - 3]).expect("torn");
         let (_, torn) = Kept::open(&path).expect("the last record alone is torn");
-        assert_eq!((torn.version, torn.rules["c8"].version), (4, 1));
+        assert_eq!((torn.version, torn.rules["c8"].version, torn.rules["c9"].version), (5, 2, 1));
         let mut damaged = bytes.clone();
         damaged[20] ^= 0xff;
         std::fs::write(&path, &damaged).expect("damaged");
