--- a/crates/cli/tests/access.rs
+++ b/crates/cli/tests/access.rs
@@ -123,6 +123,7 @@
 #[test]
 fn hits_are_exact_over_lost_links_and_lose_at_most_a_report_where_a_gateway_is_killed() {
     let mut fleet = Fleet::start(3, 3);
+    fleet.add_server("");
     apply(&fleet, &fleet.set("c", "KEEP", "ALLOW", "rules { id: 'eu' action: DENY caller_regions: 'eu' }"));
     let mut callers: Vec<Caller> = (0..3).map(|g| Caller::new(fleet.grpc(g))).collect();
     let mut calls = 0;
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -205,7 +205,12 @@
         self.command(words).output().expect("it runs")
     }
     pub fn command(&self, words: &[&str]) -> Command {
-        let at: Vec<String> = self.at.iter().map(ToString::to_string).collect();
+        let all: Vec<usize> = (0..self.at.len()).collect();
+        self.command_at(&all, words)
+    }
+    /// The same to some of the keepers.
+    pub fn command_at(&self, keepers: &[usize], words: &[&str]) -> Command {
+        let at: Vec<String> = keepers.iter().map(|k| self.at[*k].to_string()).collect();
         let mut command = Command::new(env!("CARGO_BIN_EXE_chalkdeck"));
         command.args(words).args(["--keepers", &at.join(",")]).stdin(Stdio::null()).current_dir(&self.dir);
         command.stdout(Stdio::piped()).stderr(Stdio::piped());
--- a/crates/contract/src/spoken.rs
+++ b/crates/contract/src/spoken.rs
@@ -42,14 +42,17 @@
     }
     /// Gateways saw calls.
     pub fn seen(&mut self, version: &str, customer: &str, calls: u64, now_ms: u64) {
+        // What is seen after a version was retired is later than that, also within one step of the clock.
+        let now_ms = self.retired.get(version).map_or(now_ms, |at| now_ms.max(at + 1));
         let of = self.of(version, customer);
         of.calls += calls;
         of.last_ms = of.last_ms.max(Some(now_ms));
     }
     /// A version counts as spoken no more, whatever was seen until now.
     pub fn retire(&mut self, version: &str, now_ms: u64) {
-        self.retired.insert(version.to_string(), now_ms);
         let uses = self.uses.get_mut(version);
+        let last = uses.iter().flat_map(|u| u.values()).filter_map(|u| u.last_ms).max();
+        self.retired.insert(version.to_string(), last.map_or(now_ms, |last| now_ms.max(last)));
         uses.into_iter().flat_map(BTreeMap::values_mut).for_each(|u| u.declared = false);
     }
     /// Who speaks a version now: who declared it, and whose last call is younger than `dead_after_ms` and later than a word that retired
--- a/crates/contract/tests/promises.rs
+++ b/crates/contract/tests/promises.rs
@@ -154,3 +154,15 @@
     assert!(spoken.uses["v3"].len() <= 10_001);
     assert_eq!(spoken.uses["v3"].values().map(|u| u.calls).sum::<u64>(), 10_050, "none is lost");
 }
+
+#[test]
+fn a_call_within_the_step_of_the_clock_that_retired_its_version_brings_it_back() {
+    let mut spoken = Spoken::default();
+    spoken.seen("1", "a", 3, 500);
+    spoken.retire("1", 500);
+    assert!(spoken.speakers("1", 500, 10_000).is_empty() && spoken.back().is_empty());
+    spoken.seen("1", "a", 1, 500);
+    assert_eq!((spoken.speakers("1", 500, 10_000).len(), spoken.back()), (1, vec!["1".to_string()]));
+    spoken.retire("1", 500);
+    assert!(spoken.speakers("1", 500, 10_000).is_empty() && spoken.back().is_empty(), "retired again");
+}
