Gateway's start, words and sites, registrar: errors of their own with code and help

The limits front's replies, counter settings and the lists of servers still return texts. No behaviour changed.

--- a/crates/cli/src/contract.rs
+++ b/crates/cli/src/contract.rs
@@ -29,7 +29,7 @@
         what: String,
     },
     /// The version is not sound by itself.
-    #[error("{file}: {what}")]
+    #[error("{file}: {source}")]
     #[diagnostic(
         code(chalkdeck::contract::wrong),
         help("docs/contracts.md has each field; every method wants a promise")
@@ -38,7 +38,7 @@
         /// Its path.
         file: String,
         /// What is wrong.
-        what: String,
+        source: chalkdeck_keeper::registrar::ContractError,
     },
 }
 
@@ -135,7 +135,7 @@
     }
     match version_of(&contract) {
         Ok(_) => Ok(contract),
-        Err(what) => Err(ContractError::Wrong { file: path.display().to_string(), what }.into()),
+        Err(source) => Err(ContractError::Wrong { file: path.display().to_string(), source }.into()),
     }
 }
 
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -20,7 +20,10 @@
 
 impl From<anyhow::Error> for Failure {
     fn from(error: anyhow::Error) -> Failure {
-        Failure::Other(error)
+        match error.downcast::<chalkdeck_gateway::StartError>() {
+            Ok(start) => Failure::Told(Box::new(start)),
+            Err(error) => Failure::Other(error),
+        }
     }
 }
 impl From<io::Error> for Failure {
--- /dev/null
+++ b/crates/cli/tests/measured.rs
@@ -0,0 +1,91 @@
+//! Figures of `docs/keeper.md` and `docs/access.md`: five keepers and forty gateways on loopback. `cargo test --release -p chalkdeck-cli
+//! --test measured -- --ignored --nocapture`.
+
+mod fleet;
+
+use fleet::{until, Fleet, LEASE_MS};
+use rustix::process::Signal;
+use std::time::Instant;
+
+const KEEPERS: usize = 5;
+const GATEWAYS: usize = 40;
+const TURNS: usize = 7;
+
+fn tell(what: &str, mut seconds: Vec<f64>) {
+    seconds.sort_by(f64::total_cmp);
+    let at = |part: f64| seconds[((seconds.len() - 1) as f64 * part).round() as usize];
+    println!(
+        "{what}: median {:.3} s, p99 {:.3} s, most {:.3} s of {}",
+        at(0.5),
+        at(0.99),
+        at(1.0),
+        seconds.len()
+    );
+}
+
+#[test]
+#[ignore = "a measurement"]
+fn hand_over_and_rules_in_force_over_forty_gateways() {
+    let mut fleet = Fleet::start(KEEPERS, GATEWAYS);
+    println!("{KEEPERS} keepers, {GATEWAYS} gateways, lease {LEASE_MS} ms");
+    let apply = |fleet: &Fleet, i: usize| {
+        let file = fleet.set("c", "DENY", ["ALLOW", "DENY"][i % 2], "");
+        let begun = Instant::now();
+        let said = fleet.does(&["rules", "apply", &file, "--force", "--wait", "30"]);
+        assert!(said.contains("in force"), "{said}");
+        begun.elapsed().as_secs_f64()
+    };
+    tell("apply to in force, all links whole", (0..60).map(|i| apply(&fleet, i)).collect());
+    let each = |fleet: &mut Fleet,
+                cause: &str,
+                begin: &dyn Fn(&mut Fleet, usize),
+                end: &dyn Fn(&mut Fleet, usize)| {
+        let mut seconds = Vec::new();
+        for _ in 0..TURNS {
+            let old = until("held", || fleet.holder("registrar"));
+            let begun = Instant::now();
+            begin(fleet, old.0);
+            until("handed on", || fleet.holder("registrar").filter(|h| h.0 != old.0 && h.1 > old.1));
+            seconds.push(begun.elapsed().as_secs_f64());
+            end(fleet, old.0);
+            until("all have sessions", || {
+                (0..GATEWAYS).all(|g| fleet.status(g).is_some_and(|s| s.stands)).then_some(())
+            });
+        }
+        tell(&format!("hand-over, {cause}"), seconds);
+    };
+    each(&mut fleet, "SIGTERM", &|f, g| f.signal(g, Signal::TERM), &|f, g| {
+        f.gateways[g].take().expect("it ran").wait();
+        f.start_gateway(g);
+    });
+    each(&mut fleet, "kill", &|f, g| f.kill_gateway(g), &|f, g| f.start_gateway(g));
+    each(&mut fleet, "SIGSTOP", &|f, g| f.signal(g, Signal::STOP), &|f, g| f.signal(g, Signal::CONT));
+    for way in ["both", "there", "back"] {
+        each(
+            &mut fleet,
+            &format!("cut, way {way}"),
+            &|f, g| f.links(&format!("from=g{g}&way={way}&cut=1")),
+            &|f, g| f.links(&format!("from=g{g}&heal=1")),
+        );
+    }
+    (0..GATEWAYS / 10).for_each(|g| fleet.cut_off(&format!("g{g}"), true));
+    tell("apply to in force, a tenth just cut off, the first", vec![apply(&fleet, 0)]);
+    tell("apply to in force, a tenth cut off", (1..60).map(|i| apply(&fleet, i)).collect());
+    // A keeper's loss: from its kill to the next command agreed on.
+    fleet.links("heal=1");
+    let mut seconds = Vec::new();
+    for turn in 0..TURNS {
+        let status = fleet.does(&["keeper", "status"]);
+        let leader =
+            status.lines().find_map(|l| l.split("leader ").nth(1)?.parse::<usize>().ok()).expect("a leader");
+        let begun = Instant::now();
+        fleet.kill_keeper(leader - 1);
+        fleet.does(&["keeper", "word", "north", ["drain", "let-back"][turn % 2], "--wait", "30"]);
+        seconds.push(begun.elapsed().as_secs_f64());
+        fleet.start_keeper(leader - 1, false);
+        until("it is back", || {
+            (fleet.does(&["keeper", "status"]).matches("agrees").count() == KEEPERS).then_some(())
+        });
+    }
+    tell("the leader killed to the next command agreed on", seconds);
+}
--- /dev/null
+++ b/crates/gateway/src/base/failed.rs
@@ -0,0 +1,147 @@
+//! Why a gateway does not start, or does not take an operator's word.
+
+use chalkdeck_access::RegionError;
+use chalkdeck_keeper::kept::KeptError;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Why a gateway does not start.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum StartError {
+    /// The system gives no poll handle.
+    #[error("poll: {0}")]
+    #[diagnostic(code(chalkdeck::gateway::poll), help("see the limit of descriptors (ulimit -n)"))]
+    Poll(io::Error),
+    /// An address cannot be listened at.
+    #[error("cannot listen at {address}: {source}")]
+    #[diagnostic(
+        code(chalkdeck::gateway::listen),
+        help("see whether another process listens there, and whether the address is this machine's")
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The decisions do not take the settings.
+    #[error("{0}")]
+    #[diagnostic(
+        code(chalkdeck::gateway::decisions),
+        help("the field is named; docs/operate.md has its bounds")
+    )]
+    Decisions(#[from] chalkdeck::api::SettingsError),
+    /// See [`WordsError`].
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Words(#[from] WordsError),
+    /// See [`KeepersError`].
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Keepers(#[from] KeepersError),
+}
+
+/// Why an operator's words on sites are not read, or not kept.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum WordsError {
+    /// The file is not read or written.
+    #[error("{}: {source}", file.display())]
+    #[diagnostic(
+        code(chalkdeck::gateway::words_file),
+        help("see sites.words_file in the settings, the folder's rights and the disk's room")
+    )]
+    File {
+        /// Its path.
+        file: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// It is no such file.
+    #[error("{}:{line}: {what}", file.display())]
+    #[diagnostic(
+        code(chalkdeck::gateway::words_form),
+        help("put it right, or remove it if no site is to be kept out: a gateway does not start on a word it cannot read")
+    )]
+    Form {
+        /// Its path.
+        file: PathBuf,
+        /// The line, from 1.
+        line: usize,
+        /// What was expected there.
+        what: String,
+    },
+    /// Too many sites.
+    #[error("expected at most {0} sites kept out")]
+    #[diagnostic(code(chalkdeck::gateway::words_most), help("let back sites that are gone"))]
+    Most(usize),
+}
+
+/// Why a word on sites is not taken.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum AskedError {
+    /// The settings watch no sites.
+    #[error("sites are not watched: settings have no 'sites {{ on: true }}'")]
+    #[diagnostic(code(chalkdeck::gateway::sites_off), help("say it to gateways that watch sites"))]
+    Off,
+    /// No such word.
+    #[error("expected drain, hold or let-back, found '{0}'")]
+    #[diagnostic(code(chalkdeck::gateway::site_word), help("see docs/site-loss.md for what each does"))]
+    Word(String),
+    /// No such site.
+    #[error("expected one of {known}, found '{found}'")]
+    #[diagnostic(
+        code(chalkdeck::gateway::site_name),
+        help("sites are named as the server list names its zones")
+    )]
+    Site {
+        /// Sites that the list names.
+        known: String,
+        /// What was asked for.
+        found: String,
+    },
+    /// No such path.
+    #[error("expected /sites or /sites/WORD/NAME")]
+    #[diagnostic(code(chalkdeck::gateway::sites_path), help("`chalkdeck site` says it rightly"))]
+    Path,
+    /// Not kept, so not taken.
+    #[error("the word could not be kept: {0}")]
+    #[diagnostic(
+        code(chalkdeck::gateway::word_kept),
+        help("nothing was changed; see the file of sites.words_file")
+    )]
+    Kept(#[from] WordsError),
+}
+
+/// Why the shared state cannot be taken part in.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum KeepersError {
+    /// See [`KeptError`].
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Kept(#[from] KeptError),
+    /// The table of regions is not read.
+    #[error("{}: {source}", file.display())]
+    #[diagnostic(
+        code(chalkdeck::gateway::regions_file),
+        help("see keepers.regions_file in the settings, and whether it may be read")
+    )]
+    RegionsFile {
+        /// Its path.
+        file: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// The table of regions is not sound.
+    #[error("{}: {source}", file.display())]
+    #[diagnostic(
+        code(chalkdeck::gateway::regions),
+        help("one prefix and one region a line; the line is named")
+    )]
+    Regions {
+        /// Its path.
+        file: PathBuf,
+        /// What is wrong there.
+        source: RegionError,
+    },
+}
--- a/crates/gateway/src/keepers.rs
+++ b/crates/gateway/src/keepers.rs
@@ -2,13 +2,14 @@
 //! server list and sites hear of it. What is decided is decided in `chalkdeck_keeper::member` and `chalkdeck_access`.
 
 use crate::base::asked::{Asked, Rejected};
+use crate::base::failed::KeepersError;
 use crate::base::server::Server;
 use crate::base::settings::{KeeperSettings, Settings};
 use crate::calls::Who;
 use crate::shell::{Due, Shell};
 use chalkdeck::api::{Listed, RequestId};
-use chalkdeck_access::{Call, RegionError, Regions, Verdict};
-use chalkdeck_keeper::kept::{Kept, KeptError};
+use chalkdeck_access::{Call, Regions, Verdict};
+use chalkdeck_keeper::kept::Kept;
 use chalkdeck_keeper::member::{Act, Member, Set};
 use chalkdeck_keeper::serve::{limits, SESSION};
 use chalkdeck_net::clock::incarnation;
@@ -17,7 +18,6 @@
 use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
 use http::request;
 use prost::Message;
-use std::path::PathBuf;
 
 /// How often what is due is looked at, in microseconds.
 const TICK: u64 = 20_000;
@@ -26,39 +26,6 @@
 /// After the disk failed, the whole is tried again, in microseconds.
 const KEEP_AGAIN: u64 = 1_000_000;
 
-/// Why the shared state cannot be taken part in.
-#[derive(Debug, thiserror::Error, miette::Diagnostic)]
-pub enum KeepersError {
-    /// See [`KeptError`].
-    #[error(transparent)]
-    #[diagnostic(transparent)]
-    Kept(#[from] KeptError),
-    /// The table of regions is not read.
-    #[error("{}: {source}", file.display())]
-    #[diagnostic(
-        code(chalkdeck::gateway::regions_file),
-        help("see keepers.regions_file in the settings, and whether it may be read")
-    )]
-    RegionsFile {
-        /// Its path.
-        file: PathBuf,
-        /// What the system says.
-        source: std::io::Error,
-    },
-    /// The table of regions is not sound.
-    #[error("{}: {source}", file.display())]
-    #[diagnostic(
-        code(chalkdeck::gateway::regions),
-        help("one prefix and one region a line; the line is named")
-    )]
-    Regions {
-        /// Its path.
-        file: PathBuf,
-        /// What is wrong there.
-        source: RegionError,
-    },
-}
-
 /// What `/keepers` shows.
 #[derive(Debug, Default, Clone, serde::Serialize, serde::Deserialize)]
 pub struct KeepersStatus {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod sites;
 mod words;
 
+pub use base::failed::{AskedError, KeepersError, StartError, WordsError};
 pub use settings::{Settings, SettingsError};
 pub use shell::Shell;
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -2,6 +2,7 @@
 //! comes back is carried out. Nothing is sent, refused, failed, repeated or called off here that was not decided there;
 //! a client's own deadline on an answer that has started is the client's going away.
 
+use crate::base::failed::StartError;
 use crate::base::settings::Settings;
 use crate::calls::Calls;
 use crate::counter::Told;
@@ -78,18 +79,26 @@
 
 impl Shell {
     /// Binds the sockets and reads the server list. `shared`: other instances listen at the same address.
-    /// `file`: where settings are read again from. Errors: an address that cannot be bound.
-    pub fn start(set: Settings, file: Option<PathBuf>, seed: u64, shared: bool) -> io::Result<Shell> {
-        let mut engine = Engine::new()?;
-        let (listener, listen) = engine.listen(set.listen, set.front, shared, false)?;
+    /// `file`: where settings are read again from. Errors: see [`StartError`].
+    pub fn start(set: Settings, file: Option<PathBuf>, seed: u64, shared: bool) -> Result<Shell, StartError> {
+        let mut engine = Engine::new().map_err(StartError::Poll)?;
+        let mut bind = |address, http1| {
+            let bound = engine.listen(address, set.front, shared, http1);
+            bound.map_err(|source| StartError::Listen { address, source })
+        };
+        let (listener, listen) = bind(set.listen, false)?;
         let admin = match set.admin {
-            Some(address) => Some(engine.listen(address, set.front, shared, true)?.1),
+            Some(address) => Some(bind(address, true)?.1),
             None => None,
         };
-        let policy = Gateway::new(seed, set.policy.clone()).map_err(io::Error::other)?;
-        let resp = set.resp.as_ref().map(|r| Resp::start(&mut engine, r)).transpose()?;
+        let policy = Gateway::new(seed, set.policy.clone())?;
+        let resp = set.resp.as_ref().map(|r| {
+            let failed = |source| StartError::Listen { address: r.listen, source };
+            Resp::start(&mut engine, r).map_err(failed)
+        });
+        let resp = resp.transpose()?;
         let counter = Counters::new(&set.counter, engine.now());
-        let keepers = keepers::of(&set, engine.now()).map_err(io::Error::other)?;
+        let keepers = keepers::of(&set, engine.now())?;
         let mut shell = Shell {
             engine,
             desk: Desk::new(policy),
@@ -417,7 +426,7 @@
             }
             path if path.starts_with("/sites") => match self.site_asked(path) {
                 Ok(text) => self.engine.reply(conn, 200, &text),
-                Err(what) => self.engine.reply(conn, 400, &what),
+                Err(what) => self.engine.reply(conn, 400, &format!("{what}\n")),
             },
             "/keepers" => match self.keeper_status().and_then(|s| serde_json::to_string(&s).ok()) {
                 Some(text) => self.engine.reply(conn, 200, &text),
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -1,5 +1,6 @@
 //! Between the sockets and the site core: tells it what happens, brings its plan to the decisions, and shows it.
 
+use crate::base::failed::{AskedError, WordsError};
 use crate::base::server::{zone_of, Server};
 use crate::base::settings::Settings;
 use crate::counter::Told;
@@ -10,7 +11,6 @@
 use chalkdeck_site::{Command, Core, Event, How, Plan, SiteId, State};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::io;
 
 /// How often the plan is looked at, in microseconds.
 const LOOK: u64 = 25_000;
@@ -63,7 +63,7 @@
 
 impl Sites {
     /// Errors: the file of an operator's words is not sound.
-    pub(crate) fn new(set: &Settings) -> io::Result<Sites> {
+    pub(crate) fn new(set: &Settings) -> Result<Sites, WordsError> {
         let own = site_of(set.policy.zone);
         let core = Core::new(chalkdeck_site::Settings {
             own,
@@ -258,33 +258,32 @@
     }
 
     /// `/sites`, and `/sites/drain/NAME`, `/sites/hold/NAME`, `/sites/let-back/NAME`. Errors: what was expected.
-    pub(crate) fn site_asked(&mut self, path: &str) -> Result<String, String> {
+    pub(crate) fn site_asked(&mut self, path: &str) -> Result<String, AskedError> {
         let now = self.engine.now();
         let Shell { sites: Some(sites), set, .. } = self else {
-            return Err("sites are not watched: settings have no 'sites { on: true }'\n".to_string());
+            return Err(AskedError::Off);
         };
         if let Some((word, name)) = path.strip_prefix("/sites/").and_then(|rest| rest.split_once('/')) {
             let command = match word {
                 "drain" => Command::Drain,
                 "hold" => Command::Hold,
                 "let-back" => Command::LetBack,
-                _ => return Err(format!("expected drain, hold or let-back, found '{word}'\n")),
+                _ => return Err(AskedError::Word(word.to_string())),
             };
             let site = site_of(zone_of(name));
             if sites.names.get(&site).is_none_or(|known| known != name) {
                 let known: Vec<&str> = sites.names.values().map(String::as_str).collect();
-                return Err(format!("expected one of {}, found '{name}'\n", known.join(", ")));
-            }
-            if let Err(e) = sites.words.keep(name, command != Command::LetBack) {
-                return Err(format!("the word could not be kept: {e}\n"));
+                return Err(AskedError::Site { known: known.join(", "), found: name.to_string() });
             }
+            sites.words.keep(name, command != Command::LetBack)?;
             tracing::warn!(site = name, word, "an operator's word");
             sites.core.on(now, Event::Command(site, command));
         } else if path != "/sites" {
-            return Err("expected /sites or /sites/WORD/NAME\n".to_string());
+            return Err(AskedError::Path);
         }
         let status = sites.status(now, set);
         self.site_plan();
-        serde_json::to_string(&status).map_err(|e| e.to_string())
+        // Plain numbers and texts always have their form.
+        Ok(serde_json::to_string(&status).unwrap_or_default())
     }
 }
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -1,5 +1,6 @@
 //! An operator's words on sites, kept over restarts: a gateway that starts in the middle of a drain must know of it.
 
+use crate::base::failed::WordsError;
 use chalkdeck_proto::chalkdeck::config::v1::HeldSites;
 use chalkdeck_proto::text;
 use std::collections::BTreeSet;
@@ -19,14 +20,17 @@
 
 impl Words {
     /// Reads them. Errors: a file that is there but is not sound, with its line; better no start than a drain forgotten.
-    pub(crate) fn read(file: Option<&Path>) -> io::Result<Words> {
+    pub(crate) fn read(file: Option<&Path>) -> Result<Words, WordsError> {
         let Some(path) = file else { return Ok(Words { file: None, held: BTreeSet::new() }) };
         let held = match std::fs::read_to_string(path) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => BTreeSet::new(),
-            Err(e) => return Err(io::Error::new(e.kind(), format!("{}: {e}", path.display()))),
+            Err(source) => return Err(WordsError::File { file: path.into(), source }),
             Ok(content) => {
-                let held: HeldSites = text::parse(MESSAGE, &content)
-                    .map_err(|e| io::Error::other(format!("{}:{}: {}", path.display(), e.line, e.what)))?;
+                let held: HeldSites = text::parse(MESSAGE, &content).map_err(|e| WordsError::Form {
+                    file: path.into(),
+                    line: e.line,
+                    what: e.what,
+                })?;
                 held.sites.into_iter().collect()
             }
         };
@@ -38,7 +42,7 @@
     }
 
     /// Keeps a word. Errors: it could not be written; then it is not taken either.
-    pub(crate) fn keep(&mut self, site: &str, out: bool) -> io::Result<()> {
+    pub(crate) fn keep(&mut self, site: &str, out: bool) -> Result<(), WordsError> {
         let mut held = self.held.clone();
         if out {
             held.insert(site.to_string());
@@ -46,14 +50,14 @@
             held.remove(site);
         }
         if held.len() > MOST {
-            return Err(io::Error::other(format!("expected at most {MOST} sites kept out")));
+            return Err(WordsError::Most(MOST));
         }
         if let Some(file) = &self.file {
             let message = HeldSites { sites: held.iter().cloned().collect() };
-            let content = text::print(MESSAGE, &message).ok_or_else(|| io::Error::other("no text form"))?;
+            let content = text::print(MESSAGE, &message).unwrap_or_default();
             let new = file.with_extension("new");
-            std::fs::write(&new, content)?;
-            std::fs::rename(&new, file)?;
+            let written = std::fs::write(&new, content).and_then(|()| std::fs::rename(&new, file));
+            written.map_err(|source| WordsError::File { file: file.clone(), source })?;
         }
         self.held = held;
         Ok(())
--- a/crates/keeper/src/registrar.rs
+++ b/crates/keeper/src/registrar.rs
@@ -1,7 +1,7 @@
 //! How the registrar judges what was proposed, from a look at it and at what it rests on; free of I/O.
 
 use crate::state::wrong_in;
-use chalkdeck_contract::{check, Bounds, Effect, Group, Level, Promise, Spoken, Version};
+use chalkdeck_contract::{check, Bounds, Effect, Group, Level, Promise, Spoken, Version, VersionError};
 use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
 use std::collections::BTreeMap;
 use wire::promise::{Effect as WireEffect, Group as WireGroup};
@@ -33,13 +33,40 @@
     wrong_in(set).into_iter().chain(lock).collect()
 }
 
-fn promise_of(p: &wire::Promise) -> Result<Promise, String> {
+/// Why a contract is not sound by itself.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error, miette::Diagnostic)]
+pub enum ContractError {
+    /// A promise without an effect.
+    #[error("promises: {0}: effect: expected SAFE, KEYED or UNSAFE")]
+    #[diagnostic(
+        code(chalkdeck::contract::effect),
+        help("say whether a call may be repeated: as it is, under a key, or not at all")
+    )]
+    Effect(String),
+    /// Figures that cannot be.
+    #[error("promises: {0}: expected units and a deadline above 0, and an aim within it")]
+    #[diagnostic(
+        code(chalkdeck::contract::figures),
+        help("take them from the class and route that the method has in the gateways' settings")
+    )]
+    Figures(String),
+    /// Two promises of one method.
+    #[error("promises: {0}: expected once")]
+    #[diagnostic(code(chalkdeck::contract::twice), help("one promise for each method"))]
+    Twice(String),
+    /// See [`VersionError`].
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Version(#[from] VersionError),
+}
+
+fn promise_of(p: &wire::Promise) -> Result<Promise, ContractError> {
     let effect = match p.effect() {
         WireEffect::Safe => Effect::Safe,
         WireEffect::Keyed => Effect::Keyed,
         WireEffect::Unsafe => Effect::Unsafe,
         WireEffect::Unspecified => {
-            return Err(format!("promises: {}: effect: expected SAFE, KEYED or UNSAFE", p.method))
+            return Err(ContractError::Effect(p.method.clone()));
         }
     };
     let group = match p.group() {
@@ -50,10 +77,7 @@
     let sound =
         p.units.is_finite() && p.units > 0.0 && p.worth.is_finite() && p.worth >= 0.0 && p.deadline_ms > 0;
     if !sound || p.aim_ms > p.deadline_ms {
-        return Err(format!(
-            "promises: {}: expected units and a deadline above 0, and an aim within it",
-            p.method
-        ));
+        return Err(ContractError::Figures(p.method.clone()));
     }
     Ok(Promise {
         effect,
@@ -66,16 +90,15 @@
     })
 }
 
-/// A version as the checker takes it. Errors: what is wrong with it, in a line.
-pub fn version_of(contract: &wire::Contract) -> Result<Version, String> {
+/// A version as the checker takes it. Errors: see [`ContractError`].
+pub fn version_of(contract: &wire::Contract) -> Result<Version, ContractError> {
     let mut promises = BTreeMap::new();
     for p in &contract.promises {
         if promises.insert(p.method.clone(), promise_of(p)?).is_some() {
-            return Err(format!("promises: {}: expected once", p.method));
+            return Err(ContractError::Twice(p.method.clone()));
         }
     }
-    Version::read(&contract.version, &contract.service, &contract.descriptors, promises)
-        .map_err(|e| e.to_string())
+    Ok(Version::read(&contract.version, &contract.service, &contract.descriptors, promises)?)
 }
 
 /// Who speaks what, as a look tells it.
@@ -99,7 +122,7 @@
 fn breaks_of(contract: &wire::Contract, look: &wire::LookAnswer) -> Vec<String> {
     let new = match version_of(contract) {
         Ok(new) => new,
-        Err(why) => return vec![why],
+        Err(why) => return vec![why.to_string()],
     };
     let level = if contract.json { Level::WireAndJson } else { Level::Wire };
     let mut known: Vec<&wire::Admitted> = look.admitted.iter().filter(|a| !a.retired).collect();
