--- a/crates/cli/src/keeper.rs
+++ b/crates/cli/src/keeper.rs
@@ -10,7 +10,7 @@
 use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
 use clap::{Args, Subcommand};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use wire::command::What;
 use wire::look_request::What as Look;
 
@@ -86,7 +86,7 @@
     }
 }
 
-fn serve(config: &PathBuf, first: bool, with_parent: bool) -> Result<(), Failure> {
+fn serve(config: &Path, first: bool, with_parent: bool) -> Result<(), Failure> {
     let set = Settings::load(config)?;
     logs::start("info", false);
     if with_parent {
--- a/crates/cli/tests/contracts.rs
+++ b/crates/cli/tests/contracts.rs
@@ -20,7 +20,7 @@
     [fleet.write(&format!("v{name}.txtpb"), &contract), fleet.write(&format!("v{name}.proto"), &proto)]
 }
 
-fn propose<'a>([contract, proto]: &'a [String; 2]) -> [&'a str; 7] {
+fn propose([contract, proto]: &[String; 2]) -> [&str; 7] {
     ["contract", "propose", contract, "--proto", proto, "--wait", "30"]
 }
 
