Pages of keepers, access rules and contracts; the demo has a keeper, a rule and a contract to try

Need: what was weighed, promised, seen and what an operator does stand on pages; a newcomer tries a rule and a contract in three commands.

--- a/crates/cli/tests/contracts.rs
+++ b/crates/cli/tests/contracts.rs
@@ -63,6 +63,23 @@
     assert!(fleet.fails(&propose(&third)).contains("seed-7"), "and counts as spoken again");
 }
 
+#[test]
+fn the_examples_are_taken() {
+    let fleet = Fleet::start(1, 1);
+    let example = |name: &str| format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"));
+    let said = fleet.does(&[
+        "contract",
+        "propose",
+        &example("farm-1.txtpb"),
+        "--proto",
+        &example("farm.proto"),
+        "--wait",
+        "30",
+    ]);
+    assert!(said.contains("admitted"), "{said}");
+    assert!(fleet.does(&["rules", "apply", &example("rules.txtpb"), "--wait", "30"]).contains("in force"));
+}
+
 #[test]
 fn of_two_texts_of_one_version_sound_alone_one_is_admitted() {
     let fleet = Fleet::start(3, 3);
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -130,6 +130,16 @@
         std::fs::remove_dir_all(self.dir.join(format!("keeper-{k}"))).expect("a folder");
     }
 
+    /// A gateway without any shared state, beside the others.
+    pub fn bare_gateway(&self) -> Process {
+        let text = std::fs::read_to_string(self.dir.join("gateway-0.txtpb")).expect("written");
+        let (own, _) = text.split_once("keepers {").expect("it has keepers");
+        let file = self.dir.join("bare.txtpb");
+        std::fs::write(&file, own.replace("words-0", "words-bare")).expect("written");
+        let args = ["serve".to_string(), file.display().to_string()];
+        Process::start(&self.program, &args, &self.dir.join("bare.log")).expect("a gateway starts")
+    }
+
     pub fn start_gateway(&mut self, g: usize) {
         let keepers: Vec<String> = self.seen_by[&format!("g{g}")].iter().map(|a| format!("'{a}'")).collect();
         let (zone, keepers) = (sites(g), keepers.join(", "));
@@ -349,6 +359,25 @@
             self.turn();
         }
     }
+    /// Keeps so many calls under way for a while; how many were served.
+    pub fn load(&mut self, out: usize, span: Duration, metadata: &[(&str, &str)]) -> usize {
+        let (begun, mut under_way, mut served) = (Instant::now(), 0, 0);
+        while begun.elapsed() < span {
+            while under_way < out {
+                self.open(VIEW, metadata);
+                under_way += 1;
+            }
+            self.turn();
+            under_way -= self.ended.len();
+            served += std::mem::take(&mut self.ended).values().filter(|e| e.0 == Some(Code::Ok)).count();
+            self.heads.clear();
+        }
+        while under_way > 0 {
+            self.turn();
+            under_way -= std::mem::take(&mut self.ended).len();
+        }
+        served
+    }
     /// Waits for its end: what was told.
     pub fn end(&mut self, stream: StreamId) -> (Option<Code>, String) {
         let end = Instant::now() + PATIENCE;
--- a/crates/cli/tests/measured.rs
+++ b/crates/cli/tests/measured.rs
@@ -3,9 +3,10 @@
 
 mod fleet;
 
-use fleet::{until, Fleet, LEASE_MS};
+use chalkdeck_lab::parts::process::{cpu_seconds, memory_kib};
+use fleet::{until, Caller, Fleet, LEASE_MS};
 use rustix::process::Signal;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const KEEPERS: usize = 5;
 const GATEWAYS: usize = 40;
@@ -89,3 +90,51 @@
     }
     tell("the leader killed to the next command agreed on", seconds);
 }
+
+#[test]
+#[ignore = "a measurement"]
+fn calls_with_two_hundred_thousand_rules_beside_none() {
+    let mut fleet = Fleet::start(3, 1);
+    fleet.add_server("");
+    let before = memory_kib(fleet.gateway(0).id()).expect("told");
+    for customer in 0..10 {
+        let rule = |i: usize| {
+            format!(
+                "rules {{ id: 'r{i}' action: DENY caller_regions: 'r{}' routes: '/farm.v1.Farm/M{i}*' }}\n",
+                i % 40
+            )
+        };
+        let file =
+            fleet.set(&format!("c{customer}"), "KEEP", "ALLOW", &(0..20_000).map(rule).collect::<String>());
+        let begun = Instant::now();
+        fleet.does(&["rules", "apply", &file, "--force", "--wait", "60"]);
+        println!("20,000 rules more in force after {:.2} s", begun.elapsed().as_secs_f64());
+    }
+    let after = memory_kib(fleet.gateway(0).id()).expect("told");
+    println!("memory a rule: {:.0} bytes", (after - before) as f64 * 1024.0 / 200_000.0);
+    let bare = fleet.bare_gateway();
+    let hot = [("x-customer", "c0"), ("x-region", "eu")];
+    let mut callers = [Caller::new(fleet.grpc(0)), Caller::new(bare.address("grpc").expect("told"))];
+    let ids = [fleet.gateway(0).id(), bare.id()];
+    let mut figures: [Vec<(f64, f64)>; 2] = Default::default();
+    for turn in 0..14 {
+        for place in [turn % 2, 1 - turn % 2] {
+            let cpu = cpu_seconds(ids[place]).expect("told");
+            let served = callers[place].load(64, Duration::from_secs(2), &hot) as f64;
+            let core = cpu_seconds(ids[place]).expect("told") - cpu;
+            // The first ones warm up.
+            if turn > 1 {
+                figures[place].push((served / 2.0, served / core));
+            }
+        }
+    }
+    let median = |of: &[(f64, f64)], f: fn(&(f64, f64)) -> f64| {
+        let mut all: Vec<f64> = of.iter().map(f).collect();
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
+    for (name, f) in [("a second", (|f| f.0) as fn(&(f64, f64)) -> f64), ("a second of a core", |f| f.1)] {
+        let [with, without] = [median(&figures[0], f), median(&figures[1], f)];
+        println!("calls {name}: {with:.0} with 200,000 rules, {without:.0} without: {:.3}", with / without);
+    }
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -13,6 +13,7 @@
 use crate::rig::counting::{self, OwnCounterArgs};
 use crate::rig::day::{self, RunArgs};
 use crate::rig::demo::{self, DemoArgs};
+use crate::rig::keeping::{self, OwnKeeperArgs};
 use crate::rig::links::command::{self as links, LinksArgs};
 use crate::rig::replay::{self, ReplayArgs};
 use crate::rig::serve::{self, RelayArgs, ServeArgs};
@@ -38,6 +39,9 @@
     /// The counter itself, as a part of a day
     #[command(hide = true)]
     OwnCounter(OwnCounterArgs),
+    /// One keeper, as a part of the demo
+    #[command(hide = true)]
+    OwnKeeper(OwnKeeperArgs),
     /// Stand-ins for the servers of one cell
     Farm(FarmArgs),
     /// Open-loop gRPC load
@@ -92,6 +96,7 @@
         match self {
             Command::Counter(args) => counter::command(&args),
             Command::OwnCounter(args) => counting::command(&args),
+            Command::OwnKeeper(args) => keeping::command(&args),
             Command::Farm(args) => farm::command(&args),
             Command::Load(args) => load::command(args),
             Command::Serve(args) => serve::serve(&args),
--- a/crates/lab/src/rig/demo.rs
+++ b/crates/lab/src/rig/demo.rs
@@ -53,7 +53,8 @@
 ) -> anyhow::Result<()> {
     let mut fleet = Fleet::start(program, fleet()?, dir, listen, None)?;
     let resp = fleet.gateway_process(0).context("expected a gateway")?.address("resp")?;
-    println!("ready grpc={} admin={} resp={resp}", fleet.gateways()[0], fleet.admin(0));
+    let keeper = fleet.keeper().map_or(String::new(), |k| format!(" keeper={k}"));
+    println!("ready grpc={} admin={} resp={resp}{keeper}", fleet.gateways()[0], fleet.admin(0));
     let span = seconds.unwrap_or(u64::from(u32::MAX));
     let mut load = (!no_load).then(|| fleet.load(span as f64, &["--lines"])).transpose()?;
     load.iter_mut().for_each(|l| l.echo());
--- a/crates/lab/src/rig/fleet.rs
+++ b/crates/lab/src/rig/fleet.rs
@@ -6,6 +6,7 @@
 use crate::parts::script::{of_clients, Act, Listed, MESSAGE};
 use crate::rig::between::Between;
 use crate::rig::counting::CounterPart;
+use crate::rig::keeping::KeeperPart;
 use anyhow::Context;
 use chalkdeck_net::clock::{monotonic, Clock};
 use chalkdeck_proto::chalkdeck::config::v1 as config;
@@ -43,6 +44,7 @@
     day_file: PathBuf,
     clock: Clock,
     counter: CounterPart,
+    keeper: Option<KeeperPart>,
     between: Option<Between>,
     before: Option<Between>,
     cells: Vec<CellPart>,
@@ -89,6 +91,7 @@
         std::fs::write(&day_file, day_text)?;
         let notes = Log::create(Some(&dir.join("run.jsonl")))?;
         let counter = CounterPart::start(&program, dir, day.own_counter)?;
+        let keeper = day.own_keeper.then(|| KeeperPart::start(&program, dir)).transpose()?;
         let (cells, gateways, list) = (Vec::new(), Vec::new(), Vec::new());
         let clock = Clock::start();
         let dir = dir.to_path_buf();
@@ -99,6 +102,7 @@
             day_file,
             clock,
             counter,
+            keeper,
             between: None,
             before: None,
             cells,
@@ -131,6 +135,10 @@
         Ok(fleet)
     }
 
+    /// Where the keeper is, if there is one.
+    pub fn keeper(&self) -> Option<SocketAddr> {
+        self.keeper.as_ref().map(KeeperPart::address)
+    }
     /// Its gateways watch zones as sites.
     pub fn watches_sites(&self) -> bool {
         self.day.gateway.as_ref().and_then(|g| g.sites.as_ref()).is_some_and(|s| s.on)
@@ -195,6 +203,13 @@
         settings.number = number as u32;
         settings.sites.iter_mut().for_each(|s| s.words_file = format!("sites-{number}.txtpb"));
         settings.zone = self.day.zones[number % self.day.zones.len()].name.clone();
+        match &self.keeper {
+            Some(keeper) => {
+                let keepers = settings.keepers.get_or_insert_with(config::Keepers::default);
+                keepers.addresses = vec![keeper.address().to_string()];
+            }
+            None => settings.keepers = None,
+        }
         let counter = settings.counter.get_or_insert_with(config::Counter::default);
         let zone = number % self.day.zones.len();
         let counter_at = self.between.as_ref().map_or(self.counter.address(), |b| b.counter(zone));
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -5,6 +5,7 @@
 pub mod day;
 pub mod demo;
 pub mod fleet;
+pub mod keeping;
 pub mod links;
 pub mod replay;
 pub mod serve;
