An earlier life's late word no longer folds what a later one told; a date set back is lived with

Cause: Shared::open took an Open of an earlier life that was long on its way as a new one, marked the lapsed later life as ended, and the tally folded counts that were told again when it came back. Ruled out: reports after a fold (merged by the larger). An open below a known life is refused with that life; a gateway that never had a session takes a larger number, so one whose machine's date was set back still gets in.

--- a/crates/keeper/src/core/attached.rs
+++ b/crates/keeper/src/core/attached.rs
@@ -139,7 +139,9 @@
                 );
             }
             ForWhom::Open(asker) if answer.id > 0 => self.opened(asker, answer.id),
-            ForWhom::Open(asker) => self.end(asker),
+            ForWhom::Open(asker) => {
+                self.down(asker, wire::Down { ended: true, answer: Some(answer), ..wire::Down::default() });
+            }
             ForWhom::Renewals(granted) => {
                 for (asker, session, number) in granted {
                     // Renewed only where it still stood when that was agreed on.
--- a/crates/keeper/src/session.rs
+++ b/crates/keeper/src/session.rs
@@ -135,6 +135,8 @@
     open: wire::Open,
     lease: Lease,
     id: u64,
+    /// There was a session in this life.
+    had: bool,
     connected: bool,
     /// What is held.
     pub held: Held,
@@ -163,6 +165,7 @@
             open,
             lease: Lease::new(terms),
             id: 0,
+            had: false,
             connected: false,
             held,
             duties: BTreeMap::new(),
@@ -302,6 +305,7 @@
         self.heard = now;
         if down.ended {
             came.elsewhere = self.id == 0;
+            self.refused(down.answer.as_ref());
             self.lease.ended();
             // Duties stay as they were told: the same session may be found again by a keeper that is less far behind.
             (self.id, self.hello_at) = (0, Some(now + REOPEN));
@@ -330,6 +334,7 @@
         }
         if down.session > 0 {
             came.session_changed = down.session != self.id;
+            self.had = true;
             if came.session_changed {
                 let terms = Terms { lease: down.lease_us.max(1_000), drift: down.drift };
                 self.lease = Lease::new(terms);
@@ -354,6 +359,14 @@
         came
     }
 
+    /// A later life is known under this name, though this one has said nothing yet: the machine's date was set back in between.
+    fn refused(&mut self, answer: Option<&wire::Answer>) {
+        let later = answer.map_or(0, |a| a.token);
+        if later >= self.open.incarnation && !self.had {
+            self.open.incarnation = later + 1;
+        }
+    }
+
     /// What may have been lost with an earlier connection goes up again.
     fn again(&mut self) {
         let commands: Vec<wire::Command> = self.commands.values().cloned().collect();
--- a/crates/keeper/src/state/sessions.rs
+++ b/crates/keeper/src/state/sessions.rs
@@ -27,6 +27,13 @@
             }
             return wire::Answer { id, ..done(0) };
         }
+        if let Some(later) = self.later_life(open) {
+            // Said long ago and late on its way, or by a gateway whose date was set back: then it may take a larger number.
+            return wire::Answer {
+                token: later,
+                ..refuse(Code::Refused, "a later life of this gateway is known")
+            };
+        }
         if self.sessions.len() >= MOST_SESSIONS {
             return refuse(Code::Full, format!("there are {MOST_SESSIONS} sessions"));
         }
@@ -54,6 +61,14 @@
         wire::Answer { id, ..done(0) }
     }
 
+    /// The largest incarnation that is known under the gateway's name, if it is a later life. Guards what a later life told from being
+    /// folded as that of an earlier one.
+    fn later_life(&self, open: &wire::Open) -> Option<u64> {
+        let own = self.sessions.values().filter(|s| s.gateway == open.gateway).map(|s| s.incarnation);
+        let departed = self.departed.get(&open.gateway).map(|d| d.incarnation);
+        own.chain(departed).filter(|known| *known > open.incarnation).max()
+    }
+
     pub(super) fn renew(&mut self, renew: &wire::Renew) -> wire::Answer {
         let index = self.index;
         for renewed in &renew.sessions {
--- a/crates/keeper/tests/session.rs
+++ b/crates/keeper/tests/session.rs
@@ -107,3 +107,25 @@
     session.down(20 * MS, down(wire::News { duties: vec![moved], ..news(12, 11) }));
     assert_eq!((session.holds("tally", 20 * MS), session.stands(20 * MS)), (None, true));
 }
+
+#[test]
+fn a_gateway_whose_date_was_set_back_takes_a_later_life_and_one_that_had_a_session_does_not() {
+    let refused =
+        wire::Answer { token: 900, code: wire::answer::Code::Refused as i32, ..wire::Answer::default() };
+    let ended = wire::Down { ended: true, answer: Some(refused), ..wire::Down::default() };
+    let life = |session: &mut Session| {
+        session.connected();
+        let hello = session.take_out().into_iter().find_map(|up| match up.what {
+            Some(What::Hello(hello)) => hello.open,
+            _ => None,
+        });
+        hello.expect("it says hello").incarnation
+    };
+    let mut session = Session::new(open(), Terms::default(), Held::default());
+    session.connected();
+    session.down(0, ended.clone());
+    assert_eq!(life(&mut session), 901);
+    let mut session = standing(0);
+    session.down(0, ended);
+    assert_eq!(life(&mut session), 7, "what it reported counts under its own");
+}
