--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -49,10 +49,12 @@
 /// holds too much; one earlier than the second, while the bound was in use, that it could hold more.
 const LATE_PART: f64 = 0.85;
 const GROW_PART: f64 = 0.25;
-/// What a late answer leaves of the part that passes, fully from this share of late ones on; what others add.
+/// What a late answer leaves of the part that passes, fully from this share of late ones on; what others add,
+/// and add after a long time without any, the fewer were late.
 const PASS_CUT: f64 = 0.85;
 const PASS_LATE: f64 = 0.4;
 const PASS_GROW: f64 = 0.01;
+const PASS_BACK: f64 = 1.6;
 /// The longest retry-after of what is shed, as part of the aim.
 const HINT_PART: f64 = 0.3;
 /// Attempts that a gateway with a small part may have out, whatever the bounds: some come at the same moment.
@@ -948,9 +950,14 @@
         let jammed = !unheard && (late || matches!(outcome, Outcome::Full | Outcome::Timeout));
         s.quick += u64::from(outcome == Outcome::Ok && took < aim.times(GROW_PART));
         // A late answer now and then is the work's own time: the more of them come, the more each one tells.
-        self.late_share += SMOOTH * (f64::from(u8::from(jammed)) - self.late_share);
-        let cut = 1.0 - (1.0 - PASS_CUT) * (self.late_share / PASS_LATE).min(1.0);
-        self.pass = if jammed { self.pass * cut } else { self.pass + PASS_GROW }.clamp(LEAST_PART, 1.0);
+        // Guards against a throttle outlasting its cause where few answers come: good news weighs by the time
+        // since the last, here and in a server's usual time.
+        let fresh = 1.0 - (-(now - std::mem::replace(&mut self.judged, now)).secs() / FLOW_SPAN).exp();
+        let news = if jammed { SMOOTH } else { SMOOTH.max(fresh) };
+        self.late_share += news * (f64::from(u8::from(jammed)) - self.late_share);
+        let late = (self.late_share / PASS_LATE).min(1.0);
+        let (cut, back) = (1.0 - (1.0 - PASS_CUT) * late, PASS_GROW.max(PASS_BACK * fresh * (1.0 - late)));
+        self.pass = if jammed { self.pass * cut } else { self.pass + back }.clamp(LEAST_PART, 1.0);
         if jammed {
             s.limit = (s.limit * LIMIT_CUT).max(LIMIT_LEAST);
         } else if outcome == Outcome::Ok
@@ -977,8 +984,8 @@
         s.fail_share += weight * (f64::from(u8::from(bad)) - s.fail_share);
         if outcome == Outcome::Ok {
             let sample = took.0 as f64;
-            for smooth in [&mut s.latency, &mut self.latency] {
-                *smooth = if *smooth == 0.0 { sample } else { *smooth + SMOOTH * (sample - *smooth) };
+            for (smooth, weight) in [(&mut s.latency, weight), (&mut self.latency, SMOOTH)] {
+                *smooth = if *smooth == 0.0 { sample } else { *smooth + weight * (sample - *smooth) };
             }
             if !bad && std::mem::take(&mut s.trial) {
                 s.fail_share = 0.0; // The trial is passed.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -264,6 +264,8 @@
     pub(crate) latency: f64,
     pub(crate) fail_share: f64,
     pub(crate) late_share: f64,
+    /// When the last attempt was judged.
+    pub(crate) judged: Micros,
     /// Part of the requests of usual worth that the servers can take, and the usual worth.
     pub(crate) pass: f64,
     pub(crate) usual_worth: f64,
