--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -52,7 +52,7 @@
 /// What a late answer leaves of the part that passes, fully from this share of late ones on; what others add,
 /// and add after a long time without any, the fewer were late.
 const PASS_CUT: f64 = 0.85;
-const PASS_LATE: f64 = 0.4;
+const PASS_LATE: f64 = 0.05;
 const PASS_GROW: f64 = 0.01;
 const PASS_BACK: f64 = 1.6;
 /// The longest retry-after of what is shed, as part of the aim.
