--- a/crates/cli/tests/access.rs
+++ b/crates/cli/tests/access.rs
@@ -141,7 +141,9 @@
     fleet.links("from=g0&loss=0.3&jitter_ms=30");
     call(&mut callers, 100);
     fleet.cut_off("g1", true);
-    until("its session lapsed", || fleet.does(&["keeper", "status"]).contains("cut off 0 s ago").then_some(()));
+    until("its session lapsed", || {
+        fleet.does(&["keeper", "status"]).contains("cut off 0 s ago").then_some(())
+    });
     call(&mut callers, 50);
     fleet.cut_off("g1", false);
     fleet.links("heal=1");
