Process tests begin once every gateway has heard the state: the hits test is back, its cause found

Seen: 8 to 11 of 480 hits missing, and a gateway restarted while cut off that had no file. Cause, from what that gateway said and its folder: Fleet::start waited for the three duties alone, so one of the gateways could still be without any state; it takes no calls then, as it should, and those were counted as sent. No defect of the hits.

--- a/crates/cli/tests/access.rs
+++ b/crates/cli/tests/access.rs
@@ -53,7 +53,13 @@
     fleet.kill_gateway(2);
     fleet.start_gateway(2);
     let mut caller = Caller::new(fleet.grpc(2));
-    assert_eq!(caller.admits("c"), stale == "KEEP", "restarted while cut off");
+    let (code, why) = caller.call(&[("x-customer", "c")]);
+    assert_eq!(
+        code != Some(Code::PermissionDenied),
+        stale == "KEEP",
+        "restarted while cut off: {code:?} {why} {:?}",
+        fleet.status(2)
+    );
     fleet.cut_off("g2", false);
     until("it hears the new set", || (!caller.admits("c")).then_some(()));
     (words, admitted)
@@ -121,7 +127,6 @@
 }
 
 #[test]
-#[ignore = "in some 3 of 20 runs one gateway's last hits stay untold; the cause is not found yet (docs/ROADMAP.md)"]
 fn hits_are_exact_over_lost_links_and_lose_at_most_a_report_where_a_gateway_is_killed() {
     let mut fleet = Fleet::start(3, 3);
     fleet.add_server("");
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -58,6 +58,9 @@
     pub fn start(keepers: usize, gateways: usize) -> Fleet {
         let mut fleet = Fleet::without_gateways(keepers, gateways);
         (0..gateways).for_each(|g| fleet.start_gateway(g));
+        // One that has heard nothing yet takes no calls.
+        let stands = |g| fleet.status(g).is_some_and(|s| s.stands && s.knows);
+        until("all have sessions", || (0..gateways).all(stands).then_some(()));
         until("all duties are held", || (fleet.held().len() == 3).then_some(()));
         fleet
     }
