Read over: a keeper's turn no longer goes through all sets for three flags, news are not copied

Keeper::news built the whole news of the present version in every turn, over all customers' sets, to read what waits for holders of duties from it; Shared::hints tells that alone, and news use it, too. Member::down copied each piece of news, the whole state among them, before it was applied; the session hands it back. One error mapping that mapped nothing is gone. No behaviour changed; not measured.

--- a/crates/cli/src/contract.rs
+++ b/crates/cli/src/contract.rs
@@ -2,7 +2,7 @@
 
 use crate::failure::Failure;
 use crate::keeper::Keepers;
-use crate::rules::{propose, read, RulesError};
+use crate::rules::{propose, read};
 use chalkdeck_keeper::registrar::version_of;
 use chalkdeck_proto::chalkdeck::keeper::v1 as wire;
 use clap::Subcommand;
@@ -124,7 +124,7 @@
 }
 
 fn contract(path: &Path, proto: Option<&Path>, include: &[PathBuf]) -> Result<wire::Contract, Failure> {
-    let mut contract: wire::Contract = read::<wire::Contract>(MESSAGE, path).map_err(|e: RulesError| e)?;
+    let mut contract: wire::Contract = read(MESSAGE, path)?;
     if let Some(proto) = proto {
         let own = [proto.parent().unwrap_or(Path::new(".")).to_path_buf()];
         let include = if include.is_empty() { &own[..] } else { include };
--- a/crates/keeper/src/core/attached.rs
+++ b/crates/keeper/src/core/attached.rs
@@ -163,8 +163,7 @@
     /// Tells streams what changed since what they were told.
     pub(super) fn news(&mut self) {
         let version = self.state.version;
-        let hints = self.state.news(version);
-        let hints = (hints.proposals, hints.unfolded, hints.unpublished);
+        let hints = self.state.hints();
         let behind = |a: &Attached| a.session > 0 && (a.told < version || a.hints != hints);
         let mut askers: Vec<Asker> =
             self.attached.iter().filter(|(_, a)| behind(a)).map(|(asker, _)| *asker).collect();
--- a/crates/keeper/src/member.rs
+++ b/crates/keeper/src/member.rs
@@ -192,9 +192,8 @@
         if matches!(self.link, Link::Up(_)) {
             self.link = Link::Up(now);
         }
-        let news = down.news.clone();
         let mut came = self.session.down(now, down);
-        if let Some((changes, news)) = came.changes.as_ref().zip(news) {
+        if let Some((changes, news)) = came.changes.as_ref().zip(came.news.take()) {
             self.changed(changes, news);
         }
         if came.reported {
--- a/crates/keeper/src/session.rs
+++ b/crates/keeper/src/session.rs
@@ -117,6 +117,8 @@
 pub struct Came {
     /// News were applied to what is held.
     pub changes: Option<Changes>,
+    /// The news themselves, applied or not.
+    pub news: Option<wire::News>,
     /// The answer to one's own command of that number.
     pub answer: Option<(u64, wire::Answer)>,
     /// A look was answered.
@@ -356,6 +358,7 @@
             self.commands.remove(number);
         }
         came.looked = down.looked;
+        came.news = down.news;
         came
     }
 
--- a/crates/keeper/src/state/looks.rs
+++ b/crates/keeper/src/state/looks.rs
@@ -12,6 +12,12 @@
 }
 
 impl Shared {
+    /// What waits for a holder: proposals, hits to be folded, words to be published.
+    pub fn hints(&self) -> (bool, bool, bool) {
+        let unpublished = self.words.values().any(|w| !w.published);
+        (!self.proposals.is_empty(), !self.ended.is_empty(), unpublished)
+    }
+
     /// What changed since a version that the other side holds; whole where changes alone cannot tell it, or nothing is held.
     pub fn news(&self, held: u64) -> wire::News {
         // One that holds more than this keeper has heard misses nothing that is known here.
@@ -26,6 +32,7 @@
             wire::Contract { descriptors: Vec::new(), promises: Vec::new(), ..c }
         };
         let (retired, standing): (Vec<_>, Vec<_>) = contracts.partition(|a| a.retired);
+        let (proposals, unfolded, unpublished) = self.hints();
         wire::News {
             version: self.version,
             whole,
@@ -35,9 +42,9 @@
             contracts: standing.into_iter().map(name).collect(),
             retired: retired.into_iter().map(name).map(|c| format!("{} {}", c.service, c.version)).collect(),
             words: self.words.values().filter(|w| w.published && w.changed > since).cloned().collect(),
-            proposals: !self.proposals.is_empty(),
-            unfolded: !self.ended.is_empty(),
-            unpublished: self.words.values().any(|w| !w.published),
+            proposals,
+            unfolded,
+            unpublished,
             cluster: self.cluster,
             since,
         }
