--- a/crates/gateway/src/keepers.rs
+++ b/crates/gateway/src/keepers.rs
@@ -363,7 +363,8 @@
             Act::Recheck(customers) => self.end_denied(Some(&customers)),
             Act::RecheckAll => self.end_denied(None),
             Act::Contracts => {
-                let listed = keepers.listed.clone();
+                // Kept again as it is taken over.
+                let listed = std::mem::take(&mut keepers.listed);
                 if !listed.is_empty() {
                     self.take_list(listed);
                 }
