Events of one turn: ends no longer cross bytes that were read; clients that go are heard while paused

Seen in the review of what ends something, each forced by a test over real connections and seen to fail before: - Engine::turn told timers before what was read, so in one batch a time-out met an attempt whose answer stood behind it, and the idle close of a client a connection on which a request stood; is_quiet looked at the socket alone, from which those bytes had been read already (also Front::longest_idle and Backends::take_idle, which wrote a request to a connection with a stale answer behind it in the batch). Now timers come last, and a connection is quiet only when its bytes of the turn were handled, too. - A paused connection (Raw::poll, 64 commands under way) never heard its client's end: attempts ran to their deadlines. - Time of commands that waited unread on a paused connection was counted from when they were read (Shell::command): backends were told up to a second too much. It counts from when reading was put off. - Listener at its bound, or without a descriptor: a stop dropped connections that the system had completed (Engine::unlisten); after EMFILE with no connection held it never accepted again (Engine::accept). Ends of connections are typed (CloseReason).

A body that ends with its connection is taken where the agent ended it in order and its JSON is whole; a reset or half of it never is, and is asked for again.

--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -97,6 +97,7 @@
 
     pub(crate) fn resp_bytes(&mut self, conn: ConnId, data: &Bytes) {
         let now = self.engine.now();
+        self.engine.handled(conn);
         let Some(session) = self.resp_session(conn) else { return };
         session.bytes.extend_from_slice(data);
         session.heard = now;
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -235,9 +235,9 @@
             NetEvent::Bytes { conn, data } => self.resp_bytes(conn, &data),
             NetEvent::Opened { stream, conn, head, ended } => self.on_call(stream, conn, &head, ended),
             NetEvent::Connected { conn } => self.on_connected(conn),
-            NetEvent::Closed { conn, why, .. } => {
+            NetEvent::Closed { conn, reason, .. } => {
                 self.resp_closed(conn);
-                self.on_closed(conn, &why);
+                self.on_closed(conn, &reason.to_string());
             }
             NetEvent::Head { stream, head, ended } => self.on_head(stream, head, ended),
             NetEvent::Data { stream, data } => self.on_data(stream, data),
--- a/crates/lab/src/measure/adds.rs
+++ b/crates/lab/src/measure/adds.rs
@@ -119,7 +119,7 @@
                 self.engine.consume(stream, data.len());
                 self.on_data(stream, &data)?;
             }
-            Event::Closed { why, .. } => bail!("the counter closed a connection: {why}"),
+            Event::Closed { reason, .. } => bail!("the counter closed a connection: {reason}"),
             _ => {}
         }
         Ok(())
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -1,5 +1,6 @@
 //! One connection of either side, from its socket to the `h2` state that runs over it.
 
+use crate::close::CloseReason;
 use crate::engine::Limits;
 use crate::http1::Http1;
 use crate::io::Io;
@@ -66,7 +67,7 @@
     /// Plain bytes, and whether there may be more to read at once.
     Bytes(Bytes, bool),
     /// It is over.
-    Closed(String),
+    Closed(CloseReason),
 }
 
 impl Conn {
@@ -154,7 +155,7 @@
             match &mut self.link {
                 Link::Connecting(stream, speaks) => match reached(stream) {
                     Poll::Pending => return Step::Wait,
-                    Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
+                    Poll::Ready(Err(e)) => return Step::Closed(CloseReason::Failed(e.to_string())),
                     Poll::Ready(Ok(stream)) => {
                         self.reached = true;
                         if *speaks == Speaks::Raw {
@@ -167,7 +168,7 @@
                 },
                 Link::Greeting(handshake) => match handshake.as_mut().poll(&mut cx) {
                     Poll::Pending => return Step::Wait,
-                    Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
+                    Poll::Ready(Err(e)) => return Step::Closed(CloseReason::Failed(e.to_string())),
                     Poll::Ready(Ok((sender, mut link))) => {
                         self.ping = link.ping_pong();
                         self.link = Link::Client(sender, Box::new(link));
@@ -181,7 +182,7 @@
                 },
                 Link::Welcome(handshake) => match Pin::new(handshake.as_mut()).poll(&mut cx) {
                     Poll::Pending => return Step::Wait,
-                    Poll::Ready(Err(e)) => return Step::Closed(e.to_string()),
+                    Poll::Ready(Err(e)) => return Step::Closed(CloseReason::Failed(e.to_string())),
                     Poll::Ready(Ok(mut link)) => {
                         if self.draining {
                             link.graceful_shutdown();
@@ -200,12 +201,12 @@
                 Link::Http1(http1) => match http1.poll() {
                     crate::http1::Step::Wait => return Step::Wait,
                     crate::http1::Step::Get(path) => return Step::Get(path),
-                    crate::http1::Step::Close => return Step::Closed(String::new()),
+                    crate::http1::Step::Close => return Step::Closed(CloseReason::PeerEnded),
                 },
                 Link::Raw(raw) => match raw.poll() {
                     crate::raw::Step::Wait => return Step::Wait,
                     crate::raw::Step::Bytes(bytes, more) => return Step::Bytes(bytes, more),
-                    crate::raw::Step::Close(why) => return Step::Closed(why),
+                    crate::raw::Step::Close(reason) => return Step::Closed(reason),
                 },
                 Link::Closed => return Step::Wait,
             }
@@ -213,8 +214,8 @@
     }
 }
 
-fn ended(error: Option<h2::Error>) -> String {
-    error.map_or("closed by the peer".to_string(), |e| e.to_string())
+fn ended(error: Option<h2::Error>) -> CloseReason {
+    error.map_or(CloseReason::PeerEnded, |e| CloseReason::Failed(e.to_string()))
 }
 
 /// Whether a connection under way has come to stand.
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -4,14 +4,16 @@
 //! one window is held until `consume` gives it back; what a caller queues to go out it must pace by `Event::Sent`.
 
 use crate::clock::Clock;
+use crate::close::CloseReason;
 use crate::conn::{Conn, Link, Speaks, Step};
+use crate::listener::{Listener, ACCEPTS_TURN};
 use crate::stream::{Outgoing, Stream};
 use crate::wake::{Ready, Turn};
 use bytes::Bytes;
 use http::{request, response, HeaderMap, Request, Response};
-use mio::net::{TcpListener, TcpStream};
+use mio::net::TcpStream;
 use mio::{Interest, Poll, Token};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::io;
@@ -89,7 +91,7 @@
     /// A connection that was asked for stands.
     Connected { conn: ConnId },
     /// A connection is over. `reached`: it once stood. `unsent`: bytes queued on a plain one that were never written.
-    Closed { conn: ConnId, reached: bool, unsent: usize, why: String },
+    Closed { conn: ConnId, reached: bool, unsent: usize, reason: CloseReason },
     /// A client opened a stream. `ended`: it has no body.
     Opened { stream: StreamId, conn: ConnId, head: Box<request::Parts>, ended: bool },
     /// The head of an answer came.
@@ -110,42 +112,33 @@
     Bytes { conn: ConnId, data: Bytes },
 }
 
-struct Listener {
-    socket: TcpListener,
-    limits: Limits,
-    speaks: Speaks,
-    held: usize,
-    paused: bool,
-}
-
 /// Streams that one connection may open before others have their turn, and that all may open in one turn of the loop. Guards
 /// against floods: each step of the calls that are under way waits for a turn.
 const OPENS_EACH: usize = 8;
 const OPENS_TURN: usize = 64;
-/// Connections that a listener takes in before what stands has its turn. Guards those that are back while thousands return.
-const ACCEPTS_TURN: usize = 32;
-
 /// Wakes a loop from another thread.
 pub type LoopWaker = mio::Waker;
 
 /// The loop's state. One thread, no locks held between calls.
 pub struct Engine {
-    poll: Poll,
+    pub(crate) poll: Poll,
     readiness: mio::Events,
-    ready: Arc<Ready>,
+    pub(crate) ready: Arc<Ready>,
     clock: Clock,
     next: u64,
-    listeners: FxHashMap<u64, Listener>,
+    pub(crate) listeners: FxHashMap<u64, Listener>,
     pub(crate) conns: FxHashMap<u64, Conn>,
     streams: FxHashMap<u64, Box<Stream>>,
     timers: BinaryHeap<Reverse<(u64, u64)>>,
     /// When a connection is to be pinged.
     pings: BinaryHeap<Reverse<(u64, u64)>>,
-    out: VecDeque<Event>,
+    pub(crate) out: VecDeque<Event>,
     /// Streams opened in this turn.
     opens: usize,
     /// Listeners with more connections to take in.
-    accepting: Vec<u64>,
+    pub(crate) accepting: Vec<u64>,
+    /// Plain connections of which the last turn handed bytes over that its caller has not dealt with yet.
+    pub(crate) unhandled: FxHashSet<u64>,
     /// Plain connections with bytes queued in this turn; they are written before the next wait.
     pub(crate) dirty: Vec<u64>,
 }
@@ -172,6 +165,7 @@
             out: VecDeque::new(),
             opens: 0,
             accepting: Vec::new(),
+            unhandled: FxHashSet::default(),
             dirty: Vec::new(),
         })
     }
@@ -181,7 +175,7 @@
         self.clock.now()
     }
 
-    fn id(&mut self) -> u64 {
+    pub(crate) fn id(&mut self) -> u64 {
         self.next += 1;
         self.next
     }
@@ -191,58 +185,6 @@
         mio::Waker::new(self.poll.registry(), Token(usize::MAX))
     }
 
-    /// Takes connections in at `address`; port 0 takes a free one. `shared`: other threads listen there too.
-    /// `http1`: it is a side port for GETs.
-    pub fn listen(
-        &mut self,
-        address: SocketAddr,
-        limits: Limits,
-        shared: bool,
-        http1: bool,
-    ) -> io::Result<(ListenerId, SocketAddr)> {
-        self.listen_for(address, limits, shared, if http1 { Speaks::Http1 } else { Speaks::Http2 })
-    }
-
-    /// The same for connections of plain bytes.
-    pub fn listen_raw(
-        &mut self,
-        address: SocketAddr,
-        limits: Limits,
-    ) -> io::Result<(ListenerId, SocketAddr)> {
-        self.listen_for(address, limits, false, Speaks::Raw)
-    }
-
-    fn listen_for(
-        &mut self,
-        address: SocketAddr,
-        limits: Limits,
-        shared: bool,
-        speaks: Speaks,
-    ) -> io::Result<(ListenerId, SocketAddr)> {
-        let socket =
-            socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
-        socket.set_reuse_address(true)?;
-        if shared {
-            socket.set_reuse_port(true)?;
-        }
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(1024)?;
-        let mut socket = TcpListener::from_std(socket.into());
-        let bound = socket.local_addr()?;
-        let id = self.id();
-        self.poll.registry().register(&mut socket, Token(id as usize), Interest::READABLE)?;
-        self.listeners.insert(id, Listener { socket, limits, speaks, held: 0, paused: false });
-        Ok((ListenerId(id), bound))
-    }
-
-    /// Takes no further connections in there; those that stand stay. What waits there is taken in first, up to the listener's
-    /// bound: the system took it, so its clients may have sent on it already.
-    pub fn unlisten(&mut self, listener: ListenerId) {
-        self.accept(listener.0, usize::MAX);
-        self.listeners.remove(&listener.0);
-    }
-
     /// Connections of a listener that are held now, also of one that takes no more.
     pub fn held_by(&self, listener: ListenerId) -> usize {
         self.conns.values().filter(|c| c.listener == Some(listener.0)).count()
@@ -355,7 +297,7 @@
             }
             c.waker.wake_by_ref();
             if matches!(c.link, Link::Closed) {
-                self.drop_conn(conn.0, "closed here".to_string());
+                self.drop_conn(conn.0, CloseReason::Local);
             }
         }
     }
@@ -364,7 +306,7 @@
     pub fn reply(&mut self, conn: ConnId, status: u16, body: &str) {
         if let Some(Conn { link: Link::Http1(http1), waker, .. }) = self.conns.get_mut(&conn.0) {
             if matches!(http1.reply(status, body), crate::http1::Step::Close) {
-                self.drop_conn(conn.0, String::new());
+                self.drop_conn(conn.0, CloseReason::Local);
             } else {
                 waker.wake_by_ref();
             }
@@ -379,6 +321,8 @@
     /// Waits until something happens, at most so many microseconds, and hands over what did.
     pub fn turn(&mut self, most_wait: u64, events: &mut Vec<Event>) -> io::Result<()> {
         self.write_dirty();
+        self.unhandled.clear();
+        self.retry_accepts();
         let idle = self.ready.is_empty() && self.out.is_empty() && self.accepting.is_empty();
         let next =
             [self.timers.peek(), self.pings.peek()].into_iter().flatten().map(|Reverse((at, _))| *at).min();
@@ -405,12 +349,6 @@
                 conn.waker.wake_by_ref();
             }
         }
-        let now = self.now();
-        while let Some(Reverse((_, token))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
-            self.timers.pop();
-            self.out.push_back(Event::Timer(token));
-        }
-        self.ping_due(now);
         // Bounded, so that a busy peer does not keep timers waiting.
         self.opens = 0;
         for _ in 0..8192 {
@@ -420,17 +358,29 @@
             let Some(key) = self.ready.pop() else { break };
             self.poll_key(key);
         }
+        // After what was read: an answer that came in time must not be met by its own time-out, nor a connection with a request
+        // on it by the end of its patience.
+        self.timers_due();
         events.extend(self.out.drain(..));
         Ok(())
     }
 
+    fn timers_due(&mut self) {
+        let now = self.now();
+        while let Some(Reverse((_, token))) = self.timers.peek().filter(|t| t.0 .0 <= now).copied() {
+            self.timers.pop();
+            self.out.push_back(Event::Timer(token));
+        }
+        self.ping_due(now);
+    }
+
     /// Guards against connections that are gone without a word: half open, their calls would wait for their time-outs.
     fn ping_due(&mut self, now: u64) {
         while let Some(Reverse((_, key))) = self.pings.peek().filter(|p| p.0 .0 <= now).copied() {
             self.pings.pop();
             let Some(conn) = self.conns.get_mut(&key) else { continue };
             if conn.unanswered {
-                self.drop_conn(key, "no answer to a ping".to_string());
+                self.drop_conn(key, CloseReason::Failed("no answer to a ping".to_string()));
                 continue;
             }
             conn.send_ping();
@@ -501,6 +451,7 @@
                         conn.waker.wake_by_ref();
                     }
                     if !data.is_empty() {
+                        self.unhandled.insert(key);
                         self.out.push_back(Event::Bytes { conn: ConnId(key), data });
                     }
                     return;
@@ -517,7 +468,7 @@
                         return;
                     }
                 }
-                Step::Closed(why) => return self.drop_conn(key, why),
+                Step::Closed(reason) => return self.drop_conn(key, reason),
             }
         }
     }
@@ -539,7 +490,7 @@
         self.streams.insert(id, Box::new(Stream::opened(stream, conn, waker, body, respond)));
     }
 
-    fn drop_conn(&mut self, key: u64, why: String) {
+    fn drop_conn(&mut self, key: u64, reason: CloseReason) {
         let Some(conn) = self.conns.remove(&key) else { return };
         if let Some(l) = conn.listener.and_then(|l| self.listeners.get_mut(&l)) {
             l.held -= 1;
@@ -548,43 +499,6 @@
             }
         }
         let unsent = if let Link::Raw(raw) = &conn.link { raw.unsent() } else { 0 };
-        self.out.push_back(Event::Closed { conn: ConnId(key), reached: conn.reached, unsent, why });
-    }
-
-    fn accept(&mut self, key: u64, most: usize) {
-        for taken in 0.. {
-            if taken >= most {
-                return self.accepting.push(key);
-            }
-            let Some(listener) = self.listeners.get_mut(&key) else { return };
-            if listener.held >= listener.limits.connections {
-                listener.paused = true;
-                return;
-            }
-            let (mut stream, from) = match listener.socket.accept() {
-                Ok(came) => came,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) => {
-                    // Out of descriptors: those that wait are taken when one is free again.
-                    tracing::warn!(error = %e, "a connection could not be taken in");
-                    listener.paused = true;
-                    return;
-                }
-            };
-            let _ = stream.set_nodelay(true);
-            listener.held += 1;
-            let (limits, speaks) = (listener.limits, listener.speaks);
-            let id = self.id();
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            if self.poll.registry().register(&mut stream, Token(id as usize), interest).is_err() {
-                self.listeners.get_mut(&key).into_iter().for_each(|l| l.held -= 1);
-                continue;
-            }
-            let waker = self.ready.waker(id, Turn::Then);
-            waker.wake_by_ref();
-            self.conns.insert(id, Conn::accepted(stream, from.ip(), limits, key, speaks, waker));
-            self.out.push_back(Event::Accepted { listener: ListenerId(key), conn: ConnId(id) });
-        }
+        self.out.push_back(Event::Closed { conn: ConnId(key), reached: conn.reached, unsent, reason });
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,12 +5,14 @@
 #![warn(missing_docs)]
 
 pub mod clock;
+mod close;
 mod conn;
 pub mod due;
 pub mod engine;
 pub mod grpc;
 mod http1;
 mod io;
+mod listener;
 mod plain;
 mod raw;
 pub mod signals;
@@ -19,4 +21,5 @@
 mod wake;
 pub mod watch;
 
+pub use close::CloseReason;
 pub use engine::{Broken, ConnId, Engine, Event, Limits, ListenerId, StreamId};
--- a/crates/net/src/plain.rs
+++ b/crates/net/src/plain.rs
@@ -51,15 +51,19 @@
             waker.wake_by_ref();
         }
     }
-    /// Whether a plain connection stands with nothing to read: no end, no error and no bytes that nobody asked for.
+    /// The caller deals with the bytes of a plain connection that the last turn handed over.
+    pub fn handled(&mut self, conn: ConnId) {
+        self.unhandled.remove(&conn.0);
+    }
+    /// Whether a plain connection stands with nothing to read: no end, no error and no bytes that nobody asked for, neither in
+    /// the socket nor among the events of the last turn that were not `handled` yet.
     pub fn is_quiet(&mut self, conn: ConnId) -> bool {
-        self.raw(conn).is_some_and(|(raw, _)| raw.is_quiet())
+        !self.unhandled.contains(&conn.0) && self.raw(conn).is_some_and(|(raw, _)| raw.is_quiet())
     }
-    /// Closes a plain connection on which nothing waits, neither to go out nor to be read; whether it did. To be asked after a
-    /// turn's events were dealt with: bytes among them were read already.
+    /// Closes a plain connection on which nothing waits, neither to go out nor to be read; whether it did.
     pub fn close_if_quiet(&mut self, conn: ConnId) -> bool {
-        let quiet =
-            self.raw(conn).is_some_and(|(raw, _)| raw.flush().is_ok() && raw.unsent() == 0 && raw.is_quiet());
+        let flushed = |raw: &mut Raw| raw.flush().is_ok() && raw.unsent() == 0;
+        let quiet = self.is_quiet(conn) && self.raw(conn).is_some_and(|(raw, _)| flushed(raw));
         if quiet {
             self.close(conn);
         }
--- a/crates/net/src/raw.rs
+++ b/crates/net/src/raw.rs
@@ -1,5 +1,6 @@
 //! Plain bytes both ways, for protocols that are no HTTP.
 
+use crate::close::CloseReason;
 use bytes::{Buf, Bytes, BytesMut};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
@@ -40,7 +41,7 @@
     Wait,
     /// Bytes, and whether there may be more to read at once.
     Bytes(Bytes, bool),
-    Close(String),
+    Close(CloseReason),
 }
 
 impl Raw {
@@ -56,35 +57,45 @@
     pub(crate) fn unsent(&self) -> usize {
         self.out.len()
     }
+    /// Whether nothing waits in the socket: no byte, no end, no error.
     pub(crate) fn is_quiet(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
     pub(crate) fn poll(&mut self) -> Step {
         if let Err(e) = self.flush() {
-            return Step::Close(e.to_string());
+            return Step::Close(e.into());
         }
         match self.ending {
+            Ending::No if self.paused && self.ends => Step::Close(self.end_reason()),
             Ending::No if self.paused => Step::Wait,
             Ending::No => self.read(),
             _ if !self.out.is_empty() => Step::Wait,
-            Ending::Close => Step::Close("closed here".to_string()),
+            Ending::Close => Step::Close(CloseReason::Local),
             Ending::Linger => self.drop_input(),
         }
     }
 
+    /// Why the peer's end was announced while nothing is read: it stands behind bytes that stay unread.
+    fn end_reason(&self) -> CloseReason {
+        match self.stream.take_error() {
+            Ok(Some(error)) | Err(error) => error.into(),
+            Ok(None) => CloseReason::PeerEnded,
+        }
+    }
+
     fn read(&mut self) -> Step {
         let mut chunk = [0; CHUNK];
         loop {
             match self.stream.read(&mut chunk) {
-                Ok(0) => return Step::Close("closed by the peer".to_string()),
+                Ok(0) => return Step::Close(CloseReason::PeerEnded),
                 // Readiness is told once: a short read emptied the socket, what comes later is told anew.
                 Ok(n) => {
                     return Step::Bytes(Bytes::copy_from_slice(&chunk[..n]), n == CHUNK || self.ends);
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Step::Wait,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Step::Close(e.to_string()),
+                Err(e) => return Step::Close(e.into()),
             }
         }
     }
@@ -96,7 +107,7 @@
 
     fn drop_input(&mut self) -> Step {
         if !self.shut_write() {
-            return Step::Close("closed by the peer".to_string());
+            return Step::Close(CloseReason::PeerEnded);
         }
         for _ in 0..DROPS {
             match self.read() {
--- /dev/null
+++ b/crates/net/tests/listener.rs
@@ -0,0 +1,52 @@
+//! A listener at its bounds: connections that the system completed are never left behind.
+
+use chalkdeck_net::{ConnId, Engine, Event, Limits};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn turns(engine: &mut Engine) -> Vec<Event> {
+    let mut events = Vec::new();
+    for _ in 0..50 {
+        engine.turn(1_000, &mut events).expect("a turn");
+    }
+    events
+}
+
+fn accepted(events: &[Event]) -> Vec<ConnId> {
+    let accepted = events.iter().filter_map(|e| match e {
+        Event::Accepted { conn, .. } => Some(*conn),
+        _ => None,
+    });
+    accepted.collect()
+}
+
+#[test]
+fn a_full_listener_goes_on_until_what_waits_there_was_taken_in() {
+    let mut engine = Engine::new().expect("a poll handle");
+    let limits = Limits { connections: 1, ..Limits::default() };
+    let (listener, address) = engine.listen_raw(any(), limits).expect("a free port");
+    let _first = TcpStream::connect(address).expect("a connection");
+    let held = accepted(&turns(&mut engine));
+    let mut second = TcpStream::connect(address).expect("the system completes it");
+    second.write_all(b"request").expect("it is sent");
+    assert!(!engine.unlisten_if_empty(listener), "one waits there");
+    engine.close(held[0]);
+    let events = turns(&mut engine);
+    let taken = accepted(&events);
+    assert_eq!(taken.len(), 1, "the end of the first makes room");
+    let read =
+        |e: &Event| matches!(e, Event::Bytes { conn, data } if *conn == taken[0] && &data[..] == b"request");
+    assert!(events.iter().any(read), "what it sent is read");
+    engine.write(taken[0], b"answer");
+    turns(&mut engine);
+    let mut answer = [0; 6];
+    second.read_exact(&mut answer).expect("the whole answer");
+    engine.close(taken[0]);
+    turns(&mut engine);
+    assert!(engine.unlisten_if_empty(listener), "there is room and nothing waits");
+    assert!(TcpStream::connect(address).is_err(), "nobody listens");
+}
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -5,7 +5,7 @@
 
 use crate::list::{self, List, ListError};
 use bytes::{Buf, BytesMut};
-use chalkdeck_net::{ConnId, Engine};
+use chalkdeck_net::{CloseReason, ConnId, Engine};
 use http::{Request, StatusCode};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -44,13 +44,6 @@
         help("the agent does not give the list: see its log; the gateway goes on by the last good one")
     )]
     Status(StatusCode),
-    /// Its length is not told, so half of it could pass for the whole.
-    #[error("expected a content-length or chunks")]
-    #[diagnostic(
-        code(chalkdeck::discovery::length),
-        help("the agent has to tell the length of its answers; see whether a proxy stands between")
-    )]
-    Length,
     /// Longer than is read.
     #[error("expected an answer of at most {MOST_BYTES} bytes")]
     #[diagnostic(code(chalkdeck::discovery::too_long), help("see why the list has grown so long"))]
@@ -117,6 +110,13 @@
     Body(Call<RecvBody>),
 }
 
+impl Awaits {
+    /// The body has no length and ends with its connection.
+    fn ends_with_connection(&self) -> bool {
+        matches!(self, Awaits::Body(call) if matches!(call.body_mode(), BodyMode::CloseDelimited))
+    }
+}
+
 /// The watch.
 pub(crate) struct Discovery {
     address: SocketAddr,
@@ -199,13 +199,25 @@
         Ok(())
     }
 
-    /// A connection is over; none: it was not this one.
-    pub(crate) fn closed(&mut self, conn: ConnId) -> Option<News> {
+    /// A connection is over; none: it was not this one. An answer without a length is whole where the agent ended it in order,
+    /// and never where its connection was reset.
+    pub(crate) fn closed(
+        &mut self,
+        engine: &mut Engine,
+        conn: ConnId,
+        reason: &CloseReason,
+        zones: &mut HashMap<String, u32>,
+    ) -> Option<Vec<News>> {
         if self.conn != Some(conn) {
             return None;
         }
         self.conn = None;
-        Some(self.again())
+        let delimited = self.awaits.take().is_some_and(|awaits| awaits.ends_with_connection());
+        if !delimited || *reason != CloseReason::PeerEnded {
+            return Some(vec![self.again()]);
+        }
+        let news = self.take(engine, conn, true, zones);
+        Some(news.unwrap_or_else(|why| vec![self.broken(engine, &why)]))
     }
 
     fn again(&mut self) -> News {
@@ -262,16 +274,14 @@
     }
 
     fn body(&mut self, mut call: Call<RecvBody>) -> Result<Option<bool>, DiscoveryError> {
-        if matches!(call.body_mode(), BodyMode::CloseDelimited) {
-            return Err(DiscoveryError::Length);
-        }
+        let delimited = matches!(call.body_mode(), BodyMode::CloseDelimited);
         let mut piece = [0; PIECE];
         loop {
             let (used, made) = call.read(&self.bytes, &mut piece)?;
             self.bytes.advance(used);
             self.body.extend_from_slice(&piece[..made]);
             self.within_bounds()?;
-            if call.can_proceed() {
+            if call.can_proceed() && !delimited {
                 break;
             }
             if used == 0 && made == 0 {
--- a/crates/platform/src/discovery/tests.rs
+++ b/crates/platform/src/discovery/tests.rs
@@ -106,9 +106,10 @@
                 let news = discovery.bytes(engine, conn, &data, zones);
                 self.news(news.unwrap_or_default());
             }
-            Event::Closed { conn, .. } => {
-                let news = self.discovery.closed(conn);
-                self.news(news.into_iter().collect());
+            Event::Closed { conn, reason, .. } => {
+                let World { discovery, engine, zones, .. } = self;
+                let news = discovery.closed(engine, conn, &reason, zones);
+                self.news(news.unwrap_or_default());
             }
             _ => {}
         }
@@ -388,3 +389,62 @@
         assert!(times.pause < times.wait && times.wait < times.silent, "{times:?}");
     }
 }
+
+/// How an agent ends a connection after an answer without a length.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Close {
+    InOrder,
+    Reset,
+}
+
+/// Answers the next call with these bytes, which tell no length, and closes. A reset is forced by a close over unread bytes.
+fn answer_and_close(world: &mut World, agent: &std::net::TcpListener, answer: &[u8], close: Close) {
+    use std::io::{ErrorKind, Read, Write};
+    let mut stream = loop {
+        match agent.accept() {
+            Ok((stream, _)) => break stream,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => world.step(),
+            Err(e) => panic!("the agent cannot accept: {e}"),
+        }
+    };
+    stream.set_nonblocking(true).expect("a socket");
+    let mut call = [0; 1_024];
+    while !matches!(stream.peek(&mut call), Ok(length) if length > 0) {
+        world.step();
+    }
+    stream.write_all(answer).expect("it is sent");
+    if close == Close::InOrder {
+        let length = stream.read(&mut call).expect("the call");
+        assert!(call[..length].ends_with(b"\r\n\r\n"));
+    }
+    drop(stream);
+    (0..5).for_each(|_| world.step());
+}
+
+#[test]
+fn an_answer_without_a_length_is_whole_at_an_end_in_order_and_never_at_a_reset() {
+    let body = r#"{"index":7,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:9","status":"draining"}]}"#;
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{body}");
+    let half = &whole[..whole.len() - 20];
+    for (answer, close, taken) in [
+        (whole.as_str(), Close::InOrder, true),
+        (&whole, Close::Reset, false),
+        (half, Close::InOrder, false),
+        (half, Close::Reset, false),
+    ] {
+        let agent = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        agent.set_nonblocking(true).expect("a socket");
+        let address = agent.local_addr().expect("its address");
+        let mut world = World::new(Mood::Answers, plain);
+        world.pass(300_000);
+        let lists = world.lists;
+        let news = world.discovery.moved(&mut world.engine, address);
+        world.news(news.into_iter().collect());
+        answer_and_close(&mut world, &agent, answer.as_bytes(), close);
+        assert_eq!(world.lists > lists, taken, "{close:?} after {} bytes", answer.len());
+        assert_eq!(world.held == 7, taken, "{close:?} after {} bytes", answer.len());
+        // What was not whole is asked for again, soon and as a whole list.
+        answer_and_close(&mut world, &agent, whole.as_bytes(), Close::InOrder);
+        assert_eq!(world.held, 7, "{close:?} after {} bytes, then whole", answer.len());
+    }
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -38,6 +38,10 @@
     open: FxHashSet<RequestId>,
     /// Nothing is read for now, whole commands may be left.
     paused: bool,
+    /// When the bytes had come that are read now: at the latest, or when the reading of them was put off.
+    received: u64,
+    /// Since when bytes may wait unread, as nothing was read from then on.
+    put_off: Option<u64>,
     /// It has its place in `Front::resumed`.
     resumes: bool,
     /// Nothing more is read: an error was told or it was asked to end.
@@ -68,6 +72,8 @@
 pub(crate) struct Came {
     pub(crate) slot: u64,
     pub(crate) words: Vec<Bytes>,
+    /// When it had come, as far as is known: not later than that.
+    pub(crate) received: u64,
 }
 
 /// All clients.
@@ -104,7 +110,8 @@
 
     /// Of the connections on which nothing waits to be read.
     fn longest_idle(&self, engine: &mut Engine, now: u64, new: ConnId) -> Option<ConnId> {
-        let rank = |s: &Session| (s.spoke || now < s.used + WORDLESS, s.used);
+        // Those that are within a command, or are told of an error, come last.
+        let rank = |s: &Session| (!s.between_requests(), s.spoke || now < s.used + WORDLESS, s.used);
         let idle = self.sessions.iter().filter(|(c, s)| **c != new && s.answers.pending() == 0);
         let mut idle: Vec<_> = idle.map(|(c, s)| (rank(s), *c)).collect();
         idle.sort_unstable();
@@ -121,6 +128,11 @@
         let Some(session) = self.sessions.get_mut(&conn).filter(|s| !s.over) else { return };
         session.bytes.extend_from_slice(data);
         session.used = now;
+        // What was not read while the connection was paused may have come at any time since.
+        session.received = session.put_off.unwrap_or(now);
+        if session.put_off.is_some() && engine.is_quiet(conn) {
+            session.put_off = None;
+        }
     }
 
     /// The next command of a connection, as long as there is room for it. What cannot be read is told and ends it.
@@ -130,6 +142,7 @@
         let session = self.sessions.get_mut(&conn).filter(|s| !s.over)?;
         if session.answers.pending() >= MOST_PENDING || unread > UNREAD || full && !session.bytes.is_empty() {
             session.paused = true;
+            session.put_off.get_or_insert(engine.now());
             engine.pause(conn, true);
             return None;
         }
@@ -137,12 +150,14 @@
             Taken::Partial => {
                 if std::mem::take(&mut session.paused) {
                     engine.pause(conn, false);
+                    session.put_off = session.put_off.filter(|_| !engine.is_quiet(conn));
                 }
                 None
             }
             Taken::Command(words) => {
                 session.spoke = true;
-                Some(Came { slot: session.answers.wait(), words })
+                let received = session.received;
+                Some(Came { slot: session.answers.wait(), words, received })
             }
             Taken::Bad(why) => {
                 session.answers.ready(error(&why.to_string()));
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -18,7 +18,7 @@
 use chalkdeck_net::clock::Clock;
 use chalkdeck_net::due::Dues;
 use chalkdeck_net::signals::Signals;
-use chalkdeck_net::{ConnId, Engine, Event as NetEvent, Limits, ListenerId};
+use chalkdeck_net::{CloseReason, ConnId, Engine, Event as NetEvent, Limits, ListenerId};
 use chalkdeck_resp::Frame;
 use rustc_hash::FxHashMap;
 use std::io;
@@ -95,6 +95,8 @@
     desk: Desk,
     config: Config,
     listener: ListenerId,
+    /// The listener still takes connections in.
+    listens: bool,
     listen: SocketAddr,
     dues: Dues<Due>,
     front: Front,
@@ -135,6 +137,7 @@
             engine,
             desk: Desk::new(gateway),
             listener,
+            listens: true,
             listen,
             dues: Dues::default(),
             front: Front::new(clients, (memory * BYTES_PART) as usize),
@@ -193,7 +196,7 @@
     /// Whether a stop is over: all clients are let go, or all that was taken before it must have had its answer.
     pub fn stopped(&self) -> bool {
         let Some(since) = self.stop else { return false };
-        let alone = self.front.lets_go() && self.engine.held_by(self.listener) == 0;
+        let alone = self.front.lets_go() && !self.listens && self.engine.held_by(self.listener) == 0;
         alone || self.engine.now() >= since + KILLED + self.longest_deadline()
     }
 
@@ -209,7 +212,7 @@
 
     /// No new connections come any more: those that stand are let go.
     fn stop_on(&mut self) {
-        self.engine.unlisten(self.listener);
+        self.listens &= !self.engine.unlisten_if_empty(self.listener);
         self.front.stop(self.engine.now());
         self.due_in(STOP_LOOK, Due::Stop);
     }
@@ -238,7 +241,7 @@
             NetEvent::Accepted { conn, .. } => self.front.accepted(&mut self.engine, conn),
             NetEvent::Connected { conn } => self.on_connected(conn),
             NetEvent::Bytes { conn, data } => self.on_bytes(conn, &data),
-            NetEvent::Closed { conn, unsent, .. } => self.on_closed(conn, unsent),
+            NetEvent::Closed { conn, unsent, reason, .. } => self.on_closed(conn, unsent, &reason),
             NetEvent::Timer(token) => self.on_due(token),
             // Streams are HTTP/2's, and there is no side port.
             _ => {}
@@ -257,6 +260,7 @@
     }
 
     fn on_bytes(&mut self, conn: ConnId, data: &[u8]) {
+        self.engine.handled(conn);
         let Shell { engine, backends, counter, discovery, front, config, .. } = self;
         if front.owns(conn) {
             front.bytes(engine, conn, data);
@@ -273,7 +277,7 @@
         news.into_iter().flatten().for_each(|n| self.news(n));
     }
 
-    fn on_closed(&mut self, conn: ConnId, unsent: usize) {
+    fn on_closed(&mut self, conn: ConnId, unsent: usize, reason: &CloseReason) {
         if self.front.owns(conn) {
             for id in self.front.closed(conn) {
                 self.forget(id);
@@ -284,8 +288,10 @@
             ended.into_iter().for_each(|e| self.ended(e));
         } else if let Some(told) = self.counter.as_mut().and_then(|c| c.closed(conn, unsent)) {
             self.counted(told);
-        } else if let Some(news) = self.discovery.closed(conn) {
-            self.news(news);
+        } else {
+            let Shell { engine, discovery, config, .. } = self;
+            let news = discovery.closed(engine, conn, reason, &mut config.read.zones);
+            news.into_iter().flatten().for_each(|n| self.news(n));
         }
     }
 
@@ -415,8 +421,8 @@
 
     /// Takes what a connection has sent, as far as there is room for it.
     fn commands(&mut self, conn: ConnId) {
-        while let Some(Came { slot, words }) = self.front.next(&mut self.engine, conn) {
-            if let Some(answer) = self.command(conn, slot, words) {
+        while let Some(Came { slot, words, received }) = self.front.next(&mut self.engine, conn) {
+            if let Some(answer) = self.command(conn, slot, words, received) {
                 self.front.answer(conn, slot, answer);
             }
         }
@@ -424,7 +430,8 @@
     }
 
     /// A command: its answer, or none when it is a request, whose answer comes later.
-    fn command(&mut self, conn: ConnId, slot: u64, words: Vec<Bytes>) -> Option<Frame> {
+    /// `received`: when it had come, from where on its client's time counts.
+    fn command(&mut self, conn: ConnId, slot: u64, words: Vec<Bytes>, received: u64) -> Option<Frame> {
         let name = words[0].to_ascii_uppercase();
         match &name[..] {
             b"PING" => return Some(Frame::SimpleString(Bytes::from_static(b"PONG"))),
@@ -437,7 +444,7 @@
         }
         let id = RequestId(self.next_id + 1);
         let bytes = words.iter().map(Bytes::len).sum();
-        let (command, mut arrival) = match request::read(words, id, self.engine.now(), &self.config.read) {
+        let (command, mut arrival) = match request::read(words, id, received, &self.config.read) {
             Ok(read) => read,
             Err(why) => return Some(error(&why.to_string())),
         };
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -82,6 +82,11 @@
 impl Stage {
     /// So many backends, all listed and ready.
     pub fn new(backends: usize, limits: &str) -> Stage {
+        Stage::configured(backends, limits, |text| text)
+    }
+
+    /// The same with a configuration that is edited before the gateway reads it.
+    pub fn configured(backends: usize, limits: &str, edit: fn(String) -> String) -> Stage {
         let mut engine = Engine::new().expect("a poll handle");
         let backends: Vec<_> = (0..backends).map(|_| listen(&mut engine)).collect();
         let (counter, discovery) = (listen(&mut engine), listen(&mut engine));
@@ -92,8 +97,8 @@
             NEXT.fetch_add(1, Ordering::Relaxed)
         );
         let file = std::env::temp_dir().join(name);
-        std::fs::write(&file, config("127.0.0.1:0", discovery.1, counter.1, limits))
-            .expect("a temporary file");
+        let text = edit(config("127.0.0.1:0", discovery.1, counter.1, limits));
+        std::fs::write(&file, text).expect("a temporary file");
         let jumps = Arc::<Jumps>::default();
         let set = Config::load(&file).expect("a sound configuration");
         let shell = Shell::start_at(set, Clock::jumping(jumps.clone())).expect("a free port");
@@ -127,6 +132,17 @@
 
     pub fn turn(&mut self) {
         self.shell.turn(0).expect("a turn of the gateway");
+        self.peers();
+    }
+
+    /// Turns the peers while the gateway's loop stands still: what they write waits in its sockets and is met in one batch.
+    pub fn hold(&mut self) {
+        for _ in 0..20 {
+            self.peers();
+        }
+    }
+
+    fn peers(&mut self) {
         let mut events = Vec::new();
         self.engine.turn(0, &mut events).expect("a turn of the stage");
         for event in events {
