Random orders of peers' events against a gateway and an account of what it owes

Need: the issue asks for a property test over bytes, ends, resets, time-outs, counter answers, list changes and signals.

--- /dev/null
+++ b/crates/platform/tests/world/mod.rs
@@ -0,0 +1,345 @@
+//! A gateway among peers that do anything in any order, and the account of what it owes.
+
+mod peers;
+
+use crate::common::{config, WIDE};
+use chalkdeck_net::clock::{Clock, Jumps};
+use chalkdeck_platform::{Config, Shell};
+use fastrand::Rng;
+use peers::{Attempt, Client, Counter, Discovery, Server};
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+const SERVERS: usize = 3;
+const MOST_CLIENTS: usize = 6;
+/// The grace of the gateway's settings, and some turns of the loop, in microseconds.
+const DRAIN_GRACE: u64 = 2_000_000 + 100_000;
+/// The platform kills a gateway so long after SIGTERM: the longest deadline and some time.
+const KILLED_AFTER: u64 = 3_700_000;
+/// Turns of the loop after which an end that waits in a socket was heard.
+const TURNS_TO_HEAR: u64 = 3;
+/// Turns in which all that crosses the loopback has come to rest.
+const TURNS_TO_REST: usize = 40;
+
+/// What a request may do more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    View,
+    Sale,
+    Order,
+}
+
+/// A request and what became of it.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub class: Class,
+    pub client: u64,
+    /// Its last byte was written before this turn of the loop.
+    pub turn: u64,
+    /// Attempts that arrived whole at a backend, and those that were told that they never ran.
+    pub arrived: usize,
+    pub turned_away: usize,
+}
+
+pub struct World {
+    pub shell: Shell,
+    file: PathBuf,
+    jumps: Arc<Jumps>,
+    clock: Clock,
+    turns: u64,
+    servers: Vec<Server>,
+    counter: Counter,
+    discovery: Discovery,
+    clients: HashMap<u64, Client>,
+    /// Clients that have gone: before which turn.
+    gone: HashMap<u64, u64>,
+    requests: HashMap<String, Asked>,
+    attempts: Vec<Attempt>,
+    next: u64,
+    /// When SIGTERM came.
+    stopped_at: Option<u64>,
+    /// The process has ended by itself.
+    ended: bool,
+    fault: Option<String>,
+}
+
+impl World {
+    pub fn new() -> World {
+        let servers: Vec<Server> = (0..SERVERS).map(Server::new).collect();
+        let (counter, discovery) = (Counter::new(), Discovery::new());
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file =
+            std::env::temp_dir().join(format!("chalkdeck-orders-{}-{number}.json", std::process::id()));
+        std::fs::write(&file, config("127.0.0.1:0", discovery.address(), counter.address(), WIDE))
+            .expect("a temporary file");
+        let jumps = Arc::<Jumps>::default();
+        let clock = Clock::jumping(jumps.clone());
+        let settings = Config::load(&file).expect("a sound configuration");
+        let shell = Shell::start_at(settings, clock.clone()).expect("a free port");
+        let mut world = World {
+            shell,
+            file,
+            jumps,
+            clock,
+            turns: 0,
+            servers,
+            counter,
+            discovery,
+            clients: HashMap::new(),
+            gone: HashMap::new(),
+            requests: HashMap::new(),
+            attempts: Vec::new(),
+            next: 0,
+            stopped_at: None,
+            ended: false,
+            fault: None,
+        };
+        world.rest();
+        world
+    }
+
+    /// Whether the gateway was stopped, so that no further order can be played here.
+    pub fn is_over(&self) -> bool {
+        self.stopped_at.is_some()
+    }
+
+    /// Whether the platform would have killed the process by now.
+    fn is_killed(&self) -> bool {
+        self.stopped_at.is_some_and(|at| self.clock.now() >= at + KILLED_AFTER)
+    }
+
+    /// Plays one order; says what of it went wrong.
+    pub fn play(&mut self, seed: u64) -> Result<(), String> {
+        let mut rng = Rng::with_seed(seed);
+        for _ in 0..rng.usize(4..24) {
+            self.act(&mut rng);
+            if rng.u8(..) < 150 {
+                self.turn();
+            }
+            self.look();
+        }
+        self.settle(&mut rng);
+        match self.fault.take() {
+            Some(fault) => Err(fault),
+            None => Ok(()),
+        }
+    }
+
+    fn act(&mut self, rng: &mut Rng) {
+        match rng.u8(..100) {
+            0..12 => self.client_comes(),
+            12..42 => self.client_asks(rng),
+            42..50 => self.client_goes(rng),
+            50..72 => self.backend_answers(rng),
+            72..82 => self.counter.acts(rng),
+            82..89 => self.list_changes(rng),
+            89..96 => self.time_passes(rng),
+            96..98 => self.shell.reload(),
+            98 if self.stopped_at.is_none() => {
+                self.stopped_at = Some(self.clock.now());
+                self.shell.stop();
+            }
+            _ => (0..4).for_each(|_| self.turn_and_look()),
+        }
+    }
+
+    fn client_comes(&mut self) {
+        if self.clients.len() < MOST_CLIENTS && self.stopped_at.is_none() {
+            self.next += 1;
+            self.clients.insert(self.next, Client::connect(self.shell.listen()));
+        }
+    }
+
+    fn any_client(&self, rng: &mut Rng) -> Option<u64> {
+        let mut keys: Vec<u64> = self.clients.keys().copied().collect();
+        keys.sort_unstable();
+        rng.choice(keys)
+    }
+
+    fn client_asks(&mut self, rng: &mut Rng) {
+        let Some(key) = self.any_client(rng) else { return };
+        for _ in 0..rng.usize(1..4) {
+            let class = rng.choice([Class::View, Class::Sale, Class::Order]).expect("one of three");
+            self.next += 1;
+            let id = format!("r{}", self.next);
+            let client = self.clients.get_mut(&key).expect("it is there");
+            let whole = client.ask(&id, class, rng.u8(..) < 60);
+            let turn = if whole { self.turns } else { u64::MAX };
+            let asked = Asked { class, client: key, turn, arrived: 0, turned_away: 0 };
+            self.requests.insert(id, asked);
+            if !whole {
+                break;
+            }
+        }
+    }
+
+    /// What a client began to write goes out to its end.
+    fn finish_command(&mut self, key: u64) {
+        let Some(id) = self.clients.get_mut(&key).and_then(Client::finish) else { return };
+        let turns = self.turns;
+        self.requests.entry(id).and_modify(|asked| asked.turn = turns);
+    }
+
+    fn client_goes(&mut self, rng: &mut Rng) {
+        let Some(key) = self.any_client(rng) else { return };
+        if rng.bool() {
+            return self.finish_command(key);
+        }
+        let client = self.clients.remove(&key).expect("it is there");
+        self.gone.insert(key, self.turns);
+        client.go(rng);
+    }
+
+    fn backend_answers(&mut self, rng: &mut Rng) {
+        if self.attempts.is_empty() {
+            return self.turn();
+        }
+        let attempt = self.attempts.swap_remove(rng.usize(..self.attempts.len()));
+        let turned_away = self.servers[attempt.server].answer(&attempt, rng);
+        if turned_away {
+            self.requests.entry(attempt.id).and_modify(|asked| asked.turned_away += 1);
+        }
+    }
+
+    fn list_changes(&mut self, rng: &mut Rng) {
+        let place = rng.usize(..SERVERS);
+        let now = self.clock.now();
+        let drains = !self.servers[place].drains();
+        self.servers[place].drains_since = None;
+        if drains && self.servers.iter().filter(|s| s.drains()).count() + 1 < SERVERS {
+            self.servers[place].drains_since = Some(now);
+        }
+        self.discovery.change(rng);
+    }
+
+    fn time_passes(&mut self, rng: &mut Rng) {
+        let span = rng.choice([1_000, 11_000, 90_000, 260_000, 900_000, 2_300_000]).expect("one of six");
+        self.jumps.jump(span);
+    }
+
+    /// One turn of the gateway's loop.
+    fn turn(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.shell.turn(0).expect("a turn");
+        self.turns += 1;
+        self.ended = self.shell.stopped();
+    }
+
+    /// Takes what came to the peers and compares it with what may come.
+    fn look(&mut self) {
+        self.discovery.serve(&self.servers);
+        self.counter.read();
+        let now = self.clock.now();
+        for place in 0..SERVERS {
+            for attempt in self.servers[place].arrivals() {
+                self.check_arrival(place, &attempt, now);
+                self.attempts.push(attempt);
+            }
+        }
+        let keys: Vec<u64> = self.clients.keys().copied().collect();
+        for key in keys {
+            self.check_answers(key);
+        }
+    }
+
+    fn check_arrival(&mut self, place: usize, attempt: &Attempt, now: u64) {
+        let server = &self.servers[place];
+        let heard = self.discovery.heard_at();
+        let told = server.drains_since.filter(|_| heard.is_some());
+        if told.is_some_and(|since| now > since.max(heard.unwrap_or(0)) + DRAIN_GRACE) {
+            self.fault = Some(format!("{} went to a server that drains", attempt.id));
+        }
+        let Some(asked) = self.requests.get_mut(&attempt.id) else {
+            self.fault = Some(format!("{} was never asked", attempt.id));
+            return;
+        };
+        let may_have_run = asked.arrived - asked.turned_away;
+        asked.arrived += 1;
+        if asked.class == Class::Sale && may_have_run > 0 {
+            self.fault = Some(format!("{}, which is unsafe, came twice", attempt.id));
+        }
+        let gone = self.gone.get(&asked.client);
+        if gone.is_some_and(|turn| self.turns > turn + TURNS_TO_HEAR) {
+            self.fault = Some(format!("{} was sent on for a client that had gone", attempt.id));
+        }
+    }
+
+    fn check_answers(&mut self, key: u64) {
+        let client = self.clients.get_mut(&key).expect("it is there");
+        for (id, answer) in client.answers() {
+            let asked = &self.requests[&id];
+            let may_have_run = asked.arrived > asked.turned_away;
+            if let Some(value) = answer.strip_prefix("served ") {
+                if value != id {
+                    self.fault = Some(format!("{id} was served with the value of {value}"));
+                }
+            } else if answer.starts_with("BUSY") && asked.class == Class::Sale && may_have_run {
+                self.fault = Some(format!("{id}, which is unsafe and may have run, was refused"));
+            }
+        }
+        if let Some(why) = client.unreadable() {
+            self.fault = Some(why);
+        }
+        if client.is_closed() {
+            let turn = self.turns;
+            let client = self.clients.remove(&key).expect("it is there");
+            self.gone.insert(key, turn);
+            // What was whole in the socket before the turn of the close was read there.
+            let owed = client.unanswered().find(|id| self.requests[*id].turn + 1 < turn).cloned();
+            if let Some(id) = owed.filter(|_| !self.is_killed()) {
+                self.fault = Some(format!("{id} was read and its connection closed with no answer"));
+            }
+        }
+    }
+
+    fn turn_and_look(&mut self) {
+        self.turn();
+        self.look();
+    }
+
+    fn rest(&mut self) {
+        (0..TURNS_TO_REST).for_each(|_| self.turn_and_look());
+    }
+
+    /// Everybody does what is expected of it from here on; then nothing may be owed.
+    fn settle(&mut self, rng: &mut Rng) {
+        let mut keys: Vec<u64> = self.clients.keys().copied().collect();
+        keys.sort_unstable();
+        keys.into_iter().for_each(|key| self.finish_command(key));
+        for _ in 0..2 {
+            for _ in 0..TURNS_TO_REST {
+                self.counter.answer_all();
+                for attempt in std::mem::take(&mut self.attempts) {
+                    self.servers[attempt.server].serve(&attempt);
+                }
+                self.turn_and_look();
+            }
+            // What is silent or broken is given up by now.
+            self.jumps.jump(3_100_000);
+        }
+        self.rest();
+        let unanswered = self.clients.values().find_map(|client| client.unanswered().next());
+        if let Some(id) = unanswered.filter(|_| !self.is_killed()) {
+            self.fault.get_or_insert(format!("{id} has no answer"));
+        }
+        if self.stopped_at.is_some() && !self.ended {
+            self.fault.get_or_insert("it did not end".into());
+        }
+        self.requests.clear();
+        self.gone.retain(|_, _| false);
+        self.servers.iter_mut().for_each(|s| s.drains_since = None);
+        self.discovery.change(rng);
+        self.rest();
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
