Platform front: session in a module of its own, standard names for time-outs and shutdown

Need: code that a newcomer can read. Sessions, their time-outs and the order of eviction stand in front/session.rs with a type for a blocked write in place of a pair; names as in the field (read and write time-out, idle time-out, eviction, shutdown).

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,119 +1,74 @@
-//! Clients: their connections, what they sent so far, and answers in the order of their commands.
+//! Client connections: what they have sent so far, and answers in the order of their commands.
 //!
 //! Bounds: connections by the descriptors granted, commands under way by connection, bytes of commands by the memory granted.
-//! When descriptors are short the connection that was idle longest goes, one that never said a word before all others.
+//! When descriptors run short the connection that has been idle longest is evicted, see `Session::eviction_rank`.
+
+mod session;
 
 use bytes::{Bytes, BytesMut};
 use chalkdeck::api::RequestId;
 use chalkdeck_net::{ConnId, Engine};
-use chalkdeck_resp::{encode, take, Answers, Bounds, Frame, Front as Taken};
-use rustc_hash::{FxHashMap, FxHashSet};
-
-/// What is read of a command: a body of 64 KiB beside an id, a customer and a list of names.
-const BOUNDS: Bounds = Bounds { words: 16, word: 64 << 10, line: 0, message: 80 << 10, inline: false };
-/// Commands of one connection whose answers are still to come; beyond, nothing is read from it.
-const MOST_PENDING: usize = 64;
-/// Bytes that a client may leave unread; beyond, nothing is read from it.
-const UNREAD: usize = 256 << 10;
-/// A connection that has not sent its first whole command by then is closed, as is one that stays silent within a command.
-/// The platform owes such clients a close within 3 s. In microseconds, as all of these.
-const SILENT: u64 = 2_000_000;
-/// A connection without an open request is closed after this: some clients keep theirs for good.
-const IDLE: u64 = 10_000_000;
-/// How long a client that was told of an error may take to read it.
-const LINGER: u64 = 2_000_000;
-/// A client that has not taken a byte of its answers for so long is closed.
-const STALLED: u64 = 10_000_000;
-/// A client that never said a word so long after it came is the first to go.
-const WORDLESS: u64 = 50_000;
-/// Connections end one after another over this time after a stop began to let them go, so that their clients do not all come
-/// to the other gateways at once.
-const LET_GO: u64 = 250_000;
-
-#[derive(Default)]
-struct Session {
-    bytes: BytesMut,
-    answers: Answers<Frame>,
-    /// Its requests without a final answer.
-    open: FxHashSet<RequestId>,
-    /// Nothing is read for now, whole commands may be left.
-    paused: bool,
-    /// When the bytes had come that are read now: at the latest, or when the reading of them was put off.
-    received: u64,
-    /// Since when bytes may wait unread, as nothing was read from then on.
-    put_off: Option<u64>,
-    /// It has its place in `Front::resumed`.
-    resumes: bool,
-    /// Nothing more is read: an error was told or it was asked to end.
-    over: bool,
-    /// Since when it may read the error that it was told of.
-    lingers: Option<u64>,
-    spoke: bool,
-    came: u64,
-    /// When it last began, continued or was answered.
-    used: u64,
-    /// Bytes it had taken in all, and since when it has taken no further ones though some wait for it.
-    stuck: Option<(u64, u64)>,
-}
-
-impl Session {
-    fn between_requests(&self) -> bool {
-        self.answers.pending() == 0 && self.bytes.is_empty() && self.lingers.is_none()
-    }
+use chalkdeck_resp::{encode, take, Bounds, Frame, Front as Taken};
+use rustc_hash::FxHashMap;
+use session::Session;
 
-    /// Whether it may go by now: its turn of the stop has come, and one that is new had time for its first command.
-    fn may_go(&self, conn: ConnId, since: u64, now: u64) -> bool {
-        let turn = since + (conn.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) % LET_GO;
-        now >= turn && (self.spoke || now >= self.came + WORDLESS)
-    }
-}
+/// The largest command that is read: a body of 64 KiB beside an id, a customer and a list of names.
+const COMMAND_BOUNDS: Bounds =
+    Bounds { words: 16, word: 64 << 10, line: 0, message: 80 << 10, inline: false };
+/// Commands of one connection whose answers are pending; at this number reading is paused.
+const MAX_PENDING_COMMANDS: usize = 64;
+/// Answer bytes that a client may leave unread; beyond this reading is paused.
+const MAX_UNSENT_BYTES: usize = 256 << 10;
+/// The longest text of an error line, in characters.
+const MAX_ERROR_TEXT: usize = 200;
 
-/// A command that came, by the connection and the slot of its answer.
-pub(crate) struct Came {
+/// A command that was received, with the slot of its answer.
+pub(crate) struct ReceivedCommand {
     pub(crate) slot: u64,
     pub(crate) words: Vec<Bytes>,
-    /// When it had come, as far as is known: not later than that.
-    pub(crate) received: u64,
+    /// The time from which on its deadline counts: it was received no later.
+    pub(crate) received_at: u64,
 }
 
-/// All clients.
+/// All client connections.
 pub(crate) struct Front {
     sessions: FxHashMap<ConnId, Session>,
-    /// Connections beyond this are made up for by idle ones.
-    most: usize,
-    /// Bytes of commands that may be held, and that are.
-    most_bytes: usize,
+    /// A further connection evicts an idle one.
+    max_sessions: usize,
+    /// Bytes of commands that may be held, and that are held now.
+    max_held_bytes: usize,
     held_bytes: usize,
     /// Paused connections that may go on, each once.
     resumed: Vec<ConnId>,
-    /// Since when connections are let go.
-    stopping: Option<u64>,
+    /// When the shutdown began to close idle connections.
+    shutdown_since: Option<u64>,
 }
 
 impl Front {
-    pub(crate) fn new(most: usize, most_bytes: usize) -> Front {
+    pub(crate) fn new(max_sessions: usize, max_held_bytes: usize) -> Front {
         let (sessions, resumed) = Default::default();
-        Front { sessions, most, most_bytes, held_bytes: 0, resumed, stopping: None }
+        Front { sessions, max_sessions, max_held_bytes, held_bytes: 0, resumed, shutdown_since: None }
     }
 
-    /// A client came.
+    /// A connection was accepted.
     pub(crate) fn accepted(&mut self, engine: &mut Engine, conn: ConnId) {
         let now = engine.now();
-        self.sessions.insert(conn, Session { came: now, used: now, ..Session::default() });
-        if self.sessions.len() > self.most {
-            if let Some(idle) = self.longest_idle(engine, now, conn) {
-                self.sessions.remove(&idle);
-                engine.close(idle);
-            }
+        self.sessions.insert(conn, Session::accepted(now));
+        if self.sessions.len() <= self.max_sessions {
+            return;
+        }
+        if let Some(idle) = self.longest_idle(engine, now, conn) {
+            self.sessions.remove(&idle);
+            engine.close(idle);
         }
     }
 
-    /// Of the connections on which nothing waits to be read.
+    /// The next connection to evict: one that is owed no answer and has nothing waiting to be read.
     fn longest_idle(&self, engine: &mut Engine, now: u64, new: ConnId) -> Option<ConnId> {
-        // Those that are within a command, or are told of an error, come last.
-        let rank = |s: &Session| (!s.between_requests(), s.spoke || now < s.used + WORDLESS, s.used);
-        let idle = self.sessions.iter().filter(|(c, s)| **c != new && s.answers.pending() == 0);
-        let mut idle: Vec<_> = idle.map(|(c, s)| (rank(s), *c)).collect();
+        let owed_nothing =
+            |(conn, session): &(&ConnId, &Session)| **conn != new && session.answers.pending() == 0;
+        let idle = self.sessions.iter().filter(owed_nothing);
+        let mut idle: Vec<_> = idle.map(|(conn, session)| (session.eviction_rank(now), *conn)).collect();
         idle.sort_unstable();
         idle.into_iter().map(|(_, conn)| conn).find(|conn| engine.is_quiet(*conn))
     }
@@ -122,46 +77,39 @@
         self.sessions.contains_key(&conn)
     }
 
-    /// Bytes came.
+    /// Bytes were received.
     pub(crate) fn bytes(&mut self, engine: &mut Engine, conn: ConnId, data: &[u8]) {
         let now = engine.now();
-        let Some(session) = self.sessions.get_mut(&conn).filter(|s| !s.over) else { return };
+        let Some(session) = self.sessions.get_mut(&conn).filter(|s| !s.read_closed) else { return };
         session.bytes.extend_from_slice(data);
-        session.used = now;
-        // What was not read while the connection was paused may have come at any time since.
-        session.received = session.put_off.unwrap_or(now);
-        if session.put_off.is_some() && engine.is_quiet(conn) {
-            session.put_off = None;
-        }
+        session.active_at = now;
+        session.received_at = session.unread_since.unwrap_or(now);
+        forget_pause_once_read(engine, conn, session);
     }
 
-    /// The next command of a connection, as long as there is room for it. What cannot be read is told and ends it.
-    pub(crate) fn next(&mut self, engine: &mut Engine, conn: ConnId) -> Option<Came> {
-        let unread = engine.unsent(conn);
-        let full = self.held_bytes >= self.most_bytes;
-        let session = self.sessions.get_mut(&conn).filter(|s| !s.over)?;
-        if session.answers.pending() >= MOST_PENDING || unread > UNREAD || full && !session.bytes.is_empty() {
-            session.paused = true;
-            session.put_off.get_or_insert(engine.now());
-            engine.pause(conn, true);
+    /// The next command of a connection, as long as there is room for it. A protocol error is answered and ends the reading.
+    pub(crate) fn next(&mut self, engine: &mut Engine, conn: ConnId) -> Option<ReceivedCommand> {
+        let unsent = engine.unsent(conn);
+        let is_full = self.held_bytes >= self.max_held_bytes;
+        let session = self.sessions.get_mut(&conn).filter(|s| !s.read_closed)?;
+        let is_bounded = session.answers.pending() >= MAX_PENDING_COMMANDS || unsent > MAX_UNSENT_BYTES;
+        if is_bounded || is_full && !session.bytes.is_empty() {
+            pause(engine, conn, session);
             return None;
         }
-        match take(&mut session.bytes, &BOUNDS) {
+        match take(&mut session.bytes, &COMMAND_BOUNDS) {
             Taken::Partial => {
-                if std::mem::take(&mut session.paused) {
-                    engine.pause(conn, false);
-                    session.put_off = session.put_off.filter(|_| !engine.is_quiet(conn));
-                }
+                unpause(engine, conn, session);
                 None
             }
             Taken::Command(words) => {
-                session.spoke = true;
-                let received = session.received;
-                Some(Came { slot: session.answers.wait(), words, received })
+                session.has_spoken = true;
+                let received_at = session.received_at;
+                Some(ReceivedCommand { slot: session.answers.wait(), words, received_at })
             }
             Taken::Bad(why) => {
                 session.answers.ready(error(&why.to_string()));
-                (session.over, session.bytes) = (true, BytesMut::new());
+                (session.read_closed, session.bytes) = (true, BytesMut::new());
                 None
             }
         }
@@ -170,17 +118,17 @@
     /// A request of the connection is under way; its command takes so many bytes.
     pub(crate) fn opened(&mut self, conn: ConnId, id: RequestId, bytes: usize) {
         self.held_bytes += bytes;
-        self.sessions.get_mut(&conn).into_iter().for_each(|s| {
-            s.open.insert(id);
-        });
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.open.insert(id);
+        }
     }
 
-    /// A request has its final answer, or its client is gone.
+    /// A request has its final answer, or its client has gone.
     pub(crate) fn ended(&mut self, conn: ConnId, id: RequestId, bytes: usize) {
         self.held_bytes -= bytes.min(self.held_bytes);
-        self.sessions.get_mut(&conn).into_iter().for_each(|s| {
-            s.open.remove(&id);
-        });
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.open.remove(&id);
+        }
     }
 
     pub(crate) fn answer(&mut self, conn: ConnId, slot: u64, answer: Frame) {
@@ -189,12 +137,14 @@
         }
     }
 
-    /// The connection takes no further command.
+    /// No further command is read from the connection.
     pub(crate) fn quit(&mut self, conn: ConnId) {
-        self.sessions.get_mut(&conn).into_iter().for_each(|s| s.over = true);
+        if let Some(session) = self.sessions.get_mut(&conn) {
+            session.read_closed = true;
+        }
     }
 
-    /// Sends the answers that can be sent.
+    /// Sends the answers whose turn has come.
     pub(crate) fn flush(&mut self, engine: &mut Engine, conn: ConnId) {
         let Some(session) = self.sessions.get_mut(&conn) else { return };
         let mut out = BytesMut::new();
@@ -202,24 +152,25 @@
             encode(&mut out, &answer);
         }
         if !out.is_empty() {
-            session.used = engine.now();
+            session.active_at = engine.now();
             engine.write(conn, &out);
         }
         self.resume(engine, conn);
         let Some(session) = self.sessions.get_mut(&conn).filter(|s| s.answers.pending() == 0) else { return };
-        if session.over && session.lingers.is_none() {
-            session.lingers = Some(engine.now());
+        if session.read_closed && session.lingering_since.is_none() {
+            session.lingering_since = Some(engine.now());
             engine.linger(conn);
         }
     }
 
-    /// Puts a paused connection among those that may go on, if there is room for its commands again.
+    /// Queues a paused connection to go on, if there is room for its commands again.
     fn resume(&mut self, engine: &mut Engine, conn: ConnId) {
-        let full = self.held_bytes >= self.most_bytes;
-        let waits = |s: &&mut Session| s.paused && !s.over && !s.resumes;
+        let is_full = self.held_bytes >= self.max_held_bytes;
+        let waits = |s: &&mut Session| s.paused && !s.read_closed && !s.is_queued_to_resume;
         let Some(session) = self.sessions.get_mut(&conn).filter(waits) else { return };
-        if session.answers.pending() < MOST_PENDING / 2 && engine.unsent(conn) <= UNREAD && !full {
-            session.resumes = true;
+        let has_room = session.answers.pending() < MAX_PENDING_COMMANDS / 2;
+        if has_room && engine.unsent(conn) <= MAX_UNSENT_BYTES && !is_full {
+            session.is_queued_to_resume = true;
             self.resumed.push(conn);
         }
     }
@@ -233,7 +184,9 @@
     pub(crate) fn take_resumed(&mut self) -> Vec<ConnId> {
         let resumed = std::mem::take(&mut self.resumed);
         for conn in &resumed {
-            self.sessions.get_mut(conn).into_iter().for_each(|s| s.resumes = false);
+            if let Some(session) = self.sessions.get_mut(conn) {
+                session.is_queued_to_resume = false;
+            }
         }
         resumed
     }
@@ -246,76 +199,77 @@
         open
     }
 
-    /// Looks at connections that stand still.
+    /// Closes connections whose time is up and resumes paused ones that have room again. Called at a fixed interval.
     pub(crate) fn sweep(&mut self, engine: &mut Engine) {
         let now = engine.now();
-        let (mut close, mut paused) = (Vec::new(), Vec::new());
+        let (mut timed_out, mut paused) = (Vec::new(), Vec::new());
         for (conn, session) in &mut self.sessions {
-            let (unread, taken) = (engine.unsent(*conn), engine.taken(*conn));
-            let known = session.stuck.filter(|(before, _)| *before == taken);
-            session.stuck = (unread > 0).then_some(known.unwrap_or((taken, now)));
-            if stalled(session, now) || silent(session, now) && engine.is_quiet(*conn) {
-                close.push(*conn);
+            session.note_written(engine.taken(*conn), engine.unsent(*conn), now);
+            if session.is_write_timed_out(now) || session.is_read_timed_out(now) && engine.is_quiet(*conn) {
+                timed_out.push(*conn);
             } else if session.paused {
                 paused.push(*conn);
             }
         }
-        close.sort_unstable();
+        timed_out.sort_unstable();
         paused.sort_unstable();
-        // Its end is told by the loop, and with it its open requests.
-        close.into_iter().for_each(|conn| engine.close(conn));
+        // The loop reports the end of each, and with it the end of its open requests.
+        timed_out.into_iter().for_each(|conn| engine.close(conn));
         paused.into_iter().for_each(|conn| self.resume(engine, conn));
     }
 
-    /// From here on connections are let go, each once it is between two requests.
-    pub(crate) fn stop(&mut self, now: u64) {
-        self.stopping.get_or_insert(now);
+    /// Begins to close connections, each once it is between two requests.
+    pub(crate) fn shut_down(&mut self, now: u64) {
+        self.shutdown_since.get_or_insert(now);
     }
 
-    /// Ends the connections whose turn has come. Guards requests that were read, or that wait unread, from an end that crosses them:
-    /// to be called when all events of a turn were dealt with.
-    pub(crate) fn let_go(&mut self, engine: &mut Engine) {
-        let (Some(since), now) = (self.stopping, engine.now()) else { return };
-        let goes = |(conn, s): (&ConnId, &Session)| {
-            (s.between_requests() && !s.over && s.may_go(*conn, since, now)).then_some(*conn)
+    pub(crate) fn is_shutting_down(&self) -> bool {
+        self.shutdown_since.is_some()
+    }
+
+    /// During a shutdown, closes the idle connections whose turn has come. Requests that were received, or that wait unread, are
+    /// answered first.
+    pub(crate) fn close_idle(&mut self, engine: &mut Engine) {
+        let (Some(since), now) = (self.shutdown_since, engine.now()) else { return };
+        let is_due = |conn: ConnId, session: &Session| {
+            session.is_between_requests() && !session.read_closed && session.may_close(conn, since, now)
         };
-        let mut idle: Vec<ConnId> = self.sessions.iter().filter_map(goes).collect();
-        idle.sort_unstable();
-        for conn in idle {
+        let due = self.sessions.iter().filter(|(conn, session)| is_due(**conn, session));
+        let mut due: Vec<ConnId> = due.map(|(conn, _)| *conn).collect();
+        due.sort_unstable();
+        for conn in due {
             if engine.close_if_quiet(conn) {
                 self.sessions.remove(&conn);
             }
         }
     }
+}
 
-    pub(crate) fn lets_go(&self) -> bool {
-        self.stopping.is_some()
-    }
+fn pause(engine: &mut Engine, conn: ConnId, session: &mut Session) {
+    session.paused = true;
+    session.unread_since.get_or_insert(engine.now());
+    engine.pause(conn, true);
 }
 
-/// Whether a client has not taken what it is owed for longer than it may.
-fn stalled(s: &Session, now: u64) -> bool {
-    let longer = |since: u64, than: u64| now.saturating_sub(since) >= than;
-    s.stuck.is_some_and(|(_, since)| longer(since, STALLED)) || s.lingers.is_some_and(|at| longer(at, LINGER))
+fn unpause(engine: &mut Engine, conn: ConnId, session: &mut Session) {
+    if std::mem::take(&mut session.paused) {
+        engine.pause(conn, false);
+        forget_pause_once_read(engine, conn, session);
+    }
 }
 
-/// Whether a client that is owed nothing said nothing for longer than it may, as far as it was read.
-fn silent(s: &Session, now: u64) -> bool {
-    if s.lingers.is_some() || s.stuck.is_some() || s.answers.pending() > 0 || s.paused {
-        return false;
+/// What was waiting in the socket during a pause has been read once the socket is empty.
+fn forget_pause_once_read(engine: &mut Engine, conn: ConnId, session: &mut Session) {
+    if session.unread_since.is_some() && engine.is_quiet(conn) {
+        session.unread_since = None;
     }
-    let (since, most) = match (s.spoke, s.bytes.is_empty()) {
-        (false, _) => (s.came, SILENT),
-        (true, false) => (s.used, SILENT),
-        (true, true) => (s.used, IDLE),
-    };
-    now.saturating_sub(since) >= most
 }
 
-/// An error line. It carries no code that says trying again is harmless.
+/// An error line. It carries no code that says that a retry is harmless.
 pub(crate) fn error(why: &str) -> Frame {
-    let plain: String = why.chars().take(200).map(|c| if c.is_control() { ' ' } else { c }).collect();
-    Frame::Error(format!("ERR {plain}").into())
+    let without_control = |c: char| if c.is_control() { ' ' } else { c };
+    let text: String = why.chars().take(MAX_ERROR_TEXT).map(without_control).collect();
+    Frame::Error(format!("ERR {text}").into())
 }
 
 #[cfg(test)]
--- a/crates/platform/src/front/stops.rs
+++ b/crates/platform/src/front/stops.rs
@@ -119,11 +119,11 @@
         for conn in self.front.take_resumed() {
             self.commands(conn);
         }
-        self.front.let_go(&mut self.engine);
+        self.front.close_idle(&mut self.engine);
     }
 
     fn commands(&mut self, conn: ConnId) {
-        while let Some(Came { slot, .. }) = self.front.next(&mut self.engine, conn) {
+        while let Some(ReceivedCommand { slot, .. }) = self.front.next(&mut self.engine, conn) {
             self.open.push((conn, slot));
         }
         self.front.flush(&mut self.engine, conn);
@@ -139,7 +139,7 @@
             let keys: Vec<ConnId> = self.clients.keys().copied().collect();
             keys.iter().for_each(|c| self.clients.get_mut(c).expect("it is there").moves(&mut rng));
             if step == stop_at {
-                self.front.stop(self.engine.now());
+                self.front.shut_down(self.engine.now());
             }
             if step >= stop_at {
                 self.jumps.jump(rng.i64(0..60_000));
--- a/crates/platform/src/front/tests.rs
+++ b/crates/platform/src/front/tests.rs
@@ -46,7 +46,8 @@
     /// A command came and was answered; the answer is queued.
     fn answers(&mut self, value: usize) {
         self.front.bytes(&mut self.engine, self.conn, b"*1\r\n$4\r\nPING\r\n");
-        let Came { slot, .. } = self.front.next(&mut self.engine, self.conn).expect("a whole command");
+        let ReceivedCommand { slot, .. } =
+            self.front.next(&mut self.engine, self.conn).expect("a whole command");
         self.front.answer(self.conn, slot, Frame::BulkString(vec![b'v'; value].into()));
         self.front.flush(&mut self.engine, self.conn);
     }
@@ -87,7 +88,7 @@
     stand.client.set_nonblocking(true).expect("a socket");
     stand.front.bytes(&mut stand.engine, stand.conn, &b"*1\r\n$4\r\nPING\r\n".repeat(7));
     let mut slots: Vec<u64> = Vec::new();
-    while let Some(Came { slot, .. }) = stand.front.next(&mut stand.engine, stand.conn) {
+    while let Some(ReceivedCommand { slot, .. }) = stand.front.next(&mut stand.engine, stand.conn) {
         slots.push(slot);
     }
     for slot in slots {
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -5,7 +5,7 @@
 use crate::config::{Config, ConfigError};
 use crate::counter::{Counter, Told};
 use crate::discovery::{Discovery, News, Times};
-use crate::front::{error, Came, Front};
+use crate::front::{error, Front, ReceivedCommand};
 use crate::list::List;
 use crate::request::{self, Command, RequestError};
 use bytes::Bytes;
@@ -196,7 +196,7 @@
     /// Whether a stop is over: all clients are let go, or all that was taken before it must have had its answer.
     pub fn stopped(&self) -> bool {
         let Some(since) = self.stop else { return false };
-        let alone = self.front.lets_go() && !self.listens && self.engine.held_by(self.listener) == 0;
+        let alone = self.front.is_shutting_down() && !self.listens && self.engine.held_by(self.listener) == 0;
         alone || self.engine.now() >= since + KILLED + self.longest_deadline()
     }
 
@@ -213,7 +213,7 @@
     /// No new connections come any more: those that stand are let go.
     fn stop_on(&mut self) {
         self.listens &= !self.engine.unlisten_if_empty(self.listener);
-        self.front.stop(self.engine.now());
+        self.front.shut_down(self.engine.now());
         self.due_in(STOP_LOOK, Due::Stop);
     }
 
@@ -232,7 +232,7 @@
             self.commands(conn);
             self.settle();
         }
-        self.front.let_go(&mut self.engine);
+        self.front.close_idle(&mut self.engine);
         Ok(())
     }
 
@@ -421,8 +421,9 @@
 
     /// Takes what a connection has sent, as far as there is room for it.
     fn commands(&mut self, conn: ConnId) {
-        while let Some(Came { slot, words, received }) = self.front.next(&mut self.engine, conn) {
-            if let Some(answer) = self.command(conn, slot, words, received) {
+        while let Some(ReceivedCommand { slot, words, received_at }) = self.front.next(&mut self.engine, conn)
+        {
+            if let Some(answer) = self.command(conn, slot, words, received_at) {
                 self.front.answer(conn, slot, answer);
             }
         }
@@ -430,8 +431,8 @@
     }
 
     /// A command: its answer, or none when it is a request, whose answer comes later.
-    /// `received`: when it had come, from where on its client's time counts.
-    fn command(&mut self, conn: ConnId, slot: u64, words: Vec<Bytes>, received: u64) -> Option<Frame> {
+    /// `received_at`: when it had come, from where on its client's time counts.
+    fn command(&mut self, conn: ConnId, slot: u64, words: Vec<Bytes>, received_at: u64) -> Option<Frame> {
         let name = words[0].to_ascii_uppercase();
         match &name[..] {
             b"PING" => return Some(Frame::SimpleString(Bytes::from_static(b"PONG"))),
@@ -444,7 +445,7 @@
         }
         let id = RequestId(self.next_id + 1);
         let bytes = words.iter().map(Bytes::len).sum();
-        let (command, mut arrival) = match request::read(words, id, received, &self.config.read) {
+        let (command, mut arrival) = match request::read(words, id, received_at, &self.config.read) {
             Ok(read) => read,
             Err(why) => return Some(error(&why.to_string())),
         };
