Platform discovery: standard names for its timing, responses and updates

Need: code that a newcomer can read. poll, timeout and retry_delay in place of wait, silent and pause; Update and Response in place of News and Awaits; the bounds of the times are named.

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -15,10 +15,10 @@
 use ureq_proto::BodyMode;
 
 /// The longest answer, and what is decoded of one at a time.
-const MOST_BYTES: usize = 8 << 20;
-const PIECE: usize = 16 << 10;
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+const DECODE_BYTES: usize = 16 << 10;
 /// The longest head of a call.
-const MOST_HEAD: usize = 1 << 10;
+const MAX_REQUEST_BYTES: usize = 1 << 10;
 
 /// Why an answer is not taken; the last good list stays.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -45,7 +45,7 @@
     )]
     Status(StatusCode),
     /// Longer than is read.
-    #[error("expected an answer of at most {MOST_BYTES} bytes")]
+    #[error("expected an answer of at most {MAX_RESPONSE_BYTES} bytes")]
     #[diagnostic(code(chalkdeck::discovery::too_long), help("see why the list has grown so long"))]
     TooLong,
     /// No JSON.
@@ -59,7 +59,7 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     List(#[from] ListError),
-    /// Changes since a version that is not held are no news to build on.
+    /// Changes since a version that is not held are no updates to build on.
     #[error("changes to version {found}, which is not held")]
     #[diagnostic(
         code(chalkdeck::discovery::version),
@@ -71,59 +71,62 @@
     },
 }
 
-/// The times of the watch, in microseconds. They follow from the grace in which a drain must be heard: a call waits a quarter of
-/// it at the agent and is given up a fifth of it later, so that one that is silent, or was asked while discovery was
-/// down, is asked anew within half of the grace.
+/// Bounds of the times below, in microseconds, whatever the grace.
+const POLL_BOUNDS: (u64, u64) = (20_000, 2_000_000);
+const ANSWER_BOUNDS: (u64, u64) = (20_000, 800_000);
+const RETRY_BOUNDS: (u64, u64) = (5_000, 100_000);
+
+/// The times of the watch, in microseconds. They follow from the grace in which a drain must take effect: a call waits a quarter of
+/// it at the agent and times out a fifth of it later, so that a silent connection, or a call made while discovery was down, is
+/// replaced within half of the grace.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Times {
-    /// How long a call may wait at the agent.
-    wait: u64,
-    /// A call without a whole answer is given up then.
-    silent: u64,
-    /// Between a failed call and the next.
-    pause: u64,
+pub(crate) struct Timing {
+    /// How long the agent may hold a call.
+    poll: u64,
+    /// A call without a whole answer times out after this.
+    timeout: u64,
+    /// Delay between a failed call and the next.
+    retry_delay: u64,
 }
 
-impl Times {
-    pub(crate) fn new(grace: u64) -> Times {
-        let wait = (grace / 4).clamp(20_000, 2_000_000);
-        Times {
-            wait,
-            silent: wait + (grace / 5).clamp(20_000, 800_000),
-            pause: (grace / 20).clamp(5_000, 100_000),
-        }
+impl Timing {
+    pub(crate) fn new(grace: u64) -> Timing {
+        let poll = (grace / 4).clamp(POLL_BOUNDS.0, POLL_BOUNDS.1);
+        let answer = (grace / 5).clamp(ANSWER_BOUNDS.0, ANSWER_BOUNDS.1);
+        let retry_delay = (grace / 20).clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1);
+        Timing { poll, timeout: poll + answer, retry_delay }
     }
 }
 
-/// What is to be done.
+/// What the caller has to do next.
 #[derive(Debug)]
-pub(crate) enum News {
-    /// A list to take over.
+pub(crate) enum Update {
+    /// Apply a list of endpoints.
     List(List),
-    /// Look again after this time: `due` with that number.
-    Look(u64, u64),
+    /// After this time, report to `call_timed_out` with this call number.
+    CheckCall(u64, u64),
 }
 
-/// What of an answer is still to come.
-enum Awaits {
+/// The part of a response that is being received.
+enum Response {
     Head(Call<RecvResponse>),
     Body(Call<RecvBody>),
 }
 
-impl Awaits {
-    /// The body has no length and ends with its connection.
+impl Response {
+    /// The body has no stated length: the end of the connection delimits it.
     fn ends_with_connection(&self) -> bool {
-        matches!(self, Awaits::Body(call) if matches!(call.body_mode(), BodyMode::CloseDelimited))
+        matches!(self, Response::Body(call) if matches!(call.body_mode(), BodyMode::CloseDelimited))
     }
 }
 
-/// The watch.
+/// The watch on discovery.
 pub(crate) struct Discovery {
     address: SocketAddr,
-    times: Times,
+    timing: Timing,
     conn: Option<ConnId>,
     bytes: BytesMut,
-    awaits: Option<Awaits>,
+    response: Option<Response>,
     body: Vec<u8>,
     /// The version that is held; none: the whole list is asked for.
     held: Option<u64>,
@@ -132,32 +135,32 @@
 }
 
 impl Discovery {
-    pub(crate) fn new(address: SocketAddr, times: Times) -> Discovery {
+    pub(crate) fn new(address: SocketAddr, timing: Timing) -> Discovery {
         let (bytes, body) = Default::default();
-        Discovery { address, times, conn: None, bytes, awaits: None, body, held: None, call: 0 }
+        Discovery { address, timing, conn: None, bytes, response: None, body, held: None, call: 0 }
     }
 
     /// Begins, or begins anew.
-    pub(crate) fn dial(&mut self, engine: &mut Engine) -> News {
-        self.hang_up(engine);
+    pub(crate) fn dial(&mut self, engine: &mut Engine) -> Update {
+        self.close(engine);
         self.call += 1;
         match engine.connect_raw(self.address) {
             Ok(conn) => {
                 self.conn = Some(conn);
-                News::Look(self.times.silent, self.call)
+                Update::CheckCall(self.timing.timeout, self.call)
             }
-            Err(_) => News::Look(self.times.pause, self.call),
+            Err(_) => Update::CheckCall(self.timing.retry_delay, self.call),
         }
     }
 
-    fn hang_up(&mut self, engine: &mut Engine) {
+    fn close(&mut self, engine: &mut Engine) {
         self.conn.take().into_iter().for_each(|conn| engine.close(conn));
         self.bytes.clear();
-        self.awaits = None;
+        self.response = None;
     }
 
     /// Asks another address from here on, for the whole list first.
-    pub(crate) fn moved(&mut self, engine: &mut Engine, address: SocketAddr) -> Option<News> {
+    pub(crate) fn set_address(&mut self, engine: &mut Engine, address: SocketAddr) -> Option<Update> {
         if address == self.address {
             return None;
         }
@@ -166,33 +169,33 @@
     }
 
     /// A time came due: the call of that number is still without an answer.
-    pub(crate) fn due(&mut self, engine: &mut Engine, call: u64) -> Option<News> {
+    pub(crate) fn call_timed_out(&mut self, engine: &mut Engine, call: u64) -> Option<Update> {
         (call == self.call).then(|| self.dial(engine))
     }
 
     /// A connection stands; none: it was not this one.
-    pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) -> Option<Vec<News>> {
+    pub(crate) fn connected(&mut self, engine: &mut Engine, conn: ConnId) -> Option<Vec<Update>> {
         if self.conn != Some(conn) {
             return None;
         }
         let asked = self.ask(engine, conn);
-        Some(asked.err().map(|why| self.broken(engine, &why)).into_iter().collect())
+        Some(asked.err().map(|why| self.failed(engine, &why)).into_iter().collect())
     }
 
     fn ask(&mut self, engine: &mut Engine, conn: ConnId) -> Result<(), DiscoveryError> {
         let query = match self.held {
-            Some(index) => format!("?since={index}&timeout_ms={}", self.times.wait / 1_000),
+            Some(index) => format!("?since={index}&timeout_ms={}", self.timing.poll / 1_000),
             None => String::new(),
         };
         let uri = format!("http://{}/v1/endpoints{query}", self.address);
         let request = Request::get(uri).body(())?;
         let mut call: Call<SendRequest> = Call::new(request)?.proceed();
-        let mut head = [0; MOST_HEAD];
+        let mut head = [0; MAX_REQUEST_BYTES];
         let length = call.write(&mut head)?;
         engine.write(conn, &head[..length]);
         self.body.clear();
-        self.awaits = match call.proceed()? {
-            Some(SendRequestResult::RecvResponse(call)) => Some(Awaits::Head(call)),
+        self.response = match call.proceed()? {
+            Some(SendRequestResult::RecvResponse(call)) => Some(Response::Head(call)),
             // A GET has no body to be sent or waited for.
             _ => None,
         };
@@ -207,22 +210,22 @@
         conn: ConnId,
         reason: &CloseReason,
         zones: &mut HashMap<String, u32>,
-    ) -> Option<Vec<News>> {
+    ) -> Option<Vec<Update>> {
         if self.conn != Some(conn) {
             return None;
         }
         self.conn = None;
-        let delimited = self.awaits.take().is_some_and(|awaits| awaits.ends_with_connection());
+        let delimited = self.response.take().is_some_and(|response| response.ends_with_connection());
         if !delimited || *reason != CloseReason::PeerEnded {
-            return Some(vec![self.again()]);
+            return Some(vec![self.retry_later()]);
         }
-        let news = self.take(engine, conn, true, zones);
-        Some(news.unwrap_or_else(|why| vec![self.broken(engine, &why)]))
+        let updates = self.take(engine, conn, true, zones);
+        Some(updates.unwrap_or_else(|why| vec![self.failed(engine, &why)]))
     }
 
-    fn again(&mut self) -> News {
+    fn retry_later(&mut self) -> Update {
         self.call += 1;
-        News::Look(self.times.pause, self.call)
+        Update::CheckCall(self.timing.retry_delay, self.call)
     }
 
     /// Bytes came; none: not on this connection.
@@ -232,50 +235,52 @@
         conn: ConnId,
         data: &[u8],
         zones: &mut HashMap<String, u32>,
-    ) -> Option<Vec<News>> {
+    ) -> Option<Vec<Update>> {
         if self.conn != Some(conn) {
             return None;
         }
         self.bytes.extend_from_slice(data);
-        let news = match self.answer() {
+        let updates = match self.answer() {
             Ok(None) => Ok(Vec::new()),
             Ok(Some(closes)) => self.take(engine, conn, closes, zones),
             Err(why) => Err(why),
         };
-        Some(news.unwrap_or_else(|why| vec![self.broken(engine, &why)]))
+        Some(updates.unwrap_or_else(|why| vec![self.failed(engine, &why)]))
     }
 
     /// Moves the answer on by what came; once it is whole, whether its connection is of no further use.
     fn answer(&mut self) -> Result<Option<bool>, DiscoveryError> {
         loop {
-            match self.awaits.take() {
+            match self.response.take() {
                 None => return Ok(None),
-                Some(Awaits::Head(mut call)) => {
+                Some(Response::Head(mut call)) => {
                     let (used, head) = call.try_response(&self.bytes, false)?;
                     self.bytes.advance(used);
                     let Some(head) = head else {
-                        self.awaits = Some(Awaits::Head(call));
+                        self.response = Some(Response::Head(call));
                         return self.within_bounds().map(|()| None);
                     };
                     if head.status() != StatusCode::OK {
                         return Err(DiscoveryError::Status(head.status()));
                     }
                     match call.proceed() {
-                        Some(RecvResponseResult::RecvBody(call)) => self.awaits = Some(Awaits::Body(call)),
+                        Some(RecvResponseResult::RecvBody(call)) => {
+                            self.response = Some(Response::Body(call))
+                        }
                         Some(RecvResponseResult::Cleanup(call)) => {
                             return Ok(Some(call.must_close_connection()));
                         }
                         _ => return Err(DiscoveryError::Status(head.status())),
                     }
                 }
-                Some(Awaits::Body(call)) => return self.body(call),
+                Some(Response::Body(call)) => return self.body(call),
             }
         }
     }
 
     fn body(&mut self, mut call: Call<RecvBody>) -> Result<Option<bool>, DiscoveryError> {
         let delimited = matches!(call.body_mode(), BodyMode::CloseDelimited);
-        let mut piece = [0; PIECE];
+        let mut piece = [0; DECODE_BYTES];
         loop {
             let (used, made) = call.read(&self.bytes, &mut piece)?;
             self.bytes.advance(used);
@@ -285,7 +290,7 @@
                 break;
             }
             if used == 0 && made == 0 {
-                self.awaits = Some(Awaits::Body(call));
+                self.response = Some(Response::Body(call));
                 return Ok(None);
             }
         }
@@ -297,7 +302,7 @@
 
     fn within_bounds(&self) -> Result<(), DiscoveryError> {
         let length = self.bytes.len() + self.body.len();
-        if length > MOST_BYTES {
+        if length > MAX_RESPONSE_BYTES {
             Err(DiscoveryError::TooLong)
         } else {
             Ok(())
@@ -311,7 +316,7 @@
         conn: ConnId,
         closes: bool,
         zones: &mut HashMap<String, u32>,
-    ) -> Result<Vec<News>, DiscoveryError> {
+    ) -> Result<Vec<Update>, DiscoveryError> {
         let list = list::read(&serde_json::from_slice::<Value>(&self.body)?, zones)?;
         if !list.snapshot && self.held.is_none_or(|held| list.index < held) {
             return Err(DiscoveryError::Version { found: list.index });
@@ -322,16 +327,16 @@
         } else {
             self.call += 1;
             self.ask(engine, conn)?;
-            News::Look(self.times.silent, self.call)
+            Update::CheckCall(self.timing.timeout, self.call)
         };
-        Ok(vec![News::List(list), next])
+        Ok(vec![Update::List(list), next])
     }
 
-    fn broken(&mut self, engine: &mut Engine, why: &DiscoveryError) -> News {
+    fn failed(&mut self, engine: &mut Engine, why: &DiscoveryError) -> Update {
         tracing::warn!("discovery: {why}: the last good list stays");
-        self.hang_up(engine);
+        self.close(engine);
         self.held = None;
-        self.again()
+        self.retry_later()
     }
 }
 
--- a/crates/platform/src/discovery/tests.rs
+++ b/crates/platform/src/discovery/tests.rs
@@ -32,7 +32,7 @@
     index: u64,
     /// How the agent writes its answers.
     form: fn(&str) -> String,
-    /// Calls that wait for news: on which connection, for which version, until when.
+    /// Calls that wait for updates: on which connection, for which version, until when.
     waiting: Vec<(ConnId, u64, u64)>,
     heard: HashMap<ConnId, Vec<u8>>,
     ours: Vec<ConnId>,
@@ -53,7 +53,7 @@
         let mut engine = Engine::with_clock(Clock::jumping(jumps.clone())).expect("a poll handle");
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let (listener, address) = engine.listen_raw(any, Limits::default()).expect("a free port");
-        let discovery = Discovery::new(address, Times::new(GRACE));
+        let discovery = Discovery::new(address, Timing::new(GRACE));
         let (waiting, heard, ours, looks, zones) = Default::default();
         let (held, lists, index) = (0, 0, 1);
         let mut world = World {
@@ -73,19 +73,19 @@
             lists,
             zones,
         };
-        let news = world.discovery.dial(&mut world.engine);
-        world.news(vec![news]);
+        let updates = world.discovery.dial(&mut world.engine);
+        world.updates(vec![updates]);
         world
     }
 
-    fn news(&mut self, news: Vec<News>) {
-        for news in news {
-            match news {
-                News::List(list) if list.snapshot || !list.servers.is_empty() => {
+    fn updates(&mut self, updates: Vec<Update>) {
+        for updates in updates {
+            match updates {
+                Update::List(list) if list.snapshot || !list.servers.is_empty() => {
                     (self.held, self.lists) = (list.index, self.lists + 1);
                 }
-                News::List(_) => {}
-                News::Look(after, call) => self.looks.push((self.engine.now() + after, call)),
+                Update::List(_) => {}
+                Update::CheckCall(after, call) => self.looks.push((self.engine.now() + after, call)),
             }
         }
     }
@@ -94,8 +94,8 @@
         match event {
             Event::Accepted { conn, .. } => self.ours.push(conn),
             Event::Connected { conn } => {
-                let news = self.discovery.connected(&mut self.engine, conn);
-                self.news(news.unwrap_or_default());
+                let updates = self.discovery.connected(&mut self.engine, conn);
+                self.updates(updates.unwrap_or_default());
             }
             Event::Bytes { conn, data } if self.ours.contains(&conn) => {
                 self.heard.entry(conn).or_default().extend_from_slice(&data);
@@ -103,13 +103,13 @@
             }
             Event::Bytes { conn, data } => {
                 let World { discovery, engine, zones, .. } = self;
-                let news = discovery.bytes(engine, conn, &data, zones);
-                self.news(news.unwrap_or_default());
+                let updates = discovery.bytes(engine, conn, &data, zones);
+                self.updates(updates.unwrap_or_default());
             }
             Event::Closed { conn, reason, .. } => {
                 let World { discovery, engine, zones, .. } = self;
-                let news = discovery.closed(engine, conn, &reason, zones);
-                self.news(news.unwrap_or_default());
+                let updates = discovery.closed(engine, conn, &reason, zones);
+                self.updates(updates.unwrap_or_default());
             }
             _ => {}
         }
@@ -164,8 +164,8 @@
         self.looks = rest;
         let due: Vec<(u64, u64)> = due;
         for (_, call) in due {
-            let news = self.discovery.due(&mut self.engine, call);
-            self.news(news.into_iter().collect());
+            let updates = self.discovery.call_timed_out(&mut self.engine, call);
+            self.updates(updates.into_iter().collect());
         }
         for _ in 0..8 {
             let mut events = Vec::new();
@@ -209,8 +209,8 @@
 
 /// The worst delay over all moments at which the fault may begin, in steps of 30 ms.
 fn worst(form: fn(&str) -> String, fault: impl Fn(&mut World) -> u64) -> u64 {
-    let times = Times::new(GRACE);
-    let moments = (0..times.wait + times.silent).step_by(30_000);
+    let timing = Timing::new(GRACE);
+    let moments = (0..timing.poll + timing.timeout).step_by(30_000);
     let delays = moments.map(|moment| {
         let mut world = World::new(Mood::Answers, form);
         world.pass(100_000 + moment);
@@ -230,7 +230,7 @@
 
 #[test]
 fn a_watch_that_falls_silent_is_opened_anew_within_a_known_time() {
-    let times = Times::new(GRACE);
+    let timing = Timing::new(GRACE);
     for mood in [Mood::Silent, Mood::Half] {
         // Silent on that connection alone: the agent answers on the next.
         let once = worst(plain, |w| {
@@ -241,25 +241,25 @@
             w.mood(Mood::Answers);
             w.delay()
         });
-        assert!(once <= times.silent + 3 * STEP + NOISE, "{mood:?} once: {once}");
+        assert!(once <= timing.timeout + 3 * STEP + NOISE, "{mood:?} once: {once}");
         // And on the next connections as well.
         let thrice = worst(plain, |w| {
             w.mood(mood);
             w.index += 1;
             let begun = w.engine.now();
-            w.pass(2 * times.silent);
+            w.pass(2 * timing.timeout);
             w.mood(Mood::Answers);
             w.until_heard();
             w.engine.now() - begun
         });
-        assert!(thrice <= 3 * times.silent + 4 * STEP + NOISE, "{mood:?} thrice: {thrice}");
+        assert!(thrice <= 3 * timing.timeout + 4 * STEP + NOISE, "{mood:?} thrice: {thrice}");
     }
 }
 
 #[test]
 fn what_discovery_holds_at_its_return_is_heard_well_within_the_grace() {
-    let times = Times::new(GRACE);
-    for (mood, bound) in [(Mood::Silent, times.silent), (Mood::Refuses, times.pause)] {
+    let timing = Timing::new(GRACE);
+    for (mood, bound) in [(Mood::Silent, timing.timeout), (Mood::Refuses, timing.retry_delay)] {
         let back = worst(plain, |w| {
             w.mood(mood);
             w.pass(8 * GRACE / 2);
@@ -273,12 +273,12 @@
 
 #[test]
 fn a_new_process_hears_what_the_agent_holds_also_where_its_first_call_is_lost() {
-    let times = Times::new(GRACE);
+    let timing = Timing::new(GRACE);
     let mut world = World::new(Mood::Silent, plain);
     world.pass(50_000);
     world.mood(Mood::Answers);
     let begun = world.until_heard();
-    assert!(begun <= times.silent + 3 * STEP + NOISE, "{begun}");
+    assert!(begun <= timing.timeout + 3 * STEP + NOISE, "{begun}");
     let mut world = World::new(Mood::Answers, plain);
     assert!(world.until_heard() <= 2 * STEP + NOISE, "from the first moment");
 }
@@ -294,12 +294,12 @@
     while let Ok(one) = TcpStream::connect_timeout(&address, std::time::Duration::from_millis(200)) {
         fills.push(one);
     }
-    let times = Times::new(GRACE);
+    let timing = Timing::new(GRACE);
     let mut world = World::new(Mood::Answers, plain);
     world.pass(100_000);
-    let news = world.discovery.moved(&mut world.engine, address);
-    world.news(news.into_iter().collect());
-    world.pass(times.silent / 2);
+    let updates = world.discovery.set_address(&mut world.engine, address);
+    world.updates(updates.into_iter().collect());
+    world.pass(timing.timeout / 2);
     // SIGHUP moves it back to one that answers; the whole list is asked for there.
     let (lists, own) = (world.lists, world.address);
     world.discovery.address = own;
@@ -309,25 +309,25 @@
         assert!(world.engine.now() - begun < GRACE, "never heard");
     }
     let gone = world.engine.now() - begun;
-    assert!(gone <= times.silent + 3 * STEP + NOISE, "{gone}");
+    assert!(gone <= timing.timeout + 3 * STEP + NOISE, "{gone}");
     assert!(fills.len() < 10);
 }
 
 #[test]
 fn a_watch_that_falls_silent_right_after_it_was_moved_is_opened_anew() {
-    let times = Times::new(GRACE);
+    let timing = Timing::new(GRACE);
     let mut world = World::new(Mood::Answers, plain);
     world.pass(300_000);
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let (listener, address) = world.engine.listen_raw(any, Limits::default()).expect("a free port");
     (world.listener, world.address, world.mood) = (listener, address, Mood::Silent);
-    let news = world.discovery.moved(&mut world.engine, address);
-    world.news(news.into_iter().collect());
+    let updates = world.discovery.set_address(&mut world.engine, address);
+    world.updates(updates.into_iter().collect());
     world.pass(20_000);
     world.mood(Mood::Answers);
     world.index = 40;
     let gone = world.until_heard();
-    assert!(gone <= times.silent + 3 * STEP + NOISE, "{gone}");
+    assert!(gone <= timing.timeout + 3 * STEP + NOISE, "{gone}");
 }
 
 #[test]
@@ -365,7 +365,7 @@
         |_| "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n".into(),
         |_| "HTTP/1.1 301 Moved\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n".into(),
     ];
-    let times = Times::new(GRACE);
+    let timing = Timing::new(GRACE);
     for (i, form) in spoilt.into_iter().enumerate() {
         let mut world = World::new(Mood::Answers, plain);
         world.pass(100_000);
@@ -376,7 +376,7 @@
         assert_eq!((world.lists, world.held), (lists, held), "form {i}");
         world.form = plain;
         let gone = world.until_heard();
-        assert!(gone <= times.silent + 3 * STEP + NOISE, "form {i}: {gone}");
+        assert!(gone <= timing.timeout + 3 * STEP + NOISE, "form {i}: {gone}");
         assert_eq!(world.discovery.held, Some(world.index), "form {i}");
     }
 }
@@ -384,9 +384,9 @@
 #[test]
 fn times_follow_the_grace() {
     for grace in [100_000, 250_000, 1_000_000, 2_000_000, 5_000_000] {
-        let times = Times::new(grace);
-        assert!(times.silent <= grace / 2, "{times:?} of {grace}");
-        assert!(times.pause < times.wait && times.wait < times.silent, "{times:?}");
+        let timing = Timing::new(grace);
+        assert!(timing.timeout <= grace / 2, "{timing:?} of {grace}");
+        assert!(timing.retry_delay < timing.poll && timing.poll < timing.timeout, "{timing:?}");
     }
 }
 
@@ -438,8 +438,8 @@
         let mut world = World::new(Mood::Answers, plain);
         world.pass(300_000);
         let lists = world.lists;
-        let news = world.discovery.moved(&mut world.engine, address);
-        world.news(news.into_iter().collect());
+        let updates = world.discovery.set_address(&mut world.engine, address);
+        world.updates(updates.into_iter().collect());
         answer_and_close(&mut world, &agent, answer.as_bytes(), close);
         assert_eq!(world.lists > lists, taken, "{close:?} after {} bytes", answer.len());
         assert_eq!(world.held == 7, taken, "{close:?} after {} bytes", answer.len());
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -4,7 +4,7 @@
 use crate::backends::{AttemptId, Backends, Ended, Sent};
 use crate::config::{Config, ConfigError};
 use crate::counter::{Counter, Told};
-use crate::discovery::{Discovery, News, Times};
+use crate::discovery::{Discovery, Timing, Update};
 use crate::front::{error, Front, ReceivedCommand};
 use crate::list::List;
 use crate::request::{self, Command, RequestError};
@@ -75,7 +75,7 @@
     GiveUp(AttemptId),
     Dial(ConnId),
     Count,
-    Look(u64),
+    DiscoveryCall(u64),
     Sweep,
     Stop,
 }
@@ -147,7 +147,7 @@
             backends: Backends::new(sockets - clients, memory, config.idle),
             counter,
             counts_watched: false,
-            discovery: Discovery::new(config.discovery, Times::new(config.grace)),
+            discovery: Discovery::new(config.discovery, Timing::new(config.grace)),
             events: Vec::new(),
             stop: None,
             config,
@@ -155,8 +155,8 @@
         if let Some(known) = shell.config.known.take() {
             shell.listed(known);
         }
-        let news = shell.discovery.dial(&mut shell.engine);
-        shell.news(news);
+        let update = shell.discovery.dial(&mut shell.engine);
+        shell.on_discovery(update);
         shell.due_in(SWEEP, Due::Sweep);
         shell.settle();
         Ok(shell)
@@ -252,8 +252,8 @@
         let Shell { engine, backends, counter, discovery, .. } = self;
         if backends.owns(conn) {
             backends.connected(engine, conn);
-        } else if let Some(news) = discovery.connected(engine, conn) {
-            news.into_iter().for_each(|n| self.news(n));
+        } else if let Some(updates) = discovery.connected(engine, conn) {
+            updates.into_iter().for_each(|n| self.on_discovery(n));
         } else {
             counter.as_mut().into_iter().for_each(|c| c.connected(engine, conn));
         }
@@ -273,8 +273,8 @@
         if let Some(told) = counter.as_mut().and_then(|c| c.bytes(engine, conn, data)) {
             return self.counted(told);
         }
-        let news = discovery.bytes(engine, conn, data, &mut config.read.zones);
-        news.into_iter().flatten().for_each(|n| self.news(n));
+        let updates = discovery.bytes(engine, conn, data, &mut config.read.zones);
+        updates.into_iter().flatten().for_each(|n| self.on_discovery(n));
     }
 
     fn on_closed(&mut self, conn: ConnId, unsent: usize, reason: &CloseReason) {
@@ -290,8 +290,8 @@
             self.counted(told);
         } else {
             let Shell { engine, discovery, config, .. } = self;
-            let news = discovery.closed(engine, conn, reason, &mut config.read.zones);
-            news.into_iter().flatten().for_each(|n| self.news(n));
+            let updates = discovery.closed(engine, conn, reason, &mut config.read.zones);
+            updates.into_iter().flatten().for_each(|n| self.on_discovery(n));
         }
     }
 
@@ -311,9 +311,9 @@
                 self.counted(told);
             }
             Some(Due::Count) => self.count_times_out(),
-            Some(Due::Look(call)) => {
-                let news = self.discovery.due(&mut self.engine, call);
-                news.into_iter().for_each(|n| self.news(n));
+            Some(Due::DiscoveryCall(call)) => {
+                let updates = self.discovery.call_timed_out(&mut self.engine, call);
+                updates.into_iter().for_each(|n| self.on_discovery(n));
             }
             Some(Due::Stop) => self.stop_on(),
             Some(Due::Sweep) => {
@@ -487,10 +487,10 @@
 
     // ---- the list, the configuration ----
 
-    fn news(&mut self, news: News) {
-        match news {
-            News::List(list) => self.listed(list),
-            News::Look(after, call) => self.due_in(after, Due::Look(call)),
+    fn on_discovery(&mut self, update: Update) {
+        match update {
+            Update::List(list) => self.listed(list),
+            Update::CheckCall(after, call) => self.due_in(after, Due::DiscoveryCall(call)),
         }
     }
 
@@ -513,8 +513,8 @@
             }
         };
         tracing::info!(discovery = %new.discovery, "configuration read again");
-        let news = self.discovery.moved(&mut self.engine, new.discovery);
-        news.into_iter().for_each(|n| self.news(n));
+        let updates = self.discovery.set_address(&mut self.engine, new.discovery);
+        updates.into_iter().for_each(|n| self.on_discovery(n));
         if let (Some(address), Shell { counter: Some(counter), engine, .. }) = (new.counter, &mut *self) {
             let told = counter.moved(engine, address);
             self.counted(told);
