One piece of a connection a turn: a flood no longer fills the memory within one batch

Checked: logs hold nothing but the start. At fault: Engine::poll_conn woke a connection that had more to read into the queue of the same turn, so Engine::turn handed over up to 8,192 pieces of 16 KiB, 128 MB, of peers that send as fast as they are read; the comment there promised one piece a turn. With it: the queue in front of the decision module is named Decisions (Desk before), timers of the platform's shell by purpose.

--- a/crates/gateway/src/carry.rs
+++ b/crates/gateway/src/carry.rs
@@ -118,7 +118,7 @@
             self.send_twin(conn, attempt);
         }
         if replay.gone {
-            self.desk.tell(Event::BodyGone(attempt.call));
+            self.decisions.push(Event::BodyGone(attempt.call));
         }
         true
     }
@@ -155,7 +155,7 @@
         let done = call.as_ref().is_some_and(|c| c.is_done());
         let asked = call.map(|c| (c.arrival.class.0, c.arrival.units));
         asked.into_iter().for_each(|(class, units)| self.site_ended(server, outcome, took, class, units));
-        self.desk.tell(Event::AttemptEnded(AttemptEnd {
+        self.decisions.push(Event::AttemptEnded(AttemptEnd {
             id: id.call,
             attempt: id.number,
             server,
@@ -265,7 +265,7 @@
         } else {
             self.engine.respond(front, grpc::trailers_only(grpc::trailers(code, why)), true);
         }
-        self.desk.tell(Event::ClientGone(id));
+        self.decisions.push(Event::ClientGone(id));
         self.close_call(id, End::Failed);
         last.filter(|_| started).into_iter().for_each(|a| self.call_off(a, Outcome::Cancelled));
     }
@@ -340,7 +340,7 @@
         let (front, call_deadline) = (call.front, call.arrival.deadline.0);
         self.engine.respond(front, http::Response::from_parts(*head, ()), false);
         chunks.into_iter().for_each(|chunk| self.engine.send(front, chunk));
-        self.desk.tell(Event::StreamStarted(id));
+        self.decisions.push(Event::StreamStarted(id));
         // A stream may last for long; the door is for what is to be answered soon.
         self.left(id);
         // From here on the decisions keep no deadline for it; the client's own stays.
@@ -393,7 +393,7 @@
             self.engine.send(back, data);
         }
         if taken.gone {
-            self.desk.tell(Event::BodyGone(id));
+            self.decisions.push(Event::BodyGone(id));
         }
     }
 
@@ -489,7 +489,7 @@
         let Some(call) = self.calls.get(id) else { return };
         let started = matches!(call.answer, Answer::Started);
         let last = call.attempts.len().checked_sub(1).map(|number| AttemptId { call: id, number });
-        self.desk.tell(Event::ClientGone(id));
+        self.decisions.push(Event::ClientGone(id));
         self.close_call(id, End::Gone);
         // A started answer belongs to the client and ends with it.
         last.filter(|_| started).into_iter().for_each(|a| self.call_off(a, Outcome::Cancelled));
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -23,10 +23,10 @@
     pub(crate) fn enter(&mut self, arrival: Arrival) {
         self.site_offered(&arrival);
         let now = self.engine.now();
-        let Shell { entry: Some(entry), desk, set, .. } = self else {
-            return self.desk.tell(Event::Request(arrival));
+        let Shell { entry: Some(entry), decisions, set, .. } = self else {
+            return self.decisions.push(Event::Request(arrival));
         };
-        let standing = desk.gateway.standing(Micros(now), arrival.customer, arrival.plan);
+        let standing = decisions.gateway.standing(Micros(now), arrival.customer, arrival.plan);
         let refill = if standing.remaining < arrival.units { standing.reset.0 } else { 0 };
         let offer = Offer {
             id: arrival.id.0,
@@ -62,7 +62,7 @@
         match verdict {
             Verdict::Pass(id) => {
                 let arrival = entry.arrivals.remove(&RequestId(id));
-                arrival.into_iter().for_each(|a| self.desk.tell(Event::Request(a)));
+                arrival.into_iter().for_each(|a| self.decisions.push(Event::Request(a)));
             }
             Verdict::Refuse { id, back } => {
                 entry.arrivals.remove(&RequestId(id));
--- a/crates/gateway/src/resp/mod.rs
+++ b/crates/gateway/src/resp/mod.rs
@@ -224,18 +224,18 @@
         let now = Micros(self.engine.now());
         self.left(id);
         let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return };
-        let standing = self.desk.gateway.standing(now, ask.customer, ask.plan);
+        let standing = self.decisions.gateway.standing(now, ask.customer, ask.plan);
         let (limit, remaining) = (standing.limit as i64, standing.remaining as i64);
         let Some(lease) = ask.lease else {
             // A plain ask holds no place: what it was granted for is over for us.
-            self.desk.tell(Event::ClientGone(id));
+            self.decisions.push(Event::ClientGone(id));
             let numbers = [0, limit, remaining, -1, seconds(standing.reset.0)];
             return self.resp_answer(&ask, Reply::Array(numbers.map(Reply::Integer).into()));
         };
         let secret = fastrand::u32(..);
         let Some(resp) = &mut self.resp else { return };
         let Some(session) = resp.sessions.get_mut(&ask.conn) else {
-            return self.desk.tell(Event::ClientGone(id));
+            return self.decisions.push(Event::ClientGone(id));
         };
         session.tickets += 1;
         resp.tickets.insert(id, Ticket { conn: ask.conn, secret });
@@ -250,7 +250,7 @@
         let now = Micros(self.engine.now());
         let Some(ask) = self.resp.as_mut().and_then(|r| r.asks.remove(&id)) else { return false };
         self.left(id);
-        let standing = self.desk.gateway.standing(now, ask.customer, ask.plan);
+        let standing = self.decisions.gateway.standing(now, ask.customer, ask.plan);
         let back = back_in.unwrap_or(standing.reset.0);
         let reply = match ask.lease {
             Some(_) => vec![Reply::Integer(0), Reply::Null, Reply::Integer(back.div_ceil(1_000) as i64)],
@@ -277,8 +277,8 @@
             return false;
         }
         resp.drop_ticket(id);
-        units.into_iter().for_each(|units| self.desk.tell(Event::Settled(id, units)));
-        self.desk.tell(Event::ClientGone(id));
+        units.into_iter().for_each(|units| self.decisions.push(Event::Settled(id, units)));
+        self.decisions.push(Event::ClientGone(id));
         true
     }
 
@@ -288,7 +288,7 @@
         };
         let now = Micros(self.engine.now());
         let standing =
-            self.desk.gateway.standing(now, CustomerId(crate::base::server::number_of(customer)), plan);
+            self.decisions.gateway.standing(now, CustomerId(crate::base::server::number_of(customer)), plan);
         let numbers = [standing.limit as i64, standing.remaining as i64, seconds(standing.reset.0)];
         Reply::Array(numbers.map(Reply::Integer).into())
     }
@@ -360,14 +360,14 @@
                 resp.drop_ticket(id);
             }
             self.left(id);
-            self.desk.tell(Event::ClientGone(id));
+            self.decisions.push(Event::ClientGone(id));
         }
     }
 
     pub(crate) fn lease_over(&mut self, id: RequestId) {
         if self.resp.as_mut().is_some_and(|r| r.drop_ticket(id)) {
             tracing::info!(request = id.0, "a ticket's lease is over: its place comes back");
-            self.desk.tell(Event::ClientGone(id));
+            self.decisions.push(Event::ClientGone(id));
         }
     }
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -18,7 +18,7 @@
 use chalkdeck::api::{
     Action, CountName, Event, ListScope, Listed, Micros, Outcome, RequestId, ServerId, TimerId,
 };
-use chalkdeck::desk::Desk;
+use chalkdeck::decisions::Decisions;
 use chalkdeck::rules::Gateway;
 use chalkdeck_net::due::Dues;
 use chalkdeck_net::grpc::Code;
@@ -53,7 +53,7 @@
 /// A running gateway.
 pub struct Shell {
     pub(crate) engine: Engine,
-    pub(crate) desk: Desk,
+    pub(crate) decisions: Decisions,
     pub(crate) set: Settings,
     file: Option<PathBuf>,
     listener: ListenerId,
@@ -101,7 +101,7 @@
         let keepers = keepers::of(&set, engine.now())?;
         let mut shell = Shell {
             engine,
-            desk: Desk::new(policy),
+            decisions: Decisions::new(policy),
             file,
             listener,
             listen,
@@ -253,7 +253,7 @@
 
     /// Tells the decisions what happened and carries out what follows, until nothing follows.
     fn settle(&mut self) {
-        while let Some(action) = self.desk.follow(Micros(self.engine.now())) {
+        while let Some(action) = self.decisions.next_action(Micros(self.engine.now())) {
             self.act(action);
         }
     }
@@ -279,7 +279,7 @@
 
     fn on_due(&mut self, token: u64) {
         match self.dues.take(token) {
-            Some(Due::Policy(timer)) => self.desk.tell(Event::Timer(timer)),
+            Some(Due::Policy(timer)) => self.decisions.push(Event::Timer(timer)),
             Some(Due::Lease(id)) => self.lease_over(id),
             Some(Due::Stalled(conn)) => self.resp_stalled(conn),
             Some(Due::Resume(conn)) => self.resp_resume(conn),
@@ -334,7 +334,7 @@
         self.site_counted(&told);
         for Told { name, outcome, total } in told {
             self.metrics.count(outcome);
-            self.desk.tell(Event::Counted(name, outcome, total));
+            self.decisions.push(Event::Counted(name, outcome, total));
         }
     }
 
@@ -375,7 +375,7 @@
                 self.freshest = Some(entry.server);
             }
         }
-        self.desk.tell(Event::Servers(ListScope::Whole, entries));
+        self.decisions.push(Event::Servers(ListScope::Whole, entries));
     }
 
     /// Takes over what can change in service; the decisions' own settings need a new start.
--- a/crates/gateway/src/sites.rs
+++ b/crates/gateway/src/sites.rs
@@ -200,8 +200,8 @@
     /// Looks at the plan again and tells the decisions what moved.
     pub(crate) fn site_look(&mut self) {
         self.due_in(LOOK, Due::Sites);
-        let Shell { sites: Some(sites), desk, engine, .. } = self else { return };
-        let places: Vec<_> = desk.gateway.places().map(|(id, out, most)| (id.0, out, most)).collect();
+        let Shell { sites: Some(sites), decisions, engine, .. } = self else { return };
+        let places: Vec<_> = decisions.gateway.places().map(|(id, out, most)| (id.0, out, most)).collect();
         sites.core.on(engine.now(), Event::Places(&places));
         self.site_plan();
     }
@@ -232,7 +232,7 @@
         let shares = plan.sites.iter().map(part).collect();
         sites.names.retain(|id, _| plan.sites.iter().any(|s| s.site == *id));
         sites.told = Some(plan);
-        self.desk.tell(api::Event::Sites(shares, floor));
+        self.decisions.push(api::Event::Sites(shares, floor));
     }
 
     /// A word that reached the whole fleet; it counts from the first list that names its site on, and is kept like one that was
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -139,6 +139,8 @@
     pub(crate) accepting: Vec<u64>,
     /// Plain connections of which the last turn handed bytes over that its caller has not dealt with yet.
     pub(crate) unhandled: FxHashSet<u64>,
+    /// Plain connections that gave their piece in this turn and may have more to read.
+    unread: Vec<u64>,
     /// Plain connections with bytes queued in this turn; they are written before the next wait.
     pub(crate) dirty: Vec<u64>,
 }
@@ -166,6 +168,7 @@
             opens: 0,
             accepting: Vec::new(),
             unhandled: FxHashSet::default(),
+            unread: Vec::new(),
             dirty: Vec::new(),
         })
     }
@@ -358,6 +361,11 @@
             let Some(key) = self.ready.pop() else { break };
             self.poll_key(key);
         }
+        for key in std::mem::take(&mut self.unread) {
+            if let Some(conn) = self.conns.get(&key) {
+                conn.waker.wake_by_ref();
+            }
+        }
         // After what was read: an answer that came in time must not be met by its own time-out, nor a connection with a request
         // on it by the end of its patience.
         self.timers_due();
@@ -446,9 +454,10 @@
                     return;
                 }
                 Step::Bytes(data, more) => {
-                    // One piece a turn, so that no connection keeps the others waiting.
+                    // One piece a turn, so that no connection keeps the others waiting or fills the memory: the rest is the
+                    // next turn's, and until then it stays in the socket.
                     if more {
-                        conn.waker.wake_by_ref();
+                        self.unread.push(key);
                     }
                     if !data.is_empty() {
                         self.unhandled.insert(key);
--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -13,7 +13,7 @@
     Action, AttemptEnd, Event, ListScope, Micros, Outcome, Report, RequestId, ServerId, SettingsError,
     TimerId,
 };
-use chalkdeck::desk::Desk;
+use chalkdeck::decisions::Decisions;
 use chalkdeck::rules::Gateway;
 use chalkdeck_net::clock::Clock;
 use chalkdeck_net::due::Dues;
@@ -27,22 +27,22 @@
 /// The longest sleep of the loop; signals are looked at that often. In microseconds, as all of these.
 const LONGEST_WAIT: u64 = 100_000;
 /// How often connections are looked at that stand still.
-const SWEEP: u64 = 250_000;
+const SWEEP_INTERVAL: u64 = 250_000;
 /// New connections still come so long after SIGTERM, and are served; then connections are let go one after another.
-const STOP_SERVES: u64 = 420_000;
+const SHUTDOWN_ACCEPTS: u64 = 420_000;
 /// The platform kills a gateway so long after SIGTERM and the longest deadline, of which it counts three seconds at most.
-const KILLED: u64 = 700_000;
-const KILLED_COUNTS: u64 = 3_000_000;
+const KILL_DELAY: u64 = 700_000;
+const KILL_MAX_DEADLINE: u64 = 3_000_000;
 /// What comes during a stop has its answer so long before that.
-const KILLED_SPARE: u64 = 60_000;
+const KILL_MARGIN: u64 = 60_000;
 /// How often a stopping gateway looks whether connections can go.
-const STOP_LOOK: u64 = 5_000;
+const SHUTDOWN_INTERVAL: u64 = 5_000;
 /// Descriptors set aside for the loop, logs, the listener, discovery and the counter (old and new addresses).
-const SET_ASIDE: usize = 32;
+const RESERVED_DESCRIPTORS: usize = 32;
 /// Of the others so many hundredths are clients'; the rest are the backends'.
-const CLIENTS_PART: usize = 55;
+const CLIENT_PERCENT: usize = 55;
 /// Of the memory granted, this part may be held as bytes of commands under way.
-const BYTES_PART: f64 = 0.125;
+const HELD_BYTES_SHARE: f64 = 0.125;
 
 /// Why a gateway does not start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -55,7 +55,7 @@
     #[error("cannot listen at {address}: {source}")]
     #[diagnostic(
         code(chalkdeck::platform::listen),
-        help("see whether another process listens there, and whether the address is this machine's")
+        help("see whether another process is_listening there, and whether the address is this machine's")
     )]
     Listen {
         /// The address.
@@ -70,14 +70,14 @@
 }
 
 /// What a timer of the loop is for.
-enum Due {
+enum TimerPurpose {
     Policy(TimerId),
     GiveUp(AttemptId),
     Dial(ConnId),
     Count,
     DiscoveryCall(u64),
     Sweep,
-    Stop,
+    Shutdown,
 }
 
 /// A request without its final answer.
@@ -92,13 +92,13 @@
 /// A running gateway.
 pub struct Shell {
     engine: Engine,
-    desk: Desk,
+    decisions: Decisions,
     config: Config,
     listener: ListenerId,
     /// The listener still takes connections in.
-    listens: bool,
+    is_listening: bool,
     listen: SocketAddr,
-    dues: Dues<Due>,
+    dues: Dues<TimerPurpose>,
     front: Front,
     calls: FxHashMap<RequestId, Call>,
     /// Open requests by the ids that clients gave them.
@@ -123,10 +123,10 @@
     /// The same with a clock of the caller's.
     pub fn start_at(config: Config, clock: Clock) -> Result<Shell, StartError> {
         let mut engine = Engine::with_clock(clock).map_err(StartError::Poll)?;
-        let sockets = config.limits.sockets.saturating_sub(SET_ASIDE).max(16);
-        let clients = sockets * CLIENTS_PART / 100;
+        let sockets = config.limits.sockets.saturating_sub(RESERVED_DESCRIPTORS).max(16);
+        let clients = sockets * CLIENT_PERCENT / 100;
         // A few beyond the bound, so that a new client can take the place of an idle one.
-        let limits = Limits { connections: clients + SET_ASIDE / 4, ..Limits::default() };
+        let limits = Limits { connections: clients + RESERVED_DESCRIPTORS / 4, ..Limits::default() };
         let address = config.listen;
         let listened = engine.listen_raw(address, limits);
         let (listener, listen) = listened.map_err(|source| StartError::Listen { address, source })?;
@@ -135,12 +135,12 @@
         let counter = config.counter.map(|a| Counter::new(a, config.settings().count_timeout.0));
         let mut shell = Shell {
             engine,
-            desk: Desk::new(gateway),
+            decisions: Decisions::new(gateway),
             listener,
-            listens: true,
+            is_listening: true,
             listen,
             dues: Dues::default(),
-            front: Front::new(clients, (memory * BYTES_PART) as usize),
+            front: Front::new(clients, (memory * HELD_BYTES_SHARE) as usize),
             calls: FxHashMap::default(),
             ids: FxHashMap::default(),
             next_id: 0,
@@ -157,7 +157,7 @@
         }
         let update = shell.discovery.dial(&mut shell.engine);
         shell.on_discovery(update);
-        shell.due_in(SWEEP, Due::Sweep);
+        shell.due_in(SWEEP_INTERVAL, TimerPurpose::Sweep);
         shell.settle();
         Ok(shell)
     }
@@ -189,15 +189,16 @@
         if self.stop.is_none() {
             tracing::info!(open = self.calls.len(), "stopping: serves what still comes, then ends");
             self.stop = Some(self.engine.now());
-            self.due_in(STOP_SERVES, Due::Stop);
+            self.due_in(SHUTDOWN_ACCEPTS, TimerPurpose::Shutdown);
         }
     }
 
     /// Whether a stop is over: all clients are let go, or all that was taken before it must have had its answer.
     pub fn stopped(&self) -> bool {
         let Some(since) = self.stop else { return false };
-        let alone = self.front.is_shutting_down() && !self.listens && self.engine.held_by(self.listener) == 0;
-        alone || self.engine.now() >= since + KILLED + self.longest_deadline()
+        let alone =
+            self.front.is_shutting_down() && !self.is_listening && self.engine.held_by(self.listener) == 0;
+        alone || self.engine.now() >= since + KILL_DELAY + self.longest_deadline()
     }
 
     fn longest_deadline(&self) -> u64 {
@@ -206,15 +207,15 @@
 
     /// When what comes now has to be answered at the latest: a stopping gateway does not outlive its patience.
     fn ends_by(&self) -> u64 {
-        let patience = KILLED - KILLED_SPARE + self.longest_deadline().min(KILLED_COUNTS);
+        let patience = KILL_DELAY - KILL_MARGIN + self.longest_deadline().min(KILL_MAX_DEADLINE);
         self.stop.map_or(u64::MAX, |since| since + patience)
     }
 
     /// No new connections come any more: those that stand are let go.
-    fn stop_on(&mut self) {
-        self.listens &= !self.engine.unlisten_if_empty(self.listener);
+    fn continue_shutdown(&mut self) {
+        self.is_listening &= !self.engine.unlisten_if_empty(self.listener);
         self.front.shut_down(self.engine.now());
-        self.due_in(STOP_LOOK, Due::Stop);
+        self.due_in(SHUTDOWN_INTERVAL, TimerPurpose::Shutdown);
     }
 
     /// Waits for what happens, at most so many microseconds, and deals with it.
@@ -281,7 +282,7 @@
         if self.front.owns(conn) {
             for id in self.front.closed(conn) {
                 self.forget(id);
-                self.desk.tell(Event::ClientGone(id));
+                self.decisions.push(Event::ClientGone(id));
             }
         } else if self.backends.owns(conn) {
             let ended = self.backends.closed(self.engine.now(), conn, unsent);
@@ -295,29 +296,29 @@
         }
     }
 
-    fn due_in(&mut self, after: u64, due: Due) {
-        self.dues.set(&mut self.engine, after, due);
+    fn due_in(&mut self, after: u64, purpose: TimerPurpose) {
+        self.dues.set(&mut self.engine, after, purpose);
     }
 
     fn on_due(&mut self, token: u64) {
         match self.dues.take(token) {
-            Some(Due::Policy(timer)) => self.desk.tell(Event::Timer(timer)),
-            Some(Due::GiveUp(attempt)) => self.give_up(attempt, Outcome::Timeout),
-            Some(Due::Dial(conn)) => {
+            Some(TimerPurpose::Policy(timer)) => self.decisions.push(Event::Timer(timer)),
+            Some(TimerPurpose::GiveUp(attempt)) => self.give_up(attempt, Outcome::Timeout),
+            Some(TimerPurpose::Dial(conn)) => {
                 let ended = self.backends.dial_over(&mut self.engine, conn);
                 ended.into_iter().for_each(|e| self.ended(e));
                 let Shell { engine, counter: Some(counter), .. } = self else { return };
                 let told = counter.dial_over(engine, conn);
                 self.counted(told);
             }
-            Some(Due::Count) => self.count_times_out(),
-            Some(Due::DiscoveryCall(call)) => {
+            Some(TimerPurpose::Count) => self.count_times_out(),
+            Some(TimerPurpose::DiscoveryCall(call)) => {
                 let updates = self.discovery.call_timed_out(&mut self.engine, call);
                 updates.into_iter().for_each(|n| self.on_discovery(n));
             }
-            Some(Due::Stop) => self.stop_on(),
-            Some(Due::Sweep) => {
-                self.due_in(SWEEP, Due::Sweep);
+            Some(TimerPurpose::Shutdown) => self.continue_shutdown(),
+            Some(TimerPurpose::Sweep) => {
+                self.due_in(SWEEP_INTERVAL, TimerPurpose::Sweep);
                 self.backends.sweep(&mut self.engine);
                 self.front.sweep(&mut self.engine);
             }
@@ -328,7 +329,7 @@
     // ---- between the decisions and the sockets ----
 
     fn settle(&mut self) {
-        while let Some(action) = self.desk.follow(Micros(self.engine.now())) {
+        while let Some(action) = self.decisions.next_action(Micros(self.engine.now())) {
             self.act(action);
         }
     }
@@ -353,13 +354,13 @@
                 let Shell { engine, counter: Some(counter), .. } = self else { return };
                 let (told, dialled) = counter.add(engine, name, amount, life.0);
                 let dial_timeout = self.config.dial_timeout;
-                dialled.into_iter().for_each(|conn| self.due_in(dial_timeout, Due::Dial(conn)));
+                dialled.into_iter().for_each(|conn| self.due_in(dial_timeout, TimerPurpose::Dial(conn)));
                 self.watch_counts();
                 self.counted(told);
             }
-            Action::SetTimer(timer, after) => self.due_in(after.0, Due::Policy(timer)),
+            Action::SetTimer(timer, after) => self.due_in(after.0, TimerPurpose::Policy(timer)),
             Action::Probe(server) => {
-                self.desk.tell(Event::Probed(server, Outcome::Moot, Report::default()));
+                self.decisions.push(Event::Probed(server, Outcome::Moot, Report::default()));
             }
             // No class of this platform leaves the work to its caller, and the list is watched in any case.
             Action::Grant(_) | Action::Subscribe | Action::FetchList => {}
@@ -373,9 +374,9 @@
         match self.backends.send(&mut self.engine, attempt, server, until, &call.command) {
             Sent::Under(dialled) => {
                 let wait = until.saturating_sub(self.engine.now());
-                self.due_in(wait, Due::GiveUp(attempt));
+                self.due_in(wait, TimerPurpose::GiveUp(attempt));
                 let dial_timeout = self.config.dial_timeout;
-                dialled.into_iter().for_each(|conn| self.due_in(dial_timeout, Due::Dial(conn)));
+                dialled.into_iter().for_each(|conn| self.due_in(dial_timeout, TimerPurpose::Dial(conn)));
             }
             Sent::Ended(ended) => self.ended(ended),
         }
@@ -390,7 +391,7 @@
     fn ended(&mut self, end: Ended) {
         let Ended { attempt, server, outcome, took, report, value } = end;
         let served = value.is_some_and(|value| self.answer(attempt.request, Frame::BulkString(value)));
-        self.desk.tell(Event::AttemptEnded(AttemptEnd {
+        self.decisions.push(Event::AttemptEnded(AttemptEnd {
             id: attempt.request,
             attempt: attempt.number,
             server,
@@ -457,7 +458,7 @@
         self.ids.insert(command.id().clone(), id);
         self.front.opened(conn, id, bytes);
         self.calls.insert(id, Call { conn, slot, command, bytes, attempts: 0 });
-        self.desk.tell(Event::Request(arrival));
+        self.decisions.push(Event::Request(arrival));
         None
     }
 
@@ -465,7 +466,7 @@
 
     fn counted(&mut self, told: Vec<Told>) {
         for Told { name, outcome, total } in told {
-            self.desk.tell(Event::Counted(name, outcome, total));
+            self.decisions.push(Event::Counted(name, outcome, total));
         }
     }
 
@@ -473,7 +474,7 @@
     fn watch_counts(&mut self) {
         let Some(until) = self.counter.as_ref().and_then(Counter::next_timeout) else { return };
         if !std::mem::replace(&mut self.counts_watched, true) {
-            self.due_in(until.saturating_sub(self.engine.now()), Due::Count);
+            self.due_in(until.saturating_sub(self.engine.now()), TimerPurpose::Count);
         }
     }
 
@@ -490,7 +491,7 @@
     fn on_discovery(&mut self, update: Update) {
         match update {
             Update::List(list) => self.listed(list),
-            Update::CheckCall(after, call) => self.due_in(after, Due::DiscoveryCall(call)),
+            Update::CheckCall(after, call) => self.due_in(after, TimerPurpose::DiscoveryCall(call)),
         }
     }
 
@@ -499,7 +500,7 @@
         let scope = if list.snapshot { ListScope::Whole } else { ListScope::Changes };
         let entries: Vec<_> = list.servers.into_iter().map(|s| s.entry).collect();
         if scope == ListScope::Whole || !entries.is_empty() {
-            self.desk.tell(Event::Servers(scope, entries));
+            self.decisions.push(Event::Servers(scope, entries));
         }
     }
 
--- /dev/null
+++ b/crates/policy/src/decisions.rs
@@ -0,0 +1,42 @@
+//! Queue between carrying code and the decision module: events are handled one by one, and the actions that follow are handed out
+//! one by one. Nothing is decided here.
+
+use crate::api::{Action, Event, Micros};
+use crate::rules::Gateway;
+use std::collections::VecDeque;
+
+/// A gateway's decision module with the events that it has not handled yet and the actions that have not been carried out. Both
+/// queues are empty between two turns of a loop that takes actions until none is left.
+pub struct Decisions {
+    /// The decision module.
+    pub gateway: Gateway,
+    events: VecDeque<Event>,
+    actions: VecDeque<Action>,
+    /// Buffer for the actions on one event.
+    out: Vec<Action>,
+}
+
+impl Decisions {
+    /// Queues in front of a gateway, both empty.
+    pub fn new(gateway: Gateway) -> Decisions {
+        Decisions { gateway, events: VecDeque::new(), actions: VecDeque::new(), out: Vec::new() }
+    }
+
+    /// Queues an event.
+    pub fn push(&mut self, event: Event) {
+        self.events.push_back(event);
+    }
+
+    /// The next action to carry out, or none once all events have been handled. All actions on one event come before the next
+    /// event is handled.
+    pub fn next_action(&mut self, now: Micros) -> Option<Action> {
+        loop {
+            if let Some(action) = self.actions.pop_front() {
+                return Some(action);
+            }
+            let event = self.events.pop_front()?;
+            self.gateway.handle(now, event, &mut self.out);
+            self.actions.extend(self.out.drain(..));
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,6 +3,6 @@
 #![warn(missing_docs)]
 
 pub mod api;
-pub mod desk;
+pub mod decisions;
 pub mod rules;
 mod state;
