--- /dev/null
+++ b/crates/gateway/src/endpoints/tests.rs
@@ -0,0 +1,44 @@
+//! Tests of `endpoints`.
+
+use super::*;
+
+const TEXT: &str = r#"
+        cluster_name: "farm"
+        endpoints {
+          locality { zone: "north" }
+          lb_endpoints {
+            endpoint { address { socket_address { address: "127.0.0.1" port_value: 8001 } } }
+            health_status: DRAINING
+            metadata { filter_metadata { key: "chalkdeck" value {
+              fields { key: "cell" value { string_value: "a" } }
+              fields { key: "started_ms" value { number_value: 1764590000000 } }
+            } } }
+          }
+        }"#;
+
+#[test]
+fn text_and_binary_say_the_same() {
+    let from_text = read(Path::new("a.txtpb"), TEXT.as_bytes()).expect("it is sound");
+    let list: ClusterLoadAssignment = text::parse(MESSAGE, TEXT).expect("it is sound");
+    let binary = read(Path::new("a.pb"), &list.encode_to_vec()).expect("it is sound");
+    for servers in [from_text, binary] {
+        assert_eq!(servers.len(), 1);
+        let entry = &servers[0].entry;
+        assert_eq!((entry.listed, entry.started), (Listed::Draining, Some(Micros(1_764_590_000_000_000))));
+    }
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let wrong = [
+        (TEXT.replace("8001", "80010"), "80010"),
+        (TEXT.replace("127.0.0.1", "farm.example"), "farm.example"),
+        (TEXT.replace("number_value: 1764590000000", "string_value: \"now\""), "started_ms"),
+        (TEXT.replace("DRAINING", "TIRED"), "TIRED"),
+    ];
+    for (text, place) in wrong {
+        let error = read(Path::new("a.txtpb"), text.as_bytes()).expect_err("it is wrong").to_string();
+        assert!(error.contains(place), "{error} names {place}");
+    }
+    assert!(read(Path::new("a.pb"), b"\xff\xff\xff").is_err());
+}
--- /dev/null
+++ b/crates/platform/src/config/tests.rs
@@ -0,0 +1,46 @@
+//! Tests of `config`.
+
+use super::*;
+
+fn file(settings: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","counter":"127.0.0.1:3","seed":"ff",
+            "limits":{{"cores":1.0,"memory_mb":32,"sockets":256}},
+            "known":{{"index":4,"snapshot":true,"endpoints":[{{"name":"s-1","address":"127.0.0.1:9","zone":"south hall",
+            "group":2,"status":"ready","weight":2.0,"since_ms":0}}]}},"settings":{settings}}}"#
+    )
+}
+const SETTINGS: &str = r#"{"balancers":3,"my_number":1,"tick":2000,"zone":"north hall","zones":["north hall","south hall"],
+        "bounds":{"max_attempts":6,"dial_timeout":250000,"conn_idle":30000000,"second_copies":true},
+        "classes":[{"name":"view","deadline":3000000,"effect":"pure","credit":2.0}],
+        "plans":[{"name":"mbegu","per_second":3.5,"peak_units":12.0}],"rules":{"cold":18000000}}"#;
+
+#[test]
+fn settings_are_read_under_the_names_of_the_drills_wire() {
+    let config = Config::parse(Path::new("c.json"), file(SETTINGS).as_bytes()).expect("it is sound");
+    let set = config.settings();
+    assert_eq!((set.gateways, set.me, set.max_attempts, set.second_copies), (3, 1, 6, true));
+    assert_eq!((set.plans[0].rate, set.classes[0].worth, set.cold.0), (3.5, 2.0, 18_000_000));
+    assert_eq!((config.seed, config.limits.sockets, config.idle), (255, 256, 30_000_000));
+    let known = config.known.as_ref().expect("the list is sound");
+    let zone = config.read.zones["south_hall"];
+    assert_eq!((known.index, known.servers[0].entry.zone.0), (4, zone));
+    assert_eq!(set.zone.0, config.read.zones["north_hall"]);
+}
+
+#[test]
+fn errors_name_the_field_and_what_was_expected() {
+    let load = |text: &str| Config::parse(Path::new("c.json"), text.as_bytes()).map(|_| ());
+    for (text, want) in [
+        ("{", "expected a configuration"),
+        (&file("{\"balancers\":\"x\"}"), "settings: balancers: expected a whole number, found 'x'"),
+        (&file("{\"balancers\":0}"), "settings: gateways: expected at least one"),
+        (&file(SETTINGS).replace("127.0.0.1:2", "nowhere"), "discovery: expected ip:port, found 'nowhere'"),
+        (&file(SETTINGS).replace("\"ff\"", "\"zz\""), "seed: expected hex digits"),
+    ] {
+        let error = load(text).expect_err(text).to_string();
+        assert!(error.contains(want), "{error}");
+    }
+    let missing = Config::load(Path::new("nowhere/c.json")).expect_err("there is no file");
+    assert!(missing.to_string().starts_with("nowhere/c.json: "), "{missing}");
+}
