--- a/crates/platform/src/shell.rs
+++ b/crates/platform/src/shell.rs
@@ -55,7 +55,7 @@
     #[error("cannot listen at {address}: {source}")]
     #[diagnostic(
         code(chalkdeck::platform::listen),
-        help("see whether another process is_listening there, and whether the address is this machine's")
+        help("see whether another process listens there, and whether the address is this machine's")
     )]
     Listen {
         /// The address.
