--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -1105,7 +1105,7 @@
         match class.effect {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
-            // The window counts from the first send that may have run; its repeat may have to wait for a connection.
+            // The window counts from the first send that may have run; a repeat may wait for its connection.
             Effect::Keyed => ran.all(|a| {
                 self.now + self.set.tick + self.set.tick + self.set.dial_timeout < a.sent + class.window
                     && self.servers.get(a.server).is_some_and(|first| match class.group {
