Testbed: parts that are down keep their ports, so that they always start again

Seen: a_short_bad_day_breaks_no_rule ended with an error once in some twenty runs beside other test suites; message not kept then. Cause: a killed cell or gateway is started again at its old address, and in the one to three seconds between the system gave the port to another process: "StartCell(0): ... expected a line 'ready ...'", in the part's log "Address already in use (os error 98)". Change: chalkdeck_net::ReservedPort, a bound socket that never listens, held for each port for the whole run; the error of a part that does not start shows the end of its log. Twins: servers that are down inside a cell, the platform gateways of the restart test, the counter of the kill test.

--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -1,6 +1,7 @@
 //! What stands round gateways of the platform: backends, counter and discovery, a thread a connection, on loopback sockets.
 
 use bytes::{Bytes, BytesMut};
+use chalkdeck_net::ReservedPort;
 use chalkdeck_resp::{take_command, MessageLimits, ParsedCommand};
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -113,6 +114,7 @@
 /// A gateway of the platform: its configuration, and the process that runs now.
 pub struct Gateway {
     pub listen: SocketAddr,
+    _port: ReservedPort,
     file: PathBuf,
     pub child: Child,
 }
@@ -120,10 +122,10 @@
 impl Gateway {
     /// Starts one and waits until it answers.
     pub fn start(number: usize, discovery: SocketAddr, counter: SocketAddr) -> Gateway {
-        // Taken and given back: the port has to be the same after a restart.
-        let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let listen = taken.local_addr().expect("its address");
-        drop(taken);
+        // The port has to be the same after a restart.
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let port = ReservedPort::reserve(any).expect("a free port");
+        let listen = port.address();
         let file = std::env::temp_dir().join(format!(
             "chalkdeck-restarts-{}-{number}",
             std::process::id()
@@ -143,6 +145,7 @@
         let child = Gateway::spawn(&file);
         let gateway = Gateway {
             listen,
+            _port: port,
             file,
             child,
         };
--- a/crates/counter/tests/kill.rs
+++ b/crates/counter/tests/kill.rs
@@ -6,7 +6,7 @@
 use chalkdeck_counter::recovery;
 use chalkdeck_counter::state::{CounterState, Limits as StateLimits, NameId};
 use chalkdeck_net::grpc::{self, Deframer};
-use chalkdeck_net::{ConnId, Engine, Event, Limits, StreamId};
+use chalkdeck_net::{ConnId, Engine, Event, Limits, ReservedPort, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
 use chalkdeck_wal::disk::Folder;
 use common::program::{temporary_folder, Program, ADDS_METHOD};
@@ -299,10 +299,12 @@
         .unwrap_or(DEFAULT_KILLS);
     let folder = temporary_folder("kill");
     let config = folder.join("counter.txtpb");
-    write_settings(&config, "127.0.0.1:0");
+    // The port has to be the same after each start.
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let port = ReservedPort::reserve(any).expect("a free port");
+    write_settings(&config, &port.address().to_string());
     let mut program = Program::start(&config);
     let address = program.parts[0];
-    write_settings(&config, &address.to_string());
     let mut fleet = Fleet::new(address);
     for _ in 0..kills {
         let increments = fleet.rng.usize(50..2_000);
--- a/crates/net/tests/listener.rs
+++ b/crates/net/tests/listener.rs
@@ -1,8 +1,8 @@
 //! A listener at its limit: connections that the system completed are always accepted.
 
-use chalkdeck_net::{ConnId, Engine, Event, Limits};
+use chalkdeck_net::{ConnId, Engine, Event, Limits, ReservedPort};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
@@ -55,3 +55,25 @@
     );
     assert!(TcpStream::connect(address).is_err(), "nobody listens");
 }
+
+#[test]
+fn reserved_port_is_refused_to_others_and_listened_on_as_often_as_needed() {
+    let reserved = ReservedPort::reserve(any()).expect("a free port");
+    let address = reserved.address();
+    for _ in 0..3 {
+        assert!(TcpStream::connect(address).is_err(), "nobody listens");
+        let mut engine = Engine::new().expect("a poll handle");
+        let (_, bound) = engine
+            .listen_raw(address, Limits::default())
+            .expect("its owner listens");
+        assert_eq!(bound, address);
+        TcpStream::connect(address).expect("a connection");
+    }
+    let others: Vec<TcpListener> = (0..2_000)
+        .map(|_| TcpListener::bind(any()).expect("a free port"))
+        .collect();
+    let is_taken = |other: &TcpListener| other.local_addr().expect("its address") == address;
+    assert!(!others.iter().any(is_taken), "nobody is given the port");
+    drop(reserved);
+    ReservedPort::reserve(address).expect("it is free again");
+}
--- a/crates/testbed/src/parts/process.rs
+++ b/crates/testbed/src/parts/process.rs
@@ -10,6 +10,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 
+/// Lines of a part's standard error that are shown where it does not start.
+const SHOWN_ERROR_LINES: usize = 3;
+
 /// How the parts of a run are started: this very program, with the arguments that lead to the lab's commands.
 #[derive(Clone, Debug)]
 pub struct Program {
@@ -37,8 +40,15 @@
 
 impl Process {
     /// Starts it and waits for its line of addresses. Its standard error goes to a file.
-    pub fn start(program: &Program, args: &[String], errors: &Path) -> anyhow::Result<Process> {
-        let errors = File::options().create(true).append(true).open(errors)?;
+    pub fn start(
+        program: &Program,
+        args: &[String],
+        errors_file: &Path,
+    ) -> anyhow::Result<Process> {
+        let errors = File::options()
+            .create(true)
+            .append(true)
+            .open(errors_file)?;
         let mut child = Command::new(&program.exe)
             .args(&program.before)
             .args(args)
@@ -55,9 +65,10 @@
             let _ = child.kill();
             let _ = child.wait();
             bail!(
-                "{}: expected a line 'ready ...', found '{}'",
+                "{}: expected a line 'ready ...', found '{}'; its last lines: {}",
                 args.join(" "),
-                line.trim()
+                line.trim(),
+                last_lines(errors_file)
             );
         };
         let pairs = rest.split_whitespace().filter_map(|p| p.split_once('='));
@@ -128,6 +139,14 @@
     }
 }
 
+/// The end of what a part wrote to its standard error.
+fn last_lines(errors_file: &Path) -> String {
+    let text = std::fs::read_to_string(errors_file).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    let first = lines.len().saturating_sub(SHOWN_ERROR_LINES);
+    lines[first..].join(" | ")
+}
+
 /// The first step of a part: logs, and an end with its parent where that is asked.
 pub fn begin(with_parent: bool) {
     logs::start("info", false);
--- a/crates/testbed/src/rig/counting.rs
+++ b/crates/testbed/src/rig/counting.rs
@@ -3,8 +3,10 @@
 use crate::parts::control;
 use crate::parts::process::begin;
 use crate::parts::process::{Process, Program};
+use crate::rig::fleet::{any, reserve};
 use anyhow::{bail, Context};
 use chalkdeck_net::signals::Signals;
+use chalkdeck_net::ReservedPort;
 use clap::Args;
 use rustix::process::Signal;
 use std::net::SocketAddr;
@@ -24,22 +26,21 @@
     dir: PathBuf,
     own: bool,
     process: Option<Process>,
-    address: SocketAddr,
-    control: SocketAddr,
+    listen: ReservedPort,
+    control: ReservedPort,
 }
 
 impl CounterPart {
     /// Starts it; `own`: the one that keeps its counts.
     pub fn start(program: &Program, dir: &Path, own: bool) -> anyhow::Result<CounterPart> {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let (program, dir) = (program.clone(), dir.to_path_buf());
         let mut part = CounterPart {
             program,
             dir,
             own,
             process: None,
-            address: any,
-            control: any,
+            listen: reserve(any())?,
+            control: reserve(any())?,
         };
         part.begin()?;
         Ok(part)
@@ -47,12 +48,13 @@
 
     /// Where gateways find it.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listen.address()
     }
 
     /// Starts it, again where it was before.
     pub fn begin(&mut self) -> anyhow::Result<()> {
-        let (listen, control) = (self.address.to_string(), self.control.to_string());
+        let listen = self.listen.address().to_string();
+        let control = self.control.address().to_string();
         let args = if self.own {
             let config = self.dir.join("counter.txtpb");
             let text = format!("listen: \"{listen}\"\nadmin: \"{control}\"\nfolder: \"counter\"\n");
@@ -64,8 +66,6 @@
                 .to_vec()
         };
         let process = Process::start(&self.program, &args, &self.dir.join("counter.log"))?;
-        self.address = process.address("grpc")?;
-        self.control = process.address(if self.own { "admin" } else { "control" })?;
         self.process = Some(process);
         Ok(())
     }
@@ -78,7 +78,7 @@
     /// A fault by the stand-in's commands. The project's own counter can only fall silent, and has its counts after that.
     pub fn fault(&self, query: &str) -> anyhow::Result<()> {
         if !self.own {
-            control::get(self.control, &format!("/set?{query}"))?;
+            control::get(self.control.address(), &format!("/set?{query}"))?;
             return Ok(());
         }
         let signal = match query.split('&').next() {
--- a/crates/testbed/src/rig/fleet.rs
+++ b/crates/testbed/src/rig/fleet.rs
@@ -9,6 +9,7 @@
 use crate::rig::keeping::KeeperPart;
 use anyhow::Context;
 use chalkdeck_net::clock::{monotonic, Clock};
+use chalkdeck_net::ReservedPort;
 use chalkdeck_proto::chalkdeck::config::v1 as config;
 use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use chalkdeck_proto::text;
@@ -16,17 +17,19 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// The ports of parts are reserved for the whole run: a part that is down may otherwise lose one to another process of the machine, and
+/// does not start again.
 struct CellPart {
     process: Option<Process>,
-    addresses: Vec<SocketAddr>,
-    control: SocketAddr,
+    servers: Vec<ReservedPort>,
+    control: ReservedPort,
     lives: u32,
 }
 
 struct GatewayPart {
     process: Option<Process>,
-    listen: SocketAddr,
-    admin: SocketAddr,
+    listen: ReservedPort,
+    admin: ReservedPort,
 }
 
 struct OnList {
@@ -75,11 +78,20 @@
     )
 }
 
-/// A free port on loopback.
+/// Any free port on loopback.
 pub fn any() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Reserves a port of a part.
+pub(crate) fn reserve(address: SocketAddr) -> anyhow::Result<ReservedPort> {
+    ReservedPort::reserve(address).with_context(|| format!("expected to reserve {address}"))
+}
+
+fn addresses_of(ports: &[ReservedPort]) -> Vec<SocketAddr> {
+    ports.iter().map(ReservedPort::address).collect()
+}
+
 impl Fleet {
     /// Starts all parts but the load. `dir` is made, and must hold no earlier run. `listen`: of the first gateway.
     pub fn start(
@@ -142,9 +154,9 @@
         }
         fleet.write_lists()?;
         for i in 0..fleet.day.gateways as usize {
-            let address = if i == 0 { listen } else { any() };
-            let process = fleet.gateway(i, address, any())?;
-            let (listen, admin) = (process.address("grpc")?, process.address("admin")?);
+            let listen = reserve(if i == 0 { listen } else { any() })?;
+            let admin = reserve(any())?;
+            let process = fleet.gateway(i, listen.address(), admin.address())?;
             fleet.gateways.push(GatewayPart {
                 process: Some(process),
                 listen,
@@ -177,12 +189,13 @@
     }
     pub fn gateways(&self) -> Vec<SocketAddr> {
         let at = |(i, g): (usize, &GatewayPart)| {
-            self.before.as_ref().map_or(g.listen, |b| b.target(0, i))
+            let direct = g.listen.address();
+            self.before.as_ref().map_or(direct, |b| b.target(0, i))
         };
         self.gateways.iter().enumerate().map(at).collect()
     }
     pub fn admin(&self, gateway: usize) -> SocketAddr {
-        self.gateways[gateway].admin
+        self.gateways[gateway].admin.address()
     }
     pub fn gateway_process(&self, gateway: usize) -> Option<&Process> {
         self.gateways[gateway].process.as_ref()
@@ -191,11 +204,20 @@
         self.list.iter().map(|s| s.address).collect()
     }
 
+    /// Where gateways find the counter, links aside.
+    pub fn counter(&self) -> SocketAddr {
+        self.counter.address()
+    }
+
     fn first_cell(&mut self, zone: usize) -> anyhow::Result<()> {
         let count = self.day.zones[zone].servers as usize;
-        let process = self.cell(zone, 0, &vec![any(); count], any())?;
-        let (addresses, control) = (process.addresses("servers")?, process.address("control")?);
-        for &address in &addresses {
+        let servers = (0..count)
+            .map(|_| reserve(any()))
+            .collect::<anyhow::Result<Vec<ReservedPort>>>()?;
+        let control = reserve(any())?;
+        let addresses = addresses_of(&servers);
+        let process = self.cell(zone, 0, &addresses, control.address())?;
+        for address in addresses {
             self.list.push(OnList {
                 address,
                 zone,
@@ -205,7 +227,7 @@
         }
         self.cells.push(CellPart {
             process: Some(process),
-            addresses,
+            servers,
             control,
             lives: 1,
         });
@@ -388,27 +410,27 @@
             Act::KillCounter => self.counter.kill(),
             Act::StartCounter => self.counter.begin()?,
             Act::Cell(zone, query) => drop(control::get(
-                self.cells[*zone].control,
+                self.cells[*zone].control.address(),
                 &format!("/set?{query}"),
             )?),
             Act::Server(server, query) => {
                 let zone = self.list[*server].zone;
                 let address = self.list[*server].address;
                 let place = self.cells[zone]
-                    .addresses
+                    .servers
                     .iter()
-                    .position(|a| *a == address)
+                    .position(|port| port.address() == address)
                     .unwrap_or(0);
                 control::get(
-                    self.cells[zone].control,
+                    self.cells[zone].control.address(),
                     &format!("/set?server={place}&{query}"),
                 )?;
             }
             Act::KillCell(zone) => self.cells[*zone].process = None,
             Act::StartCell(zone) => {
                 let cell = &self.cells[*zone];
-                let process =
-                    self.cell(*zone, cell.lives, &cell.addresses.clone(), cell.control)?;
+                let addresses = addresses_of(&cell.servers);
+                let process = self.cell(*zone, cell.lives, &addresses, cell.control.address())?;
                 self.cells[*zone].process = Some(process);
                 self.cells[*zone].lives += 1;
             }
@@ -431,8 +453,8 @@
                 self.gateways[*i].process = None;
             }
             Act::StartGateway(i) => {
-                let process =
-                    self.gateway(*i, self.gateways[*i].listen, self.gateways[*i].admin)?;
+                let GatewayPart { listen, admin, .. } = &self.gateways[*i];
+                let process = self.gateway(*i, listen.address(), admin.address())?;
                 self.gateways[*i].process = Some(process);
                 self.note("gateway_started", i);
             }
@@ -475,7 +497,7 @@
             Act::Operator(word, zone) => {
                 let name = self.day.zones[*zone].name.clone();
                 for gateway in self.gateways.iter().filter(|g| g.process.is_some()) {
-                    control::get(gateway.admin, &format!("/sites/{word}/{name}"))?;
+                    control::get(gateway.admin.address(), &format!("/sites/{word}/{name}"))?;
                 }
                 self.note(
                     if word == "let-back" {
--- a/crates/testbed/src/rig/links/relay.rs
+++ b/crates/testbed/src/rig/links/relay.rs
@@ -4,6 +4,7 @@
 use crate::rig::links::tcp::{Fate, Pair};
 use crate::rig::links::udp::Datagrams;
 use chalkdeck_net::clock::monotonic;
+use chalkdeck_net::ReservedPort;
 use mio::net::{TcpListener, UdpSocket};
 use mio::{Events, Interest, Poll, Token, Waker};
 use socket2::{Domain, SockRef, Socket, Type};
@@ -18,6 +19,8 @@
 const PAIRS: usize = 16_384;
 /// How soon one who refused is tried again, in microseconds.
 const TRY: u64 = 50_000;
+/// Connections that the system completes before they are accepted.
+const BACKLOG: i32 = 1_024;
 const WAKE: Token = Token(usize::MAX);
 /// Tokens: links, then pairs (two each), then the sockets behind datagrams.
 const PAIR_BASE: usize = 1 << 20;
@@ -42,7 +45,7 @@
 enum Socketed {
     /// The port is kept while nobody listens, so that connects are refused and nobody else takes it.
     Tcp {
-        kept: Socket,
+        kept: ReservedPort,
         listener: Option<TcpListener>,
     },
     Udp(Datagrams),
@@ -65,20 +68,13 @@
     rng: fastrand::Rng,
 }
 
-fn port(address: SocketAddr, listens: bool) -> io::Result<Socket> {
+fn listener(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
-    socket.set_reuse_port(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    if listens {
-        socket.listen(1_024)?;
-    }
-    Ok(socket)
-}
-
-fn listener(address: SocketAddr) -> io::Result<TcpListener> {
-    Ok(TcpListener::from_std(port(address, true)?.into()))
+    socket.listen(BACKLOG)?;
+    Ok(TcpListener::from_std(socket.into()))
 }
 
 fn any() -> SocketAddr {
@@ -93,11 +89,8 @@
         for (i, link) in links.into_iter().enumerate() {
             let (address, socket) = match link.wire {
                 Wire::Tcp => {
-                    let kept = port(any(), false)?;
-                    let address = kept
-                        .local_addr()?
-                        .as_socket()
-                        .ok_or_else(|| io::Error::other("expected an IP"))?;
+                    let kept = ReservedPort::reserve(any())?;
+                    let address = kept.address();
                     let mut listener = listener(address)?;
                     poll.registry()
                         .register(&mut listener, Token(i), Interest::READABLE)?;
@@ -316,11 +309,7 @@
             self.due.push(Reverse((monotonic() + TRY, link)));
             return Ok(());
         }
-        let address = kept
-            .local_addr()?
-            .as_socket()
-            .ok_or_else(|| io::Error::other("expected an IP"))?;
-        let mut new = listener(address)?;
+        let mut new = listener(kept.address())?;
         self.poll
             .registry()
             .register(&mut new, Token(link), Interest::READABLE)?;
--- a/crates/testbed/src/stand_ins/farm.rs
+++ b/crates/testbed/src/stand_ins/farm.rs
@@ -9,7 +9,7 @@
 use chalkdeck_net::clock::monotonic;
 use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::signals::Signals;
-use chalkdeck_net::{ConnId, Engine, Event, Limits, ListenerId, StreamId};
+use chalkdeck_net::{ConnId, Engine, Event, Limits, ListenerId, ReservedPort, StreamId};
 use chalkdeck_proto::chalkdeck::lab::v1::Day;
 use chalkdeck_proto::chalkdeck::lab::v1::Work;
 use clap::Args;
@@ -92,7 +92,8 @@
     engine: Engine,
     farm: Farm,
     servers: Vec<Server>,
-    addresses: Vec<SocketAddr>,
+    /// The servers' ports, which stay reserved while a server is down.
+    ports: Vec<ReservedPort>,
     control: SocketAddr,
     listener_of: HashMap<ListenerId, usize>,
     conns: HashMap<ConnId, usize>,
@@ -127,13 +128,13 @@
             ..Limits::default()
         };
         let control = engine.listen(control, Limits::default(), false, true)?.1;
-        let (mut servers, mut addresses, mut listener_of) =
-            (Vec::new(), Vec::new(), HashMap::new());
+        let (mut servers, mut ports, mut listener_of) = (Vec::new(), Vec::new(), HashMap::new());
         let now = monotonic();
         for address in listen {
-            let (listener, bound) = engine.listen(*address, limits, false, false)?;
+            let port = ReservedPort::reserve(*address)?;
+            let (listener, bound) = engine.listen(port.address(), limits, false, false)?;
+            ports.push(port);
             listener_of.insert(listener, servers.len());
-            addresses.push(bound);
             let model = Model::new(farm.build.clone(), now);
             servers.push(Server {
                 name: bound.to_string(),
@@ -147,7 +148,7 @@
             rng: fastrand::Rng::with_seed(farm.seed),
             farm,
             servers,
-            addresses,
+            ports,
             control,
             listener_of,
             conns: HashMap::new(),
@@ -159,8 +160,8 @@
             log,
         })
     }
-    pub fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.ports.iter().map(ReservedPort::address).collect()
     }
     pub fn control(&self) -> SocketAddr {
         self.control
@@ -459,10 +460,9 @@
                 connections: self.farm.connections,
                 ..Limits::default()
             };
-            let again = self
-                .engine
-                .listen(self.addresses[server], limits, false, false);
-            let (listener, _) = again.map_err(|e| format!("{}: {e}\n", self.addresses[server]))?;
+            let address = self.ports[server].address();
+            let again = self.engine.listen(address, limits, false, false);
+            let (listener, _) = again.map_err(|e| format!("{address}: {e}\n"))?;
             self.listener_of.insert(listener, server);
             let s = &mut self.servers[server];
             s.model = Model::new(self.farm.build.clone(), monotonic());
