The first answer of the counter no longer counts as a queue there

Seen: a caller that gave three of four units back was granted none to two instead of three, in 594 of 7,152 runs of units_are_reserved_and_the_true_figure_settled beside load (353 none, 27 one, 214 two). Cause: the usual time of the counter began at zero, so the first answer was compared with that: one after 7 ms (0.12 of a call's time) was a queue, and lowered the sample rate. Traced: in four failed runs of 585 with a trace the first answer had taken 7.2 to 7.7 ms, all later ones 1.3 to 1.6 ms, and the rate was 0.987 to 0.9998. Why it holds: without a usual time there is nothing to be later than; the next answer is compared with a measured one.

--- a/crates/policy/src/counter/sampling.rs
+++ b/crates/policy/src/counter/sampling.rs
@@ -31,8 +31,8 @@
     rate: f64,
     /// Smoothed value (priority weight times units) of the requests with a quota.
     usual_value: f64,
-    /// Seconds that the counter takes without a queue.
-    base_latency: f64,
+    /// Seconds that the counter takes without a queue; `None`: it has not answered yet.
+    base_latency: Option<f64>,
     /// When the rate was last reduced.
     reduced_at: Timestamp,
 }
@@ -43,7 +43,7 @@
         CounterSampler {
             rate: initial_rate(gateways),
             usual_value: 0.0,
-            base_latency: 0.0,
+            base_latency: None,
             reduced_at: Timestamp::ZERO,
         }
     }
@@ -88,8 +88,14 @@
         latency: TimeDelta,
         timeout: TimeDelta,
     ) {
-        let queueing = latency.as_secs_f64() - self.base_latency;
-        self.base_latency += if queueing < 0.0 || self.base_latency == 0.0 {
+        let latency = latency.as_secs_f64();
+        let Some(base_latency) = &mut self.base_latency else {
+            // There is no usual time yet that the first answer could be later than.
+            self.base_latency = Some(latency);
+            return;
+        };
+        let queueing = latency - *base_latency;
+        *base_latency += if queueing < 0.0 {
             queueing
         } else {
             // Slower answers move it little: it follows the fastest ones.
@@ -102,7 +108,8 @@
     /// usually takes: with the time-out taken for that, further failures would look like quick
     /// answers.
     pub(crate) fn observe_failure(&mut self, now: Timestamp, timeout: TimeDelta) {
-        self.adjust_rate(now, timeout.as_secs_f64() - self.base_latency, timeout);
+        let queueing = timeout.as_secs_f64() - self.base_latency.unwrap_or(0.0);
+        self.adjust_rate(now, queueing, timeout);
     }
 
     /// Raises the rate where calls do not queue, and reduces it where they do, once for calls that
--- /dev/null
+++ b/crates/policy/tests/late_counter_answers.rs
@@ -0,0 +1,103 @@
+//! What a caller is told when the counter's answers come late by a few milliseconds, as on a busy machine.
+mod common;
+use chalkdeck::api::*;
+use common::*;
+use std::collections::HashMap;
+
+const ADMISSION_ONLY: usize = 4;
+/// A plan of four units that takes minutes to fill again.
+const SLOW_PLAN: usize = 4;
+const SEEDS: u64 = 200;
+const QUICK: u64 = MS;
+
+/// One gateway and a counter that keeps its totals.
+struct Caller {
+    rig: Rig,
+    totals: HashMap<CounterKey, f64>,
+    /// Amounts that were added, in order.
+    added: Vec<f64>,
+}
+
+impl Caller {
+    fn new(seed: u64) -> Caller {
+        let mut set = Settings {
+            gateways: 1,
+            ..settings()
+        };
+        set.classes.push(Class {
+            admission_only: true,
+            ..class(Idempotency::NonIdempotent, KeyScope::All)
+        });
+        set.plans.push(plan(0.02, 4.0));
+        Caller {
+            rig: Rig::seeded(seed, set, 0),
+            totals: HashMap::new(),
+            added: Vec::new(),
+        }
+    }
+
+    /// Asks for units; the counter answers after `latency`, if it is called. Returns the request if it was granted.
+    fn ask(&mut self, customer: u64, units: f64, latency: u64) -> Option<RequestId> {
+        let (id, mut out) = self.rig.request(ADMISSION_ONLY, SLOW_PLAN, customer, units);
+        let calls = counter_calls(&out);
+        if !calls.is_empty() {
+            self.rig.advance(latency);
+        }
+        for (key, amount) in calls {
+            out.extend(self.answer(key, amount));
+        }
+        out.contains(&Action::Grant(id)).then_some(id)
+    }
+
+    fn answer(&mut self, key: CounterKey, amount: f64) -> Vec<Action> {
+        let total = self.totals.entry(key).or_default();
+        *total += amount;
+        let total = *total;
+        self.added.push(amount);
+        let outcome = Outcome::Ok;
+        self.rig.handle(Event::CounterReplied {
+            key,
+            outcome,
+            total,
+        })
+    }
+
+    /// Asks for single units until one is refused; the counter answers the calls after these times, then quickly.
+    fn use_up(&mut self, customer: u64, latencies: &[u64]) -> usize {
+        let mut latencies = latencies.iter();
+        let mut granted = 0;
+        loop {
+            let latency = *latencies.next().unwrap_or(&QUICK);
+            let Some(id) = self.ask(customer, 1.0, latency) else {
+                return granted;
+            };
+            // A plain ask holds nothing.
+            self.rig.handle(Event::ClientDisconnected(id));
+            granted += 1;
+        }
+    }
+
+    /// Reserves the whole quota, is refused one unit more, and gives three back.
+    fn reserve_and_settle(&mut self, customer: u64, latency: u64) {
+        let reserved = self.ask(customer, 4.0, latency).expect("the quota is full");
+        assert_eq!(self.use_up(customer, &[]), 0);
+        self.rig.handle(Event::UnitsSettled {
+            request: reserved,
+            units: 1.0,
+        });
+        self.rig.handle(Event::ClientDisconnected(reserved));
+    }
+}
+
+/// What happened: a caller that gave three of four units back was granted none, one or two more, in 594 of 7,152 runs of
+/// `units_are_reserved_and_the_true_figure_settled` beside load. Why: the first answer of the counter was compared with a usual time of
+/// zero, so one that came after 7 ms was taken for a queue at the counter, and only a part of the requests called it from there on. Shown by: a
+/// trace of the sample rate; in each failed run the first answer had taken 7.2 to 7.7 ms, and the rate was 0.987 to 0.9998 after it.
+#[test]
+fn first_answer_is_late_then_all_requests_call_the_counter() {
+    for seed in 0..SEEDS {
+        let mut caller = Caller::new(seed);
+        caller.reserve_and_settle(1, (10 + seed % 50) * MS);
+        assert_eq!(caller.use_up(1, &[]), 3, "seed {seed}: three came back");
+    }
+}
