An unsampled retry goes by a recent total of the counter, and is counted

Seen: the rest of units_are_reserved_and_the_true_figure_settled: a request was refused with two units of room that the counter had told a millisecond before. Cause: after a late answer few requests call the counter, and one that looks like a retry and is not sampled was rejected whatever was known, so that retries do not pass on an old belief. Change: it goes on if the last total of the window is no older than a call's time-out and has room, within the ceiling's share; its units are posted with the next call, and given back if it is never sent. Why it holds: a call made now could tell a total as old as its time-out, so the belief is no older than an answer may be; what is admitted is counted, unlike first requests that are not sampled.

--- a/crates/policy/src/engine/quota.rs
+++ b/crates/policy/src/engine/quota.rs
@@ -140,7 +140,11 @@
                 self.try_take_ceiling(customer, plan, beyond_window)
             }
             // A retry was rejected a moment ago, here or elsewhere: the counter must admit it.
-            _ if is_retry && !self.is_counter_unavailable(customer) => false,
+            _ if is_retry && !self.is_counter_unavailable(customer) => {
+                self.has_recent_room(customer, units)
+                    && self.try_take_ceiling(customer, plan, units)
+                    && self.count_later(id)
+            }
             CounterAnswer::NotSampled if !self.is_counter_unavailable(customer) => {
                 let was_over_quota = self.customers[&customer].was_over_quota(self.now);
                 !was_over_quota && self.try_take_ceiling(customer, plan, units)
@@ -152,6 +156,29 @@
         }
     }
 
+    /// Whether the customer has room by a total that is as recent as the answer to a call could be:
+    /// a call would tell the same.
+    fn has_recent_room(&self, customer: CustomerId, units: f64) -> bool {
+        let window = &self.customers[&customer].window;
+        let is_recent = window.is_total_recent(self.now, self.settings.counter_timeout);
+        is_recent && self.available_units(customer, window.known_total()) >= units
+    }
+
+    /// Counts a request that is admitted without a call: its units are posted with the next one.
+    /// Returns true.
+    fn count_later(&mut self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return true;
+        };
+        let units = request.incoming.units;
+        if let Some(customer) = self.customers.get_mut(&request.incoming.customer) {
+            customer.window.unposted += units;
+            let window = customer.window.index;
+            request.counted = Some(CountedUnits { window, units });
+        }
+        true
+    }
+
     /// Gives back what a request that was never sent had added to a window's count.
     pub(super) fn give_back(&mut self, customer_id: CustomerId, counted: CountedUnits) {
         self.roll_windows(customer_id);
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -76,6 +76,8 @@
     pub(crate) posting: f64,
     /// The last total that was answered.
     pub(crate) last_total: f64,
+    /// When it was answered; `None`: no total of this window is known.
+    pub(crate) answered_at: Option<Timestamp>,
     /// Units of the customer's token bucket when the total was `stored_at_total`, at `stored_at`.
     pub(crate) stored: f64,
     pub(crate) stored_at_total: f64,
@@ -100,6 +102,11 @@
         filled.min(plan.burst) - (total - self.stored_at_total)
     }
 
+    /// Whether the last total is as recent as the answer to a call could be.
+    pub(crate) fn is_total_recent(&self, now: Timestamp, timeout: TimeDelta) -> bool {
+        self.answered_at.is_some_and(|at| now < at + timeout)
+    }
+
     /// A call carries these unposted units.
     pub(crate) fn begin_posting(&mut self, units: f64) {
         self.unposted -= units;
@@ -127,6 +134,7 @@
     /// Takes a total that was answered now.
     pub(crate) fn observe_total(&mut self, now: Timestamp, total: f64, plan: &Plan) {
         self.last_total = total;
+        self.answered_at = Some(now);
         let known_total = self.known_total();
         self.stored = self.available(now, known_total, plan);
         self.stored_at_total = known_total;
--- a/crates/policy/tests/late_counter_answers.rs
+++ b/crates/policy/tests/late_counter_answers.rs
@@ -122,3 +122,40 @@
     }
     assert!(sampled > 20, "{sampled} retries were sampled");
 }
+
+/// What happened: as above, once in some two thousand runs after the causes above were gone. Why: after a late answer a request that looks
+/// like a retry and was not sampled was rejected, though that answer had just told that there is room. Shown by: one granted of three where
+/// the first of the three calls was answered late.
+#[test]
+fn unsampled_retry_goes_by_a_recent_total_and_is_counted() {
+    let late = 40 * MS;
+    let mut calls = 0;
+    for seed in 0..SEEDS {
+        let mut caller = Caller::new(seed);
+        caller.reserve_and_settle(1, QUICK);
+        caller.added.clear();
+        assert_eq!(caller.use_up(1, &[late; 3]), 3, "seed {seed}");
+        calls += caller.added.len();
+        assert_eq!(caller.use_up(1, &[]), 0, "seed {seed}: all are counted");
+    }
+    assert!(calls < 2 * SEEDS as usize, "few were sampled: {calls}");
+}
+
+#[test]
+fn unsampled_retry_is_rejected_by_an_older_total() {
+    let mut rejected = 0;
+    for seed in 0..SEEDS {
+        let mut caller = Caller::new(seed);
+        caller.reserve_and_settle(1, QUICK);
+        // Late answers of other customers' calls; then the total is older than a call's time.
+        for customer in 2..5 {
+            caller.ask(customer, 1.0, 40 * MS);
+        }
+        caller.rig.advance(80 * MS);
+        caller.added.clear();
+        let is_granted = caller.ask(1, 1.0, QUICK).is_some();
+        assert_eq!(is_granted, !caller.added.is_empty(), "seed {seed}");
+        rejected += u64::from(!is_granted);
+    }
+    assert!(rejected > SEEDS / 2, "few are sampled: {rejected}");
+}
