Simulated coordinator: the full disk is among the drawn faults

Change: 15 numbers; a number beyond is a fault of the test. All seeds draw other faults than before.

--- a/crates/coordinator/tests/simulated_faults.rs
+++ b/crates/coordinator/tests/simulated_faults.rs
@@ -52,7 +52,7 @@
             let end = (at + duration).min(FAULTS_END);
             let replica = self.rng.usize(..self.replica_count);
             let gateway = self.rng.usize(..self.gateway_count);
-            let kind = self.rng.u8(..14);
+            let kind = self.rng.u8(..15);
             // Alone: a disk that is lost while another replica is down may take a majority's promises along.
             if kind == 12 {
                 let end = (at + 4 * S).min(FAULTS_END);
@@ -85,7 +85,8 @@
             10 => self.add(at, Fault::KillGateway(gateway), end, start_gateway),
             11 => self.add(at, Fault::StopGateway(gateway), end, start_gateway),
             13 => self.flap_link(at, end, replica),
-            _ => self.add(at, Fault::FillDisk(replica), end, start_replica),
+            14 => self.add(at, Fault::FillDisk(replica), end, start_replica),
+            _ => unreachable!("kinds are drawn below 15"),
         }
     }
 
