Soak: worlds and faults drawn from seeds, played by processes, judged from outside

Cause: the list of known failures holds what happened to be seen; faults that overlap, signals in series and what is left after a fault were played by nothing. The audit knows gateways that ended as asked to: what they had accepted has its answer. Four further fault switches of the gRPC gateway (linger, leak, complain, shut), each of which a check finds in tests/soak.rs.

--- a/crates/grpc-gateway/src/call_flow/accept.rs
+++ b/crates/grpc-gateway/src/call_flow/accept.rs
@@ -3,9 +3,11 @@
 use crate::base::call_head::InvalidCall;
 use crate::call_head;
 use crate::calls::Call;
+use crate::fault::Fault;
 use crate::gateway_server::GatewayServer;
 use crate::request_buffer::RequestBuffer;
 use chalkdeck::api::RequestId;
+use chalkdeck_net::grpc::Code;
 use chalkdeck_net::{grpc, ConnId, StreamId};
 use http::request;
 
@@ -18,6 +20,12 @@
         head: &request::Parts,
         ended: bool,
     ) {
+        if self.fault == Some(Fault::Shut) && self.has_reloaded {
+            let trailers = grpc::trailers(Code::Unavailable, "fault injection");
+            return self
+                .engine
+                .respond(stream, grpc::trailers_only(trailers), true);
+        }
         let id = self.calls.next_id();
         let now = self.engine.now();
         let mut call_head = match call_head::parse(&self.settings, id, now, head) {
--- a/crates/grpc-gateway/src/call_flow/responses.rs
+++ b/crates/grpc-gateway/src/call_flow/responses.rs
@@ -3,7 +3,7 @@
 use crate::attempt_outcome::{self, AttemptEnd};
 use crate::calls::{BufferedResponse, ResponseState};
 use crate::endpoint_connections::AttemptId;
-use crate::fault::Fault;
+use crate::fault::{Fault, Leaked};
 use crate::gateway_server::{GatewayServer, TimerPurpose};
 use crate::metrics::CallEnd;
 use chalkdeck::api::{Event, Outcome, RequestId, TimeDelta};
@@ -97,6 +97,9 @@
         self.metrics.open_calls.dec();
         self.report_request_completed(class, end, TimeDelta::from_micros(duration));
         self.calls.remove_if_over(id);
+        if self.fault == Some(Fault::Leak) {
+            self.leaked.push(Leaked::new());
+        }
     }
 
     /// Sends the buffered response to the client. From here on bytes are forwarded as they are received.
--- a/crates/grpc-gateway/src/fault.rs
+++ b/crates/grpc-gateway/src/fault.rs
@@ -1,8 +1,27 @@
 //! Faults put into the carrying code at run time, so that an audit of what crosses the sockets can be seen to fail.
 
+use std::fs::File;
 use std::str::FromStr;
 
-/// One fault for each of the five rules.
+/// Memory that [`Fault::Leak`] leaves behind, in bytes.
+const LEAKED_BYTES: usize = 256 << 10;
+
+/// What [`Fault::Leak`] leaves behind of one call.
+pub(crate) struct Leaked {
+    _file: Option<File>,
+    _memory: Vec<u8>,
+}
+
+impl Leaked {
+    pub(crate) fn new() -> Leaked {
+        Leaked {
+            _file: File::open("/dev/null").ok(),
+            _memory: vec![1; LEAKED_BYTES],
+        }
+    }
+}
+
+/// One fault for each of the five rules, and for each further check of the soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// Some final answers are not sent.
@@ -15,6 +34,14 @@
     Cold,
     /// What is refused is sent on all the same.
     Ceiling,
+    /// A graceful shutdown never ends.
+    Linger,
+    /// Each call's end leaves a descriptor open and memory behind.
+    Leak,
+    /// Each reload is logged as an error.
+    Complain,
+    /// After a reload no more calls are admitted.
+    Shut,
 }
 
 impl FromStr for Fault {
@@ -26,9 +53,13 @@
             "drains" => Fault::Drains,
             "cold" => Fault::Cold,
             "ceiling" => Fault::Ceiling,
+            "linger" => Fault::Linger,
+            "leak" => Fault::Leak,
+            "complain" => Fault::Complain,
+            "shut" => Fault::Shut,
             _ => {
                 return Err(format!(
-                    "fault: expected lose, repeat, drains, cold or ceiling, found '{text}'"
+                    "fault: expected lose, repeat, drains, cold, ceiling, linger, leak, complain or shut, found '{text}'"
                 ))
             }
         })
--- a/crates/grpc-gateway/src/gateway_server/mod.rs
+++ b/crates/grpc-gateway/src/gateway_server/mod.rs
@@ -18,7 +18,7 @@
 use crate::coordinator_link::CoordinatorLink;
 use crate::counter_client::CounterClient;
 use crate::endpoint_connections::EndpointConnections;
-use crate::fault::Fault;
+use crate::fault::{Fault, Leaked};
 use crate::metrics::Metrics;
 use crate::request_queue::RequestQueue;
 use crate::resp::Resp;
@@ -57,6 +57,10 @@
     /// When a shutdown ends at the latest, by the loop's clock; `None`: none has begun.
     shutdown_deadline: Option<u64>,
     pub(crate) fault: Option<Fault>,
+    /// What [`Fault::Leak`] has left behind.
+    pub(crate) leaked: Vec<Leaked>,
+    /// Whether settings were reloaded, for [`Fault::Shut`].
+    pub(crate) has_reloaded: bool,
     /// Whether the timer of the next counter call's time-out is set.
     is_counter_timer_set: bool,
     /// The endpoint that gets all attempts under [`Fault::Cold`].
--- a/crates/grpc-gateway/src/gateway_server/reload.rs
+++ b/crates/grpc-gateway/src/gateway_server/reload.rs
@@ -2,6 +2,7 @@
 
 use super::GatewayServer;
 use crate::base::settings::Settings;
+use crate::fault::Fault;
 use chalkdeck_net::file_watch::FileWatch;
 
 impl GatewayServer {
@@ -26,6 +27,10 @@
             self.endpoint_file = FileWatch::new(new.endpoints.clone());
         }
         self.settings = new;
+        self.has_reloaded = true;
+        if self.fault == Some(Fault::Complain) {
+            tracing::error!("fault injection: reload logged as an error");
+        }
         tracing::info!("settings reloaded");
     }
 }
--- a/crates/grpc-gateway/src/gateway_server/shutdown.rs
+++ b/crates/grpc-gateway/src/gateway_server/shutdown.rs
@@ -2,6 +2,7 @@
 
 use super::event_loop::MAX_WAIT;
 use super::GatewayServer;
+use crate::fault::Fault;
 use chalkdeck_net::grpc::Code;
 use std::io;
 
@@ -30,6 +31,9 @@
     /// Whether a shutdown is complete: nothing is open and no client is left that could still open something, or the longest
     /// deadline has passed. Calls that a client opens before it has read that it must not are accepted and answered.
     pub fn is_shut_down(&self) -> bool {
+        if self.fault == Some(Fault::Linger) {
+            return false;
+        }
         self.shutdown_deadline
             .is_some_and(|deadline| self.engine.now() >= deadline || self.has_no_clients())
     }
--- a/crates/grpc-gateway/src/gateway_server/startup.rs
+++ b/crates/grpc-gateway/src/gateway_server/startup.rs
@@ -73,6 +73,8 @@
             events: Vec::new(),
             shutdown_deadline: None,
             fault: None,
+            leaked: Vec::new(),
+            has_reloaded: false,
             is_counter_timer_set: false,
             freshest: None,
             settings,
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -17,6 +17,7 @@
 use crate::rig::links::command::{self as links, LinksArgs};
 use crate::rig::replay::{self, ReplayArgs};
 use crate::rig::serve::{self, RelayArgs, ServeArgs};
+use crate::soak::{self, SoakArgs};
 use crate::stand_ins::counter::{self, CounterArgs};
 use crate::stand_ins::farm::{self, FarmArgs};
 use clap::{Parser, Subcommand};
@@ -74,6 +75,8 @@
     Flood(FloodArgs),
     /// Commands a second of the RESP front, beside ECHO on the same loop
     Asks(AsksArgs),
+    /// Worlds and faults drawn from seeds, judged by what clients and servers saw
+    Soak(SoakArgs),
     /// Calls a second and core, and added latency: straight, through a bare relay, through a gateway
     Measure(MeasureArgs),
 }
@@ -112,6 +115,7 @@
             Command::Returns(args) => returns::run(program, &args),
             Command::Sites(args) => sites::run(&program, &args),
             Command::Flood(args) => flood::run(&program, &args),
+            Command::Soak(args) => soak::command(&program, &args),
             Command::Measure(args) => gateway::run(program, &args),
             Command::Demo(args) => demo::run(program, args.port, args.seconds, args.no_load),
         }
--- a/crates/testbed/src/rig/fleet.rs
+++ b/crates/testbed/src/rig/fleet.rs
@@ -519,6 +519,18 @@
         Ok(())
     }
 
+    /// Whether a gateway that has ended did so with status 0; `None`: it runs, or was ended by the run. Noted for the audit.
+    pub fn gateway_exit(&mut self, gateway: usize) -> Option<bool> {
+        let process = self.gateways[gateway].process.as_mut()?;
+        if process.runs() {
+            return None;
+        }
+        let well = process.wait();
+        self.gateways[gateway].process = None;
+        self.note("gateway_ended", gateway);
+        Some(well)
+    }
+
     /// Stops the gateways by SIGTERM; whether all ended well.
     pub fn stop_gateways(&mut self) -> bool {
         let running: Vec<&mut Process> = self
--- a/crates/testbed/src/rig/serve.rs
+++ b/crates/testbed/src/rig/serve.rs
@@ -12,7 +12,7 @@
 pub struct ServeArgs {
     /// Settings, protobuf text of chalkdeck.config.v1.Gateway
     pub config: PathBuf,
-    /// A fault in the carrying code, to see an audit fail: lose, repeat, drains, cold, ceiling
+    /// A fault in the carrying code, to see a check fail: lose, repeat, drains, cold, ceiling, linger, leak, complain, shut
     #[arg(long, hide = true)]
     pub fault: Option<String>,
     #[arg(long, hide = true)]
