--- a/crates/testbed/src/rig/fleet.rs
+++ b/crates/testbed/src/rig/fleet.rs
@@ -1,9 +1,8 @@
 //! The processes of a day: gateways, counter, cells and load, and the acts that befall them.
 
-use crate::parts::control;
 use crate::parts::log::{Line, Log};
 use crate::parts::process::{Process, Program};
-use crate::parts::script::{of_clients, Act, Listed, MESSAGE};
+use crate::parts::script::{Listed, MESSAGE};
 use crate::rig::between::Between;
 use crate::rig::counting::CounterPart;
 use crate::rig::keeping::KeeperPart;
@@ -17,6 +16,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+mod acts;
+
 /// The ports of parts are reserved for the whole run: a part that is down may otherwise lose one to another process of the machine, and
 /// does not start again.
 struct CellPart {
@@ -382,143 +383,6 @@
         self.notes.flush();
     }
 
-    fn listed(&mut self, server: usize, listed: Listed) {
-        let now_ms = self.clock.now() / 1_000;
-        let entry = &mut self.list[server];
-        if listed == Listed::Fresh {
-            entry.started_ms = Some(now_ms);
-        }
-        entry.listed = if listed == Listed::Fresh {
-            Listed::Healthy
-        } else {
-            listed
-        };
-        let what = if entry.listed == Listed::Healthy {
-            "listed"
-        } else {
-            "unlisted"
-        };
-        let address = entry.address;
-        self.note(what, address);
-    }
-
-    /// Carries out one act of the script.
-    pub fn act(&mut self, act: &Act, load: Option<SocketAddr>) -> anyhow::Result<()> {
-        self.note("act", format!("{act:?}"));
-        match act {
-            Act::Counter(query) => self.counter.fault(query)?,
-            Act::KillCounter => self.counter.kill(),
-            Act::StartCounter => self.counter.begin()?,
-            Act::Cell(zone, query) => drop(control::get(
-                self.cells[*zone].control.address(),
-                &format!("/set?{query}"),
-            )?),
-            Act::Server(server, query) => {
-                let zone = self.list[*server].zone;
-                let address = self.list[*server].address;
-                let place = self.cells[zone]
-                    .servers
-                    .iter()
-                    .position(|port| port.address() == address)
-                    .unwrap_or(0);
-                control::get(
-                    self.cells[zone].control.address(),
-                    &format!("/set?server={place}&{query}"),
-                )?;
-            }
-            Act::KillCell(zone) => self.cells[*zone].process = None,
-            Act::StartCell(zone) => {
-                let cell = &self.cells[*zone];
-                let addresses = addresses_of(&cell.servers);
-                let process = self.cell(*zone, cell.lives, &addresses, cell.control.address())?;
-                self.cells[*zone].process = Some(process);
-                self.cells[*zone].lives += 1;
-            }
-            Act::ListCell(zone, listed) => {
-                let to = if *listed { Listed::Fresh } else { Listed::Gone };
-                for i in (0..self.list.len())
-                    .filter(|&i| self.list[i].zone == *zone)
-                    .collect::<Vec<_>>()
-                {
-                    self.listed(i, to);
-                }
-                self.write_lists()?;
-            }
-            Act::List(server, listed) => {
-                self.listed(*server, *listed);
-                self.write_lists()?;
-            }
-            Act::KillGateway(i) => {
-                self.note("gateway_killed", i);
-                self.gateways[*i].process = None;
-            }
-            Act::StartGateway(i) => {
-                let GatewayPart { listen, admin, .. } = &self.gateways[*i];
-                let process = self.gateway(*i, listen.address(), admin.address())?;
-                self.gateways[*i].process = Some(process);
-                self.note("gateway_started", i);
-            }
-            Act::Stall(i, stalled) => {
-                self.note(
-                    if *stalled {
-                        "gateway_stalled"
-                    } else {
-                        "gateway_resumed"
-                    },
-                    i,
-                );
-                let signal = if *stalled { Signal::STOP } else { Signal::CONT };
-                self.gateways[*i]
-                    .process
-                    .iter()
-                    .for_each(|p| p.signal(signal));
-            }
-            Act::StallCell(zone, stalled) => {
-                let signal = if *stalled { Signal::STOP } else { Signal::CONT };
-                self.cells[*zone]
-                    .process
-                    .iter()
-                    .for_each(|p| p.signal(signal));
-                self.note(if *stalled { "held_up" } else { "let_through" }, zone);
-            }
-            Act::Links(word) => {
-                let over = word.contains("cut=0") || word.contains("heal=1");
-                self.note(if over { "let_through" } else { "held_up" }, word);
-                let relay = if of_clients(word) {
-                    &self.before
-                } else {
-                    &self.between
-                };
-                let relay = relay
-                    .as_ref()
-                    .context("expected 'links: true' in the day")?;
-                control::get(relay.control(), &format!("/set?{word}"))?;
-            }
-            Act::Operator(word, zone) => {
-                let name = self.day.zones[*zone].name.clone();
-                for gateway in self.gateways.iter().filter(|g| g.process.is_some()) {
-                    control::get(gateway.admin.address(), &format!("/sites/{word}/{name}"))?;
-                }
-                self.note(
-                    if word == "let-back" {
-                        "site_let_back"
-                    } else {
-                        "site_held"
-                    },
-                    &name,
-                );
-            }
-            Act::Load(query) => {
-                if query.contains("reconnect") {
-                    self.note("clients_reconnect", "all");
-                }
-                let load = load.context("this load takes no commands")?;
-                control::get(load, &format!("/set?{query}"))?;
-            }
-        }
-        Ok(())
-    }
-
     /// Whether a gateway that has ended did so with status 0; `None`: it runs, or was ended by the run. Noted for the audit.
     pub fn gateway_exit(&mut self, gateway: usize) -> Option<bool> {
         let process = self.gateways[gateway].process.as_mut()?;
