--- a/crates/grpc-gateway/tests/resp.rs
+++ b/crates/grpc-gateway/tests/resp.rs
@@ -186,7 +186,7 @@
 
 /// Failed in 594 of 7,152 runs beside load until 2026-12-03, with none, one or two of three units: one late answer of the counter lowered
 /// the sample rate, and retries were rejected unsampled or counted too high (`docs/incidents/2026-12-03-late-counter-answers.md`). Since then 2 of
-/// 765 at a load of 16; suspected: an answer of the counter later than its time-out.
+/// 765 at a load of 16: a retry whose call to the counter times out is rejected.
 #[test]
 fn units_are_reserved_and_the_true_figure_settled() {
     let gateway = Running::start(FRONT);
