--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -8,13 +8,13 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-import tomllib
 import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -256,12 +256,14 @@
 
     async def start(self):
         self.write_config()
-        deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+        run = re.search(r'^run = "([^"]*)"', (ROOT / "deploy" / "balancer.toml").read_text(), re.MULTILINE)
+        if not run:
+            raise Cannot("the deploy file has no line that begins with run")
         environment = dict(os.environ, ROUTER_NAME=self.name, ROUTER_LISTEN=self.config["listen"],
                            ROUTER_DISCOVERY=self.config["discovery"], ROUTER_CONFIG=str(self.file),
                            TMPDIR=self.folder.name)
         log = open(pathlib.Path(self.folder.name) / "log.txt", "wb")
-        self.process = subprocess.Popen(["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+        self.process = subprocess.Popen(["/bin/sh", "-c", run[1]], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                         stdout=log, stderr=log)
         for _ in range(300):
             if self.process.poll() is not None:
