--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import pathlib
 import re
@@ -336,6 +337,26 @@
                        "probing": True, "retry_after": True, "second_copies": True},
             "specifics": {"counter": True, "count_fee": 0.005, "count_limit": 80000, "peer_in_per_s": 100.0, "units_top": 4},
             "report": {"via": "none"}},
+        "ruiru-campus": {
+            "classes": [
+                {"name": "load-save", "effect": "pure", "deadline": 4000000, "on_time": 1000000, "credit": 1.0,
+                 "key_scope": "all", "late_share": 0.0, "streaming": False, "window": 8000000},
+                {"name": "record-purchase", "effect": "token", "key_scope": "all", "deadline": 8000000, "on_time": 2500000,
+                 "credit": 3.0, "late_share": 0.0, "streaming": False, "window": 8000000}],
+            "plans": [
+                {"name": "starter", "per_second": 1.3, "peak_units": 6.0, "price": 0.72, "open": 0, "ceiling_rate": 0.0,
+                 "cap_depth": 0.0, "tolerance": 0.0, "excess_cost": 1.0, "extra_worth": 0.0},
+                {"name": "studio", "per_second": 4.2, "peak_units": 18.0, "price": 1.2, "open": 0, "ceiling_rate": 0.0,
+                 "cap_depth": 0.0, "tolerance": 0.0, "excess_cost": 1.2, "extra_worth": 0.0},
+                {"name": "publisher", "per_second": 17.0, "peak_units": 34.0, "price": 1.8, "open": 0, "ceiling_rate": 37.0,
+                 "cap_depth": 75.0, "tolerance": 7.5, "excess_cost": 0.6, "extra_worth": 0.0}],
+            "rules": {"answer_slack": 50000, "cold": 14000000, "cold_from": 0.17, "fall_multiple": 4.0,
+                      "must_ask_in": 10000000, "stop_sending_within": 1000000, "tip_after": 2000000},
+            "bounds": {"conn_idle": 30000000, "dial_timeout": 250000, "max_attempts": 3, "max_open": 20000,
+                       "max_retry_after": 2000000, "max_streams": 32, "may_cancel": True, "peer_messages": True,
+                       "probing": False, "retry_after": True, "second_copies": False},
+            "specifics": {"counter": True, "count_fee": 0.005, "count_limit": 80000, "peer_in_per_s": 60.0, "units_top": 4},
+            "report": {"via": "none"}},
         "thika-hosting": {
             "classes": [
                 {"name": "shamba-load", "effect": "pure", "deadline": 1500000, "on_time": 600000, "credit": 3.0,
@@ -386,6 +407,7 @@
     def interrupted(*_):
         raise Cannot("interrupted")
 
+    logging.disable(logging.WARNING)  # asyncio tells of writes to peers that have gone
     signal.signal(signal.SIGTERM, interrupted)
     signal.signal(signal.SIGINT, interrupted)
     # The loop is left open: the process ends here, and with it every stand-in.
