--- a/review/1/case.py
+++ b/review/1/case.py
@@ -40,6 +40,7 @@
         for _ in range(2):
             bad.append(subprocess.Popen([sys.executable, "-B", str(pathlib.Path(__file__).with_name("bad_clients.py")), config["listen"],
                                          str(BAD_CLIENTS // 2), str(LENGTH)], stdout=subprocess.PIPE, text=True))
+            s.children.append(bad[-1])
     stop = record.now() + LENGTH
 
     async def client(number):
@@ -77,14 +78,12 @@
                 connection = None
             await asyncio.sleep(0.1)
 
-    try:
-        await asyncio.gather(*(client(i) for i in range(CLIENTS)))
-    finally:
-        for process in bad:
-            try:
-                record.line("clients", process.communicate(timeout=10)[0].strip())
-            except subprocess.TimeoutExpired:
-                process.kill()
+    await asyncio.gather(*(client(i) for i in range(CLIENTS)))
+    for process in bad:
+        try:
+            record.line("clients", process.communicate(timeout=5)[0].strip())
+        except subprocess.TimeoutExpired:
+            process.kill()
     if not trouble and counts["served"] < 100:
         raise s.Cannot(f"hardly anything was served: {counts}")
     text = f"{len(lost)} requests were sent on to a backend and their connection closed with no answer; {len(foreign)} foreign values; others {counts}"
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -22,6 +22,9 @@
 HOST = "127.0.0.1"
 
 
+children = []  # processes of a case beside its gateways; they are killed with it
+
+
 class Cannot(Exception):
     """The case cannot run."""
 
@@ -404,12 +407,23 @@
     record.line("case", f"trouble {'on' if trouble else 'off'}")
     gateways = []
 
-    def interrupted(*_):
-        raise Cannot("interrupted")
+    def end_all():
+        for child in children:
+            if child.poll() is None:
+                child.kill()
+            child.wait()
+        for gateway in gateways:
+            gateway.end()
+
+    def interrupted(number, _frame):
+        end_all()
+        record.line("case", f"interrupted by {signal.Signals(number).name}; exit 2")
+        os._exit(2)
 
     logging.disable(logging.WARNING)  # asyncio tells of writes to peers that have gone
     signal.signal(signal.SIGTERM, interrupted)
     signal.signal(signal.SIGINT, interrupted)
+    signal.signal(signal.SIGHUP, interrupted)
     # The loop is left open: the process ends here, and with it every stand-in.
     loop = asyncio.new_event_loop()
     try:
@@ -420,8 +434,7 @@
     except BaseException:
         traceback.print_exc()
         text, code = "the case could not run: a fault of the test", 2
-    for gateway in gateways:
-        gateway.end()
+    end_all()
     record.line("case", f"{text}; exit {code}")
     print(text, flush=True)
     sys.stderr.flush()
