--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,93 +1,157 @@
-"""Bad clients fill the gateway's client connections. It closes usual clients' connections to make room, with their answers unsent."""
+"""A wing is cut off between an answer and its late second copy: later requests must still get their own values."""
 
 import asyncio
 import pathlib
-import subprocess
+import random
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-import standins as s  # noqa: E402
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "lib"))
+import network
+import standins
 
-SITE = "limuru-campus"
-MEMORY_MB, SOCKETS = 48, 256  # what the platform grants
-BAD_CLIENTS = 160
-CLIENTS = 12
-LENGTH = 20.0  # seconds with the disruption
+ZONES = ["east-wing", "west-wing", "back-wing"]
+CUT_ZONE = "west-wing"
+BACKENDS = 9
+GATEWAYS = 3
+CUSTOMERS = 48
+RATE = 36.0  # requests a second, all gateways together
+SECOND_COPY = 0.25  # the share of answers that come twice
+SECOND_COPY_LATE = 0.004  # s
+CUT = 5.5  # s; the site's page says 5.1 to 19 s
+CUTS = [12.0, 32.0, 52.0]
+END = 70.0
 
 
-async def play(record, trouble, gateways):
-    begun = {}
-
-    async def answer(command):
-        begun[command[2].decode()] = record.now()
-        await asyncio.sleep(0.02)
-        return b"value of " + command[2]
-
-    backends = [await s.Backend(record, f"s-{i}", "north-hall", i // 3, answer).start() for i in range(9)]
-    counter = await s.Counter(record).start()
-    discovery = await s.Discovery(record, quiet=True).start()
-    for backend in backends:
-        discovery.put(backend.entry())
-    config = s.config("n0", discovery.address, counter.address, discovery.whole(), s.settings(SITE), MEMORY_MB, SOCKETS)
-    gateway = s.Gateway(record, "n0", config)
-    gateways.append(gateway)
-    await gateway.start()
-    counts = {"served": 0, "refused": 0, "failed": 0, "shut unread": 0}
-    lost, foreign = [], []
-    bad = []
-    if trouble:
-        record.line("clients", f"{BAD_CLIENTS} bad clients begin")
-        for _ in range(2):
-            bad.append(subprocess.Popen([sys.executable, "-B", str(pathlib.Path(__file__).with_name("bad_clients.py")), config["listen"],
-                                         str(BAD_CLIENTS // 2), str(LENGTH)], stdout=subprocess.PIPE, text=True))
-            s.children.append(bad[-1])
-    stop = record.now() + LENGTH
-
-    async def client(number):
-        """Every other client opens a connection for each request; the others keep theirs, and send again what crossed its end."""
-        connection = None
-        for i in range(100000):
-            if record.now() > stop:
-                break
-            name = f"{number:08x}{i:08x}"
-            command = s.encode([b"API.READ", b"%016x" % (number * 100000 + i), name.encode(),
-                                b"c=shamba-view,t=mavuno,d=3000,units=1,spread=1,first=0"])
+class WingBackend(standins.Backend):
+    """Answers with a value that names the request. Some answers come a second time some milliseconds later, where nothing else waits
+    on the connection by then."""
+
+    trouble = False
+    link = None
+    cut_now = None  # called between an answer and its second copy, once
+
+    async def serve(self, reader, writer):
+        waiting = None
+        while True:
+            command = await (waiting or standins.read_frame(reader))
+            waiting = None
+            word = command[0].upper()
+            if word not in (b"API.READ", b"API.WRITE"):
+                writer.write(b"+PONG\r\n" if word == b"PING" else b"+OK\r\n")
+                continue
+            number = command[2].decode()
+            self.record.line(self.name, f"begins {number} {command[3].decode()}")
+            mean = 0.325 if word == b"API.WRITE" else 0.15
+            await asyncio.sleep(mean * random.uniform(0.7, 1.3))
+            value = b"made for " + command[2] + b" by " + self.name.encode()
+            answer = b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
+            writer.write(answer)
+            await writer.drain()
+            self.record.line(self.name, f"answers {number}")
+            is_last_before_cut = self.cut_now is not None
+            if not (self.trouble and (is_last_before_cut or random.random() < SECOND_COPY)):
+                continue
+            waiting = asyncio.ensure_future(standins.read_frame(reader))
             try:
-                if connection is None:
-                    connection = await asyncio.wait_for(s.Client(record, f"c{number}").connect(config["listen"]), 4)
-                record.line(f"c{number}", f"sends {name}")
-                connection.send(command)
-                frame = await connection.answer(4)
-                kind = "served" if isinstance(frame, bytes) else "refused" if frame[1].startswith(b"BUSY") else "failed"
-                if kind == "served" and frame != b"value of " + name.encode():
-                    foreign.append(name)
-                record.line(f"c{number}", f"{name} {kind}")
-            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as error:
-                connection = None
-                if name in begun:
-                    kind = None
-                    lost.append(name)
-                    record.line(f"c{number}", f"{name} LOST: a backend began it at {begun[name]:.3f} s, no answer came: {type(error).__name__}")
-                else:
-                    kind = "shut unread"
-                    record.line(f"c{number}", f"{name} not begun by any backend, no answer came: {type(error).__name__}")
-            if kind:
-                counts[kind] += 1
-            if number % 2 and connection:
-                connection.close()
-                connection = None
-            await asyncio.sleep(0.1)
-
-    await asyncio.gather(*(client(i) for i in range(CLIENTS)))
-    for process in bad:
+                await asyncio.sleep(SECOND_COPY_LATE - 0.001)
+                if is_last_before_cut and self.cut_now and not waiting.done():
+                    cut, self.cut_now = self.cut_now, None
+                    cut()
+                await asyncio.sleep(0.001)
+                if not waiting.done():
+                    writer.write(answer)
+                    self.record.line(self.name, f"sends a second copy of the answer to {number}")
+            except BaseException:
+                waiting.cancel()
+                raise
+
+
+async def play(record, trouble, gateways):
+    standins_settings = dict(zone="east-wing", zones=ZONES, kinds=["four-core"])
+    backends, links = [], []
+    discovery = await standins.Discovery(record, quiet=True).start()
+    counter = await standins.Counter(record).start()
+    for index in range(BACKENDS):
+        backend = WingBackend(record, f"s-{index}", ZONES[index % 3], index // 3, None)
+        backend.trouble = trouble
+        await backend.start()
+        link = await network.Link(record, f"the link to {backend.name}", backend.address).start()
+        backend.link = link
+        backends.append(backend)
+        links.append(link)
+        discovery.put(dict(backend.entry(), address=link.address, type="four-core"))
+    for index in range(GATEWAYS):
+        settings = standins.settings("ruiru-campus", GATEWAYS, index, **standins_settings)
+        settings["zone"] = ["east-wing", "back-wing", "east-wing"][index]  # none stands in the wing that is cut off
+        config = standins.config(f"n{index}", discovery.address, counter.address, discovery.whole(), settings)
+        gateway = standins.Gateway(record, f"n{index}", config)
+        gateways.append(gateway)
+        await gateway.start()
+
+    front = network.Front(record, quiet=False)
+    wing = [backend for backend in backends if backend.zone == CUT_ZONE]
+    state = {"cuts": 0, "until": 0.0}
+
+    async def cut_wing(at):
+        await asyncio.sleep(max(at - record.now(), 0))
+        happened = asyncio.Event()
+
+        def cut():
+            for backend in wing:
+                backend.cut_now = None
+                backend.link.cut()
+            state["until"] = record.now() + CUT
+            happened.set()
+
+        for backend in wing:
+            backend.cut_now = cut
         try:
-            record.line("clients", process.communicate(timeout=5)[0].strip())
-        except subprocess.TimeoutExpired:
-            process.kill()
-    if not trouble and counts["served"] < 100:
-        raise s.Cannot(f"hardly anything was served: {counts}")
-    text = f"{len(lost)} requests were sent on to a backend and their connection closed with no answer; {len(foreign)} foreign values; others {counts}"
-    return not lost and not foreign, text
+            await asyncio.wait_for(happened.wait(), 10)
+        except asyncio.TimeoutError:
+            for backend in wing:
+                backend.cut_now = None
+            return  # no answer to cut behind
+        state["cuts"] += 1
+        await asyncio.sleep(CUT)
+        for backend in wing:
+            backend.link.heal()
+
+    async def one(number):
+        customer = random.randrange(CUSTOMERS)
+        first, spread = customer % GATEWAYS, 2
+        address = gateways[(first + random.randrange(spread)) % GATEWAYS].config["listen"]
+        identity = network.new_id()
+        is_write = random.random() < 0.38 or record.now() < state["until"] - CUT + 1.5
+        if is_write:
+            deadline = 8000
+            command = network.request("API.WRITE", customer, identity, b"buy", c="record-purchase", t="studio", d=deadline,
+                                      k=network.new_id(), units=1, spread=spread, first=first)
+        else:
+            deadline = 4000
+            command = network.request("API.READ", customer, identity, c="load-save", t="studio", d=deadline, units=1, spread=spread,
+                                      first=first)
+        await front.ask(address, command, identity, "record-purchase" if is_write else "load-save", deadline / 1000 + 1)
+
+    start = record.now()
+    tasks = [asyncio.ensure_future(cut_wing(start + at)) for at in CUTS] if trouble else []
+    calls = []
+    while record.now() < start + END:
+        calls.append(asyncio.ensure_future(one(len(calls))))
+        await asyncio.sleep(random.expovariate(RATE))
+    await asyncio.gather(*calls)
+    for task in tasks:
+        await task
+
+    foreign = [a for a in front.answers if isinstance(a.frame, bytes) and f"made for {a.id} ".encode() not in a.frame]
+    served = sum(isinstance(a.frame, bytes) for a in front.answers)
+    for a in foreign:
+        record.line("check", f"{a.kind} {a.id} got {a.frame!r}")
+    if trouble and not state["cuts"]:
+        raise standins.Cannot("no answer to cut behind")
+    if served < 0.3 * len(front.answers):
+        raise standins.Cannot(f"only {served} of {len(front.answers)} requests were served")
+    return not foreign, f"{len(front.answers)} requests, {served} served, {len(foreign)} of them with a value made for another request"
 
 
-s.main(pathlib.Path(__file__).parent, play)
+standins.main(HERE, play)
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -88,6 +88,9 @@
         self.connections = set()
 
     async def start(self, **options):
+        return await self.start_at(0, **options)
+
+    async def start_at(self, port, **options):
         async def run(reader, writer):
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -100,7 +103,7 @@
                 self.connections.discard(writer)
                 writer.close()
 
-        self.server = await asyncio.start_server(run, HOST, 0, limit=1 << 20, **options)
+        self.server = await asyncio.start_server(run, HOST, port, limit=1 << 20, **options)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
         return self
 
