--- a/review/3/bad_clients.py
+++ b/review/1/bad_clients.py
@@ -1,4 +1,5 @@
-"""Bad clients of DAYS.md: each sends a value of 60 MB at full speed, reads whatever it is sent, and comes again once it is turned away.
+"""Bad clients of DAYS.md. Half of them send a value of 60 MB at full speed, the others a line that can't be read; all read whatever they
+are sent, and come again as soon as they are turned away.
 
 Arguments: host, port, number of clients, seconds.
 """
@@ -9,15 +10,17 @@
 import time
 
 HEAD = b"*1\r\n$62914560\r\n"
+NOISE = b"\x07\x00what is this?\r\n"
 CHUNK = b"x" * 65536
 
 
 class BadClient:
-    def __init__(self, address):
+    def __init__(self, address, is_big):
+        self.is_big = is_big
         self.socket = socket.socket()
         self.socket.setblocking(False)
         self.socket.connect_ex(address)
-        self.head, self.left = HEAD, 60 << 20
+        self.head, self.left = (HEAD, 60 << 20) if is_big else (NOISE, 0)
 
     def write(self):
         if self.head:
@@ -28,12 +31,12 @@
 
 def main(host, port, count, seconds):
     address = (host, int(port))
-    clients = [BadClient(address) for _ in range(int(count))]
+    clients = [BadClient(address, index % 2 == 0) for index in range(int(count))]
     until = time.monotonic() + float(seconds)
     errors = ends = 0
     while time.monotonic() < until:
         by_socket = {client.socket: client for client in clients}
-        readable, writable, _ = select.select(list(by_socket), [s for s, c in by_socket.items() if c.left], [], 0.05)
+        readable, writable, _ = select.select(list(by_socket), [s for s, c in by_socket.items() if c.head or c.left], [], 0.05)
         gone = set()
         for sock in writable:
             try:
@@ -55,7 +58,8 @@
         for sock in gone:
             sock.close()
             ends += 1
-            clients[clients.index(by_socket[sock])] = BadClient(address)
+            client = by_socket[sock]
+            clients[clients.index(client)] = BadClient(address, client.is_big)
     print(f"{errors} errors read, {ends} times turned away")
 
 
