Log a client connection that is closed with unwritten bytes

Change: the event reports what was really unsent, and a client connection that closes with unwritten bytes is logged with their number and the reason. The state Closed of a transport has no use any more.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -36,7 +36,6 @@
     Server(Box<h2::server::Connection<H2Socket, Bytes>>),
     Http1(Http1),
     Plain(PlainConnection),
-    Closed,
 }
 
 /// The protocol of a connection.
@@ -250,7 +249,6 @@
                 },
                 PlainProgress::Closed(reason) => Progress::Closed(reason),
             }),
-            Transport::Closed => Some(Progress::Wait),
         }
     }
 
--- a/crates/net/src/engine/connections.rs
+++ b/crates/net/src/engine/connections.rs
@@ -88,12 +88,10 @@
         let Some(connection) = self.connections.get_mut(&conn.0) else {
             return;
         };
-        match &mut connection.transport {
-            Transport::Server(server) => server.abrupt_shutdown(reason),
-            transport => *transport = Transport::Closed,
-        }
-        connection.waker.wake_by_ref();
-        if matches!(connection.transport, Transport::Closed) {
+        if let Transport::Server(server) = &mut connection.transport {
+            server.abrupt_shutdown(reason);
+            connection.waker.wake_by_ref();
+        } else {
             self.remove_connection(conn.0, CloseReason::ClosedLocally);
         }
     }
@@ -202,10 +200,14 @@
         if let Some(listener_key) = connection.listener {
             self.on_accepted_connection_closed(listener_key);
         }
+        let unsent_bytes = connection.unsent_bytes();
+        if connection.listener.is_some() && unsent_bytes > 0 {
+            tracing::info!(conn = key, unsent_bytes, %reason, "client connection closed with unwritten bytes");
+        }
         self.events.push_back(Event::Closed {
             conn: ConnId(key),
             was_established: connection.was_established,
-            unsent_bytes: connection.unsent_bytes(),
+            unsent_bytes,
             reason,
         });
     }
