RESP port of the gRPC gateway: QUIT is answered, and so is what was sent before it

What callers saw: a client that sends QUIT gets no answer, and the replies to the commands of the same read are not sent either; the connection stays open.

Cause: execute_resp_command marks the session as read_closed; the loop over the commands then returned at its head, before the replies are sent and the close begins.

Change: the loop ends there, so that what is due is sent. What arrives behind the last command is dropped, not kept in the buffer.

--- a/crates/grpc-gateway/src/resp/mod.rs
+++ b/crates/grpc-gateway/src/resp/mod.rs
@@ -8,7 +8,7 @@
 
 pub use crate::base::settings::RespSettings;
 use crate::gateway_server::{GatewayServer, TimerPurpose};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chalkdeck::api::{ClassId, CustomerId, Event, IncomingRequest, PlanId, RequestId, Timestamp};
 use chalkdeck_net::{ConnId, Engine, Limits, ListenerId};
 use chalkdeck_resp::{take_command, ParsedCommand, ReplySlot};
@@ -122,7 +122,7 @@
     pub(crate) fn on_resp_bytes(&mut self, conn: ConnId, data: &Bytes) {
         let now = self.engine.now();
         self.engine.mark_handled(conn);
-        let Some(session) = self.resp_session(conn) else {
+        let Some(session) = self.resp_session(conn).filter(|s| !s.is_read_closed) else {
             return;
         };
         session.bytes.extend_from_slice(data);
@@ -142,7 +142,7 @@
                 return;
             };
             if session.is_read_closed {
-                return;
+                break;
             }
             if session.pending_replies() >= MAX_PENDING_COMMANDS || unsent > MAX_UNSENT_BYTES {
                 session.is_paused = true;
@@ -176,6 +176,7 @@
         if let Some(session) = self.resp_session(conn) {
             session.push_reply(reply);
             session.is_read_closed = true;
+            session.bytes = BytesMut::new();
         }
     }
 
--- a/crates/grpc-gateway/tests/resp.rs
+++ b/crates/grpc-gateway/tests/resp.rs
@@ -379,3 +379,18 @@
         assert_eq!(received, b"+PONG\r\n".repeat(count), "{count} commands");
     }
 }
+
+/// Guards against a `QUIT` that stops the reading and the sending of what is due.
+#[test]
+fn quit_is_answered_behind_the_replies_before_it() {
+    let gateway = RunningGateway::start(RESP_AND_PLANS);
+    let mut client = gateway.connect_raw();
+    client
+        .write_all(b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nQUIT\r\n")
+        .expect("the commands are sent");
+    let mut received = Vec::new();
+    client
+        .read_to_end(&mut received)
+        .expect("the replies and the end");
+    assert_eq!(received, b"+PONG\r\n+OK\r\n");
+}
