net: a lingering close waits for the last byte, and the event loop bounds it

What callers saw: a client of the platform's port that reads long replies slowly loses the rest of them 2 s after a protocol error or QUIT. A client of the gRPC gateway's RESP port that has sent something behind its last command gets a reset, and what the kernel still held for it is gone.

Cause: each front ended connections on its own. The platform's counted the time to read the last replies from when they were queued, and closed with replies in the write buffer; the RESP port closed as soon as its buffer was empty, over unread input, which resets the connection.

Change: start_lingering_close in net keeps the promise for both. A close at once still writes what the socket takes, on accepted connections only: what is queued for an endpoint or the counter must not run once it was given up. The idle time of a client counts from when it accepted the last byte.

--- a/crates/grpc-gateway/src/resp/mod.rs
+++ b/crates/grpc-gateway/src/resp/mod.rs
@@ -450,7 +450,7 @@
             self.engine.write(conn, &bytes);
         }
         if is_finished {
-            return self.engine.close_after_flush(conn);
+            return self.engine.start_lingering_close(conn);
         }
         self.engine.set_read_paused(conn, is_paused);
         let unsent = self.engine.unsent_bytes(conn);
--- a/crates/grpc-gateway/tests/resp.rs
+++ b/crates/grpc-gateway/tests/resp.rs
@@ -394,3 +394,34 @@
         .expect("the replies and the end");
     assert_eq!(received, b"+PONG\r\n+OK\r\n");
 }
+
+/// Guards against a close over unread input, which resets the connection: replies that the client has not received yet go with it.
+#[test]
+fn client_sends_more_behind_its_last_command_then_all_replies_received() {
+    let received = pipeline_hello_and_quit(30_000, Duration::ZERO);
+    assert_eq!(received, 30_000);
+}
+
+/// Sends `count` `HELLO`s, a `QUIT` and more behind it, begins to read after `delay` and returns the number of replies to `HELLO`.
+fn pipeline_hello_and_quit(count: usize, delay: Duration) -> usize {
+    const REPLY_START: &[u8] = b"*10\r\n";
+    let gateway = RunningGateway::start(RESP_AND_PLANS);
+    let mut client = gateway.connect_raw();
+    let mut sender = client.try_clone().expect("a socket");
+    let sending = std::thread::spawn(move || {
+        let mut commands = b"*1\r\n$5\r\nHELLO\r\n".repeat(count);
+        commands.extend_from_slice(b"*1\r\n$4\r\nQUIT\r\n");
+        sender.write_all(&commands).expect("the commands are sent");
+        // The gateway discards this, and the client does not mind whether it can be sent.
+        let _ = sender.write_all(&[b'x'; 64 << 10]);
+    });
+    std::thread::sleep(delay);
+    let mut received = Vec::new();
+    client
+        .read_to_end(&mut received)
+        .unwrap_or_else(|error| panic!("{error} after {} bytes", received.len()));
+    sending.join().expect("no panic");
+    assert!(received.ends_with(b"+OK\r\n"), "the last reply is missing");
+    let starts = received.windows(REPLY_START.len());
+    starts.filter(|bytes| *bytes == REPLY_START).count()
+}
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -177,6 +177,14 @@
         }
     }
 
+    /// Writes what is queued on an accepted plain connection, as far as its socket accepts it.
+    pub(crate) fn flush_if_accepted(&mut self) {
+        if let (Transport::Plain(plain), Some(_)) = (&mut self.transport, self.listener) {
+            // The connection ends in any case; its unsent bytes tell what was not written.
+            let _ = plain.flush();
+        }
+    }
+
     /// Sends GOAWAY, so that the client opens no new streams. During the handshake, it is sent as soon as that is over.
     pub(crate) fn drain(&mut self) {
         self.is_draining = true;
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -5,6 +5,7 @@
 //! here: the caller limits them with the help of `Event::Sent`.
 
 mod connections;
+mod lingering;
 mod listeners;
 mod plain;
 mod streams;
@@ -55,6 +56,8 @@
     timers: BinaryHeap<Scheduled>,
     /// The times of the next keepalive pings, by connection.
     pings: BinaryHeap<Scheduled>,
+    /// The times of the next checks of lingering closes, by connection.
+    lingering_checks: BinaryHeap<Scheduled>,
     /// Events that `turn` has not returned yet.
     events: VecDeque<Event>,
     /// The number of streams that clients opened in this turn.
@@ -94,6 +97,7 @@
             streams: FxHashMap::default(),
             timers: BinaryHeap::new(),
             pings: BinaryHeap::new(),
+            lingering_checks: BinaryHeap::new(),
             events: VecDeque::new(),
             opened_in_turn: 0,
             accepting_listeners: Vec::new(),
@@ -149,9 +153,10 @@
     fn wait(&mut self, max_wait_micros: u64) -> io::Result<()> {
         let is_idle =
             self.ready.is_empty() && self.events.is_empty() && self.accepting_listeners.is_empty();
-        let next = [self.timers.peek(), self.pings.peek()]
-            .into_iter()
-            .flatten()
+        let scheduled = [&self.timers, &self.pings, &self.lingering_checks];
+        let next = scheduled
+            .iter()
+            .filter_map(|heap| heap.peek())
             .map(|Reverse((at, _))| *at)
             .min();
         let until_next = next.map_or(max_wait_micros, |at| at.saturating_sub(self.now()));
@@ -228,5 +233,6 @@
             self.events.push_back(Event::Timer(token));
         }
         self.send_pings(now);
+        self.check_lingering_closes(now);
     }
 }
--- a/crates/net/src/engine/connections.rs
+++ b/crates/net/src/engine/connections.rs
@@ -79,7 +79,9 @@
         }
     }
 
-    /// Closes a connection at once.
+    /// Closes a connection at once. Bytes that are queued on an accepted plain connection are written as far as its socket accepts
+    /// them without waiting; see `close_if_idle` and `start_lingering_close` for closes that lose none. Bytes that are queued on a
+    /// connection that this process opened are discarded, so that the peer cannot process what the caller gives up.
     pub fn close(&mut self, conn: ConnId) {
         self.close_with_reason(conn, h2::Reason::NO_ERROR);
     }
@@ -194,9 +196,10 @@
     }
 
     pub(super) fn remove_connection(&mut self, key: u64, reason: CloseReason) {
-        let Some(connection) = self.connections.remove(&key) else {
+        let Some(mut connection) = self.connections.remove(&key) else {
             return;
         };
+        connection.flush_if_accepted();
         if let Some(listener_key) = connection.listener {
             self.on_accepted_connection_closed(listener_key);
         }
--- a/crates/net/src/engine/plain.rs
+++ b/crates/net/src/engine/plain.rs
@@ -3,11 +3,11 @@
 use super::Engine;
 use crate::connection::{Connection, Transport};
 use crate::ids::ConnId;
-use crate::plain_connection::{Ending, PlainConnection};
+use crate::plain_connection::PlainConnection;
 use std::task::Waker;
 
 impl Engine {
-    fn plain(&mut self, conn: ConnId) -> Option<(&mut PlainConnection, &Waker)> {
+    pub(super) fn plain(&mut self, conn: ConnId) -> Option<(&mut PlainConnection, &Waker)> {
         match self.connections.get_mut(&conn.0) {
             Some(Connection {
                 transport: Transport::Plain(plain),
@@ -49,25 +49,6 @@
         }
     }
 
-    /// Closes a plain connection once its queued bytes are written.
-    pub fn close_after_flush(&mut self, conn: ConnId) {
-        self.set_ending(conn, Ending::Close);
-    }
-
-    /// Shuts down the write side of a plain connection once its queued bytes are written, then discards input until the peer
-    /// closes it or `close` is called. Closing with unread input would reset the connection, and the peer could lose the last
-    /// reply.
-    pub fn start_lingering_close(&mut self, conn: ConnId) {
-        self.set_ending(conn, Ending::Linger);
-    }
-
-    fn set_ending(&mut self, conn: ConnId, ending: Ending) {
-        if let Some((plain, waker)) = self.plain(conn) {
-            plain.ending = ending;
-            waker.wake_by_ref();
-        }
-    }
-
     /// Marks the bytes that the last turn reported for a plain connection as handled.
     pub fn mark_handled(&mut self, conn: ConnId) {
         self.unhandled.remove(&conn.0);
@@ -80,12 +61,16 @@
             && self.plain(conn).is_some_and(|(plain, _)| plain.is_idle())
     }
 
+    /// Writes what is queued on a plain connection, as far as its socket accepts it without waiting; returns whether the connection is
+    /// open and nothing is left to write.
+    pub fn flush(&mut self, conn: ConnId) -> bool {
+        self.plain(conn)
+            .is_some_and(|(plain, _)| plain.flush().is_ok() && plain.unsent_bytes() == 0)
+    }
+
     /// Closes a plain connection that has nothing to read or to write; returns whether it did.
     pub fn close_if_idle(&mut self, conn: ConnId) -> bool {
-        let is_idle = self.is_idle(conn)
-            && self
-                .plain(conn)
-                .is_some_and(|(plain, _)| plain.flush().is_ok() && plain.unsent_bytes() == 0);
+        let is_idle = self.is_idle(conn) && self.flush(conn);
         if is_idle {
             self.close(conn);
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 mod http1;
 mod ids;
 mod limits;
+mod lingering_close;
 mod listener;
 mod plain_connection;
 mod ready_queue;
--- a/crates/net/src/plain_connection.rs
+++ b/crates/net/src/plain_connection.rs
@@ -1,6 +1,7 @@
 //! Plain TCP connections, for protocols other than HTTP.
 
 use crate::close_reason::CloseReason;
+use crate::lingering_close::LingeringClose;
 use bytes::{Buf, Bytes, BytesMut};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
@@ -11,17 +12,6 @@
 /// Maximum number of reads of discarded input in one poll, so that other connections are not delayed.
 const MAX_DISCARD_READS_PER_POLL: usize = 16;
 
-/// What happens once the queued bytes are written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Ending {
-    /// The connection stays open.
-    Open,
-    /// The connection is closed.
-    Close,
-    /// The write side is shut down, and input is discarded until the peer shuts down its side.
-    Linger,
-}
-
 /// A plain connection with its queued bytes.
 pub(crate) struct PlainConnection {
     stream: TcpStream,
@@ -29,7 +19,9 @@
     /// The total number of bytes written to the socket.
     pub(crate) written_bytes: u64,
     pub(crate) is_read_paused: bool,
-    pub(crate) ending: Ending,
+    /// Set once a lingering close has begun: the queued bytes are written, then the write side is shut down, and input is discarded
+    /// until the peer shuts down its side.
+    pub(crate) lingering_close: Option<LingeringClose>,
     /// The write side was shut down.
     is_write_shut_down: bool,
     /// Bytes were queued since the last flush.
@@ -57,7 +49,7 @@
             write_buffer: BytesMut::new(),
             written_bytes: 0,
             is_read_paused: false,
-            ending: Ending::Open,
+            lingering_close: None,
             is_write_shut_down: false,
             has_unflushed_bytes: false,
             has_peer_ended: false,
@@ -83,18 +75,32 @@
         if let Err(error) = self.flush() {
             return PlainProgress::Closed(error.into());
         }
-        match self.ending {
-            Ending::Open if self.is_read_paused && self.has_peer_ended => {
-                PlainProgress::Closed(self.peer_end_reason())
-            }
-            Ending::Open if self.is_read_paused => PlainProgress::Wait,
-            Ending::Open => self.read(),
-            _ if !self.write_buffer.is_empty() => PlainProgress::Wait,
-            Ending::Close => PlainProgress::Closed(CloseReason::ClosedLocally),
-            Ending::Linger => self.discard_input(),
+        if self.lingering_close.is_some() {
+            return self.continue_lingering_close();
+        }
+        match self.is_read_paused {
+            true if self.has_peer_ended => PlainProgress::Closed(self.peer_end_reason()),
+            true => PlainProgress::Wait,
+            false => self.read(),
         }
     }
 
+    fn continue_lingering_close(&mut self) -> PlainProgress {
+        if !self.write_buffer.is_empty() {
+            return PlainProgress::Wait;
+        }
+        if !self.shut_down_write() {
+            return PlainProgress::Closed(CloseReason::PeerEnded);
+        }
+        self.discard_input()
+    }
+
+    /// Shuts down the write side if it is open; returns whether the connection is still usable.
+    fn shut_down_write(&mut self) -> bool {
+        let was_shut_down = std::mem::replace(&mut self.is_write_shut_down, true);
+        was_shut_down || self.stream.shutdown(Shutdown::Write).is_ok()
+    }
+
     /// Why the connection closes when the peer ended it while reading is paused. Unread bytes may precede the end of input, so this
     /// checks the socket for an error instead of reading it.
     fn peer_end_reason(&self) -> CloseReason {
@@ -125,17 +131,8 @@
         }
     }
 
-    /// Shuts down the write side if it is open; returns whether the connection is still usable.
-    fn shut_down_write(&mut self) -> bool {
-        let was_shut_down = std::mem::replace(&mut self.is_write_shut_down, true);
-        was_shut_down || self.stream.shutdown(Shutdown::Write).is_ok()
-    }
-
     /// Reads and discards input after the write side is shut down. Empty `Bytes` ask for another poll.
     fn discard_input(&mut self) -> PlainProgress {
-        if !self.shut_down_write() {
-            return PlainProgress::Closed(CloseReason::PeerEnded);
-        }
         for _ in 0..MAX_DISCARD_READS_PER_POLL {
             match self.read() {
                 PlainProgress::Bytes { .. } => {}
--- a/crates/resp-gateway/src/sessions/closing.rs
+++ b/crates/resp-gateway/src/sessions/closing.rs
@@ -30,14 +30,15 @@
             .find(|conn| engine.is_idle(*conn))
     }
 
-    /// Shuts down the gateway's direction of a connection that is not read any more, once all its replies are queued.
+    /// Begins the close of a connection that is not read any more, once all its replies are queued. The event loop then waits until the
+    /// client has them, within its time limits.
     pub(super) fn linger_once_answered(&mut self, engine: &mut Engine, conn: ConnId) {
         let Some(session) = self.by_conn.get_mut(&conn) else {
             return;
         };
         let is_answered = session.replies.pending() == 0;
-        if is_answered && session.is_read_closed && session.lingering_since.is_none() {
-            session.lingering_since = Some(clock::now(engine));
+        if is_answered && session.is_read_closed && !session.is_lingering {
+            session.is_lingering = true;
             engine.start_lingering_close(conn);
         }
     }
@@ -47,7 +48,8 @@
         let now = clock::now(engine);
         let mut timed_out = Vec::new();
         let mut paused = Vec::new();
-        for (conn, session) in &mut self.by_conn {
+        let open = self.by_conn.iter_mut();
+        for (conn, session) in open.filter(|(_, session)| !session.is_lingering) {
             session.record_write_progress(
                 engine.written_bytes(*conn),
                 engine.unsent_bytes(*conn),
--- a/crates/resp-gateway/src/sessions/session.rs
+++ b/crates/resp-gateway/src/sessions/session.rs
@@ -12,8 +12,6 @@
 const COMMAND_TIMEOUT: TimeDelta = TimeDelta::from_secs(2);
 /// Keep-alive time-out: the time after which a connection without an open request is closed.
 const IDLE_TIMEOUT: TimeDelta = TimeDelta::from_secs(10);
-/// The time that a client has to read the last replies after a protocol error or `QUIT`; its connection is closed afterwards.
-const LINGER_TIMEOUT: TimeDelta = TimeDelta::from_secs(2);
 /// The time after which a connection is closed whose client accepts no byte of its replies.
 const WRITE_TIMEOUT: TimeDelta = TimeDelta::from_secs(10);
 /// The time that a new connection has to send its first command before it counts as idle.
@@ -58,12 +56,14 @@
     pub(super) is_queued_to_resume: bool,
     /// Whether no more commands are read, because of a protocol error or `QUIT`.
     pub(super) is_read_closed: bool,
-    /// When the gateway's direction was shut down after a protocol error or `QUIT`.
-    pub(super) lingering_since: Option<Timestamp>,
+    /// Whether all replies to a client that is not read any more are queued, so that the event loop closes the connection once the
+    /// client has them.
+    pub(super) is_lingering: bool,
     /// Whether the client has sent at least one complete command.
     pub(super) has_sent_command: bool,
     accepted_at: Timestamp,
-    /// When bytes were last received or a reply was last sent.
+    /// When bytes were last received, a reply was last queued, or the client was last seen to accept bytes of one that it had not
+    /// accepted whole.
     pub(super) last_active_at: Timestamp,
     /// The time from which the deadlines of the commands in `bytes` are counted: when they were received, or when reading was paused
     /// if they may have waited in the socket since then.
@@ -85,7 +85,7 @@
 
     /// Whether the client has no pending reply and has not begun a command.
     pub(super) fn is_between_requests(&self) -> bool {
-        self.replies.pending() == 0 && self.bytes.is_empty() && self.lingering_since.is_none()
+        self.replies.pending() == 0 && self.bytes.is_empty() && !self.is_lingering
     }
 
     /// Whether a shutdown that began at `since` may close the connection now. The delay of each connection is a hash of its number, which
@@ -118,6 +118,9 @@
         let unchanged = self
             .blocked_write
             .filter(|blocked| blocked.accepted_bytes == accepted_bytes);
+        if self.blocked_write.is_some() && unchanged.is_none() {
+            self.last_active_at = now;
+        }
         let blocked = unchanged.unwrap_or(BlockedWrite {
             accepted_bytes,
             since: now,
@@ -125,22 +128,15 @@
         self.blocked_write = (unsent > 0).then_some(blocked);
     }
 
-    /// Whether the client has accepted no bytes within the write time-out, or its connection has lingered for the linger time-out.
+    /// Whether the client has accepted no bytes within the write time-out.
     pub(super) fn is_write_timed_out(&self, now: Timestamp) -> bool {
-        let is_blocked = self
-            .blocked_write
-            .is_some_and(|blocked| now - blocked.since >= WRITE_TIMEOUT);
-        let has_lingered = self
-            .lingering_since
-            .is_some_and(|since| now - since >= LINGER_TIMEOUT);
-        is_blocked || has_lingered
+        self.blocked_write
+            .is_some_and(|blocked| now - blocked.since >= WRITE_TIMEOUT)
     }
 
     /// Whether a client that has all its replies has exceeded the command or idle time-out. Only bytes that were read count as received.
     pub(super) fn is_read_timed_out(&self, now: Timestamp) -> bool {
-        let has_unread_replies = self.lingering_since.is_some()
-            || self.blocked_write.is_some()
-            || self.replies.pending() > 0;
+        let has_unread_replies = self.blocked_write.is_some() || self.replies.pending() > 0;
         if has_unread_replies || self.is_paused {
             return false;
         }
--- a/crates/resp-gateway/src/sessions/tests.rs
+++ b/crates/resp-gateway/src/sessions/tests.rs
@@ -163,3 +163,28 @@
         "open although the first command is incomplete after the time-out"
     );
 }
+
+/// Guards against a close that counts the time to read the last replies from when they were queued: the client had not been sent them all.
+#[test]
+fn client_reads_its_last_replies_slowly_then_receives_all_before_the_close() {
+    const VALUE_BYTES: usize = 32 << 20;
+    let mut fixture = Fixture::new();
+    fixture.receive(PING);
+    let slot = fixture.next_slot().expect("a complete command");
+    fixture.receive(b"this is no command\r\n");
+    assert!(fixture.next_slot().is_none());
+    fixture.reply(slot, VALUE_BYTES);
+    fixture.client.set_nonblocking(true).expect("a socket");
+    let mut buffer = vec![0; 4 << 20];
+    let mut received: Vec<u8> = Vec::new();
+    loop {
+        fixture.is_closed_by_sweep_after(SECOND_MICROS / 2);
+        match fixture.client.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(length) => received.extend_from_slice(&buffer[..length]),
+            Err(error) => assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock),
+        }
+    }
+    assert!(received.len() > VALUE_BYTES, "{} bytes", received.len());
+    assert!(received.ends_with(b"\r\n"), "the error is cut off");
+}
