RESP port: a client that has read its replies is served on without delay

What callers saw: a client that pipelines many commands and reads the replies late waits up to 30 s for the rest, though it reads all it is sent. A client that reads steadily for over 30 s after its last command, or that has begun a command while it waits for a reply, is closed with replies unsent.

Cause: a connection that is paused for unread replies was looked at again only by the check for stalled clients, 30 s later, and that check took the last byte received for the last progress. It did not ask whether replies are pending either.

Change: progress is a byte received or a byte accepted, and it is checked every 0.1 s; a client that waits for a reply is not closed for an incomplete command.

The close after 30 s has no test: the test's gateway has no clock that can be moved.

--- a/crates/grpc-gateway/src/gateway_server/timers.rs
+++ b/crates/grpc-gateway/src/gateway_server/timers.rs
@@ -13,8 +13,8 @@
     AttemptTimeout(AttemptId),
     /// The lease of a RESP client on an admitted request expires.
     RespLease(RequestId),
-    /// Checks whether a RESP client has stopped reading or writing.
-    RespStallCheck(ConnId),
+    /// Checks whether a RESP client goes on reading or writing.
+    RespProgressCheck(ConnId),
     /// Resumes a paused RESP connection in the next turn, so that a long pipeline does not delay other clients.
     RespResume(ConnId),
     /// The deadline of a call whose response has started passes.
@@ -45,7 +45,7 @@
         match purpose {
             TimerPurpose::Decision(timer) => self.decisions.push(Event::Timer(timer)),
             TimerPurpose::RespLease(id) => self.expire_ticket(id),
-            TimerPurpose::RespStallCheck(conn) => self.check_resp_stall(conn),
+            TimerPurpose::RespProgressCheck(conn) => self.check_resp_progress(conn),
             TimerPurpose::RespResume(conn) => self.resume_resp_connection(conn),
             TimerPurpose::AttemptTimeout(attempt) => self.time_out_attempt(attempt),
             TimerPurpose::ClientDeadline(id) => self.on_client_deadline(id),
--- a/crates/grpc-gateway/src/resp/mod.rs
+++ b/crates/grpc-gateway/src/resp/mod.rs
@@ -3,6 +3,7 @@
 //! together.
 
 mod command;
+mod flow_control;
 mod reply;
 mod session;
 
@@ -19,12 +20,6 @@
 use std::io;
 use std::net::SocketAddr;
 
-/// The number of commands with pending replies on one connection at which reading is paused.
-const MAX_PENDING_COMMANDS: usize = 1_024;
-/// The number of reply bytes not accepted by a client above which reading from it is paused.
-const MAX_UNSENT_BYTES: usize = 256 << 10;
-/// A connection is closed if its client sends nothing for this time within a command, or while too many of its replies are unread.
-const STALL_TIMEOUT_MICROS: u64 = 30_000_000;
 /// The maximum number of tickets that one connection may hold.
 const MAX_TICKETS_PER_CONNECTION: usize = 10_000;
 
@@ -126,7 +121,7 @@
             return;
         };
         session.bytes.extend_from_slice(data);
-        session.last_received_at = now;
+        session.last_progress_at = now;
         self.process_resp_commands(conn);
     }
 
@@ -144,14 +139,14 @@
             if session.is_read_closed {
                 break;
             }
-            if session.pending_replies() >= MAX_PENDING_COMMANDS || unsent > MAX_UNSENT_BYTES {
+            if flow_control::exceeds_limits(session, unsent) {
                 session.is_paused = true;
                 break;
             }
             match take_command(&mut session.bytes, &COMMAND_LIMITS) {
                 ParsedCommand::Incomplete => {
                     if !session.bytes.is_empty() {
-                        self.schedule_resp_stall_check(conn);
+                        self.schedule_resp_progress_check(conn);
                     }
                     break;
                 }
@@ -453,60 +448,7 @@
             return self.engine.start_lingering_close(conn);
         }
         self.engine.set_read_paused(conn, is_paused);
-        let unsent = self.engine.unsent_bytes(conn);
-        let Some(session) = self.resp_session(conn).filter(|session| session.is_paused) else {
-            return;
-        };
-        if unsent > MAX_UNSENT_BYTES {
-            self.schedule_resp_stall_check(conn);
-        } else if session.pending_replies() < MAX_PENDING_COMMANDS / 2
-            && !std::mem::replace(&mut session.is_resume_scheduled, true)
-        {
-            // Reading resumes in the next turn of the event loop, so that a long pipeline does not delay other clients.
-            self.set_timer(0, TimerPurpose::RespResume(conn));
-        }
-    }
-
-    fn schedule_resp_stall_check(&mut self, conn: ConnId) {
-        if self
-            .resp_session(conn)
-            .is_some_and(|session| !std::mem::replace(&mut session.is_stall_check_scheduled, true))
-        {
-            self.set_timer(STALL_TIMEOUT_MICROS, TimerPurpose::RespStallCheck(conn));
-        }
-    }
-
-    /// Resumes reading from a paused connection.
-    pub(crate) fn resume_resp_connection(&mut self, conn: ConnId) {
-        if let Some(session) = self.resp_session(conn) {
-            (session.is_paused, session.is_resume_scheduled) = (false, false);
-            self.process_resp_commands(conn);
-        }
-    }
-
-    /// Closes a connection whose client has stalled for the time-out; one that still makes progress is resumed or checked again.
-    pub(crate) fn check_resp_stall(&mut self, conn: ConnId) {
-        let (now, unread) = (self.engine.now(), self.engine.unsent_bytes(conn));
-        let Some(session) = self.resp_session(conn) else {
-            return;
-        };
-        session.is_stall_check_scheduled = false;
-        // Names of log fields. `half`: a command was received in part; `unread`: bytes of replies that the client has not read.
-        let half = !session.bytes.is_empty() && !session.is_paused;
-        let has_timed_out = session.last_received_at + STALL_TIMEOUT_MICROS <= now;
-        if has_timed_out && (half || unread > MAX_UNSENT_BYTES) {
-            tracing::info!(
-                ?conn,
-                half,
-                unread,
-                "closing a RESP client that makes no progress"
-            );
-            self.engine.close(conn);
-        } else if session.is_paused {
-            self.resume_resp_connection(conn);
-        } else if half {
-            self.schedule_resp_stall_check(conn);
-        }
+        self.schedule_resp_resume(conn);
     }
 
     /// A connection is closed: its pending requests and tickets end, which frees their concurrency slots.
--- a/crates/grpc-gateway/src/resp/session.rs
+++ b/crates/grpc-gateway/src/resp/session.rs
@@ -15,10 +15,12 @@
     pub(crate) is_paused: bool,
     /// Whether a timer is set that resumes it in the loop's next turn.
     pub(crate) is_resume_scheduled: bool,
-    /// Whether a timer is set that checks whether the client has stalled.
-    pub(crate) is_stall_check_scheduled: bool,
-    /// When bytes were last received, by the loop's clock in microseconds.
-    pub(crate) last_received_at: u64,
+    /// Whether a timer is set that checks whether the client makes progress.
+    pub(crate) is_progress_check_scheduled: bool,
+    /// When bytes were last received, or the client was last seen to accept bytes, by the loop's clock in microseconds.
+    pub(crate) last_progress_at: u64,
+    /// The total number of bytes that the client was last seen to have accepted.
+    written_bytes: u64,
     /// Whether no more commands are read, because of a protocol error or `QUIT`.
     pub(crate) is_read_closed: bool,
     /// The number of tickets that it holds.
@@ -44,6 +46,13 @@
     pub(crate) fn fill_reply(&mut self, slot: ReplySlot, reply: Reply) {
         self.replies.fill(slot, reply);
     }
+    /// Records the total number of bytes that the client has accepted.
+    pub(crate) fn record_written_bytes(&mut self, written_bytes: u64, now: u64) {
+        if written_bytes != self.written_bytes {
+            self.written_bytes = written_bytes;
+            self.last_progress_at = now;
+        }
+    }
     /// Takes and encodes the replies that can be sent: those before the first one that is not known yet.
     pub(crate) fn take_ready_replies(&mut self) -> BytesMut {
         let mut out = BytesMut::new();
--- a/crates/grpc-gateway/tests/resp.rs
+++ b/crates/grpc-gateway/tests/resp.rs
@@ -402,6 +402,13 @@
     assert_eq!(received, 30_000);
 }
 
+/// Guards against a client that stays paused after it has read its replies, until a check that is made every 30 s.
+#[test]
+fn client_reads_the_replies_of_a_long_pipeline_late_then_served_without_delay() {
+    let received = pipeline_hello_and_quit(200_000, Duration::from_secs(2));
+    assert_eq!(received, 200_000);
+}
+
 /// Sends `count` `HELLO`s, a `QUIT` and more behind it, begins to read after `delay` and returns the number of replies to `HELLO`.
 fn pipeline_hello_and_quit(count: usize, delay: Duration) -> usize {
     const REPLY_START: &[u8] = b"*10\r\n";
