Platform gateway: no client is evicted to which something is owed

Cause: at the limit of client connections each new one evicted an idle one at once, in the middle of a turn. Idle meant that no reply is pending and no byte unread; replies are written only at the start of the next turn, so the client just answered counted as idle, and as connections of bad clients have unread bytes, it was the only one. The close dropped the reply.

Change: evictions are made once per turn, after everything received was handled, by sessions/eviction.rs. Not evicted are clients with a pending reply, with bytes that their socket has not accepted, with a command received and waiting for memory (related: it was dropped likewise), and those just connected. First evicted are clients whose last reply was written at least 0.1 s ago, after an error or QUIT: before, they came last and kept their places for 2 s. While such a client is only just ended, no other is displaced by it.

--- a/crates/resp-gateway/src/server/event_loop.rs
+++ b/crates/resp-gateway/src/server/event_loop.rs
@@ -36,12 +36,13 @@
             self.execute_actions();
         }
         self.sessions.close_idle(&mut self.engine);
+        self.sessions.evict_excess(&mut self.engine);
         Ok(())
     }
 
     fn on_event(&mut self, event: NetEvent) {
         match event {
-            NetEvent::Accepted { conn, .. } => self.sessions.on_accepted(&mut self.engine, conn),
+            NetEvent::Accepted { conn, .. } => self.sessions.on_accepted(&self.engine, conn),
             NetEvent::Connected { conn } => self.on_connected(conn),
             NetEvent::Bytes { conn, data } => self.on_bytes(conn, &data),
             NetEvent::Closed {
--- a/crates/resp-gateway/src/sessions.rs
+++ b/crates/resp-gateway/src/sessions.rs
@@ -1,9 +1,10 @@
 //! Client sessions: each holds the received bytes of a client connection and its replies in the order of its commands.
 //!
 //! Limits: the number of sessions follows from the granted file descriptors, the bytes of commands from the granted memory, and the number
-//! of pending commands is limited per connection. At the limit of sessions an idle one is evicted, see [`session::EvictionRank`].
+//! of pending commands is limited per connection. Above the limit of sessions some are evicted, see [`eviction`].
 
 mod closing;
+mod eviction;
 mod flow_control;
 mod session;
 
@@ -37,7 +38,7 @@
 /// All client sessions.
 pub(crate) struct Sessions {
     by_conn: FxHashMap<ConnId, Session>,
-    /// Above this number a new connection evicts an idle one.
+    /// Above this number connections are evicted.
     max_sessions: usize,
     /// The maximum total size of the commands of open requests; at it, all reading is paused.
     max_command_bytes: usize,
@@ -66,13 +67,10 @@
         self.by_conn.contains_key(&conn)
     }
 
-    /// Adds a session for an accepted connection, and evicts an idle one if there are too many.
-    pub(crate) fn on_accepted(&mut self, engine: &mut Engine, conn: ConnId) {
+    /// Adds a session for an accepted connection.
+    pub(crate) fn on_accepted(&mut self, engine: &Engine, conn: ConnId) {
         let now = clock::now(engine);
         self.by_conn.insert(conn, Session::accepted(now));
-        if self.by_conn.len() > self.max_sessions {
-            self.evict_one(engine, conn, now);
-        }
     }
 
     /// Stores received bytes, unless the connection is not read any more.
@@ -183,6 +181,8 @@
     }
 }
 
+#[cfg(test)]
+mod eviction_tests;
 #[cfg(test)]
 mod shutdown_tests;
 #[cfg(test)]
--- a/crates/resp-gateway/src/sessions/closing.rs
+++ b/crates/resp-gateway/src/sessions/closing.rs
@@ -1,4 +1,4 @@
-//! Closing of client connections by the gateway: on eviction, on time-outs, during a shutdown, and after a protocol error or `QUIT`.
+//! Closing of client connections by the gateway: on time-outs, during a shutdown, and after a protocol error or `QUIT`.
 
 use super::session::Session;
 use super::Sessions;
@@ -7,29 +7,6 @@
 use chalkdeck_time::Timestamp;
 
 impl Sessions {
-    /// Evicts the idle connection that ranks first for eviction, if there is one other than `new`.
-    pub(super) fn evict_one(&mut self, engine: &mut Engine, new: ConnId, now: Timestamp) {
-        if let Some(idle) = self.first_to_evict(engine, new, now) {
-            self.by_conn.remove(&idle);
-            engine.close(idle);
-        }
-    }
-
-    /// The connection to evict next. Connections with pending replies or unread bytes are not evicted.
-    fn first_to_evict(&self, engine: &mut Engine, new: ConnId, now: Timestamp) -> Option<ConnId> {
-        let mut candidates: Vec<_> = self
-            .by_conn
-            .iter()
-            .filter(|(conn, session)| **conn != new && session.replies.pending() == 0)
-            .map(|(conn, session)| (session.eviction_rank(now), *conn))
-            .collect();
-        candidates.sort_unstable();
-        candidates
-            .into_iter()
-            .map(|(_, conn)| conn)
-            .find(|conn| engine.is_idle(*conn))
-    }
-
     /// Begins the close of a connection that is not read any more, once all its replies are queued. The event loop then waits until the
     /// client has them, within its time limits.
     pub(super) fn linger_once_answered(&mut self, engine: &mut Engine, conn: ConnId) {
--- a/crates/resp-gateway/src/sessions/session.rs
+++ b/crates/resp-gateway/src/sessions/session.rs
@@ -30,17 +30,6 @@
     since: Timestamp,
 }
 
-/// The order in which idle connections are evicted, lowest first: connections that never sent a command come first, connections within
-/// a command or with an unread protocol error last, and among equals the one that has been inactive longest. The fields are compared in
-/// the order of their declaration.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct EvictionRank {
-    is_within_command: bool,
-    /// Whether the client has sent a command or has only just connected.
-    is_active_client: bool,
-    last_active_at: Timestamp,
-}
-
 /// The state of one client connection.
 #[derive(Default)]
 pub(super) struct Session {
@@ -98,14 +87,9 @@
         now >= since + delay && had_time_for_command
     }
 
-    /// The rank of the connection in the order of eviction.
-    pub(super) fn eviction_rank(&self, now: Timestamp) -> EvictionRank {
-        let is_new = now < self.last_active_at + FIRST_COMMAND_GRACE;
-        EvictionRank {
-            is_within_command: !self.is_between_requests(),
-            is_active_client: self.has_sent_command || is_new,
-            last_active_at: self.last_active_at,
-        }
+    /// Whether the client has sent no complete command, but may be about to send its first one.
+    pub(super) fn is_new(&self, now: Timestamp) -> bool {
+        !self.has_sent_command && now < self.last_active_at + FIRST_COMMAND_GRACE
     }
 
     /// Records the total number of bytes that the client has accepted, and the number that it has not.
--- a/crates/resp-gateway/src/sessions/shutdown_tests.rs
+++ b/crates/resp-gateway/src/sessions/shutdown_tests.rs
@@ -99,7 +99,7 @@
         let (stream, conn) = self.test_loop.connect();
         stream.set_nonblocking(true).expect("a socket");
         stream.set_nodelay(true).expect("a socket");
-        self.sessions.on_accepted(&mut self.test_loop.engine, conn);
+        self.sessions.on_accepted(&self.test_loop.engine, conn);
         self.clients.insert(conn, Client::new(stream));
     }
 
--- a/crates/resp-gateway/src/sessions/tests.rs
+++ b/crates/resp-gateway/src/sessions/tests.rs
@@ -24,7 +24,7 @@
         let mut test_loop = TestLoop::new();
         let (client, conn) = test_loop.connect();
         let mut sessions = Sessions::new(8, 1 << 20);
-        sessions.on_accepted(&mut test_loop.engine, conn);
+        sessions.on_accepted(&test_loop.engine, conn);
         Fixture {
             test_loop,
             sessions,
