Tests of evictions: each condition of the rule is held by one of them

Change: the client whose command waits for memory is the only one, so nothing else can be evicted in its place; the ended client goes on to send, so that it is not idle.

--- a/crates/resp-gateway/src/sessions/eviction_tests.rs
+++ b/crates/resp-gateway/src/sessions/eviction_tests.rs
@@ -2,7 +2,7 @@
 
 use super::test_support::TestLoop;
 use super::*;
-use std::io::{ErrorKind, Read};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 
 const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
@@ -11,17 +11,17 @@
 /// A time after which a client no longer counts as new, in microseconds.
 const NO_LONGER_NEW_MICROS: i64 = 60_000;
 
-/// The sessions of a gateway that may keep one client.
+/// The sessions of a gateway that may keep only a few clients.
 struct Fixture {
     test_loop: TestLoop,
     sessions: Sessions,
 }
 
 impl Fixture {
-    fn new(max_command_bytes: usize) -> Fixture {
+    fn new(max_sessions: usize, max_command_bytes: usize) -> Fixture {
         Fixture {
             test_loop: TestLoop::new(),
-            sessions: Sessions::new(1, max_command_bytes),
+            sessions: Sessions::new(max_sessions, max_command_bytes),
         }
     }
 
@@ -60,7 +60,7 @@
 
 #[test]
 fn reply_not_accepted_whole_then_client_evicted_only_afterwards() {
-    let mut fixture = Fixture::new(1 << 20);
+    let mut fixture = Fixture::new(1, 1 << 20);
     let (mut client, conn) = fixture.connect();
     let (_other_client, other) = fixture.connect();
     fixture.serve(conn, LONG_VALUE_BYTES);
@@ -85,13 +85,12 @@
 
 #[test]
 fn command_waits_for_memory_then_its_client_not_evicted() {
-    let mut fixture = Fixture::new(0);
+    let mut fixture = Fixture::new(0, 0);
     let (_client, conn) = fixture.connect();
     assert!(
         fixture.receive(conn, PING).is_none(),
         "the command is not read while the memory is full"
     );
-    let (_other_client, _) = fixture.connect();
     assert!(
         fixture.is_kept_after(NO_LONGER_NEW_MICROS, conn),
         "evicted although its command was received"
@@ -100,11 +99,13 @@
 
 #[test]
 fn client_ended_by_an_error_then_evicted_before_a_resting_one_once_it_had_time_to_read() {
-    let mut fixture = Fixture::new(1 << 20);
+    let mut fixture = Fixture::new(1, 1 << 20);
     let (mut resting_client, resting) = fixture.connect();
     fixture.serve(resting, 4);
     let (mut ended_client, ended) = fixture.connect();
     assert!(fixture.receive(ended, b"this is no command\r\n").is_none());
+    // The client goes on to send, more than the gateway discards in a turn.
+    while ended_client.write(&[b'x'; 64 << 10]).is_ok() {}
     assert!(
         fixture.is_kept_after(NO_LONGER_NEW_MICROS, resting),
         "evicted while the other client has ended"
