Counter: a client that ends its stream gets the responses to what it sent

What callers saw: a client of Adds that sends its increments and ends its side of the stream, as gRPC clients do that have sent everything, gets the end with status OK and none of the responses that wait for the batch; the increments are counted. A malformed request likewise takes the responses to those before it.

Cause: on_stream_ended and reject_malformed removed the stream and sent the trailers at once; the responses came later and found no stream.

Change: a stream counts its increments without a response, is read no more, and ends with its trailers behind the last of them.

The package's tests pass.

--- a/crates/counter/src/server.rs
+++ b/crates/counter/src/server.rs
@@ -52,6 +52,8 @@
     /// `None` if the state is in memory only.
     storage: Option<Storage>,
     streams: FxHashMap<StreamId, IncrementStream>,
+    /// Streams that are not read any more and end once all their increments have responses.
+    ending_streams: Vec<StreamId>,
     pending: PendingQueue<ConnId, PendingIncrement>,
     in_flight: Option<BatchInFlight>,
     /// Encoded responses that this turn sends.
--- a/crates/counter/src/server/startup.rs
+++ b/crates/counter/src/server/startup.rs
@@ -62,6 +62,7 @@
             identity: recovered.identity,
             storage: recovered.storage,
             streams: FxHashMap::default(),
+            ending_streams: Vec::new(),
             pending: PendingQueue::new(settings.pending_capacity),
             in_flight: None,
             responses: FxHashMap::default(),
--- a/crates/counter/src/server/streams.rs
+++ b/crates/counter/src/server/streams.rs
@@ -7,6 +7,7 @@
 use chalkdeck_net::{ConnId, StreamId};
 use chalkdeck_proto::chalkdeck::counter::v1::{AddRequest, AddResponse};
 use chalkdeck_time::TimeDelta;
+use http::HeaderMap;
 use prost::Message;
 
 /// gRPC path of the method that accepts any number of increments on one stream.
@@ -32,6 +33,10 @@
     connection: ConnId,
     deframer: Deframer,
     method: Method,
+    /// The number of increments that were received and have no response yet.
+    outstanding: usize,
+    /// Set once nothing more is read: the trailers that end a [`Method::Streaming`] stream behind its last response.
+    trailers: Option<HeaderMap>,
 }
 
 impl IncrementStream {
@@ -77,32 +82,66 @@
             connection,
             deframer: Deframer::default(),
             method,
+            outstanding: 0,
+            trailers: None,
         };
         self.streams.insert(stream, increment_stream);
     }
 
-    /// The client has ended the stream. A [`Method::Single`] stream stays open until its response is sent.
+    /// The client has ended the stream. It stays open until the responses to its increments are sent.
     pub(super) fn on_stream_ended(&mut self, stream: StreamId) {
         let is_streaming = self
             .streams
             .get(&stream)
             .is_some_and(|increment_stream| increment_stream.method == Method::Streaming);
         if is_streaming {
+            self.end_after_responses(stream, grpc::trailers(Code::Ok, ""));
+        }
+    }
+
+    /// Reads nothing more from a stream, and ends it with these trailers behind the last response.
+    fn end_after_responses(&mut self, stream: StreamId, trailers: HeaderMap) {
+        let Some(increment_stream) = self.streams.get_mut(&stream) else {
+            return;
+        };
+        increment_stream.trailers.get_or_insert(trailers);
+        self.ending_streams.push(stream);
+    }
+
+    /// Ends the streams that are not read any more and have all their responses.
+    fn finish_answered_streams(&mut self) {
+        for stream in std::mem::take(&mut self.ending_streams) {
+            let Some(increment_stream) = self.streams.get_mut(&stream) else {
+                continue;
+            };
+            if increment_stream.outstanding > 0 {
+                self.ending_streams.push(stream);
+                continue;
+            }
+            let trailers = increment_stream.trailers.take();
             self.streams.remove(&stream);
-            self.engine
-                .finish(stream, Some(grpc::trailers(Code::Ok, "")));
+            self.engine.finish(stream, trailers);
         }
     }
 
+    fn readable_stream(&mut self, stream: StreamId) -> Option<&mut IncrementStream> {
+        self.streams
+            .get_mut(&stream)
+            .filter(|increment_stream| increment_stream.trailers.is_none())
+    }
+
     pub(super) fn on_data(&mut self, stream: StreamId, data: &[u8]) {
-        if let Some(increment_stream) = self.streams.get_mut(&stream) {
+        if let Some(increment_stream) = self.readable_stream(stream) {
             increment_stream.deframer.push(data);
         }
         // Each request looks the stream up again, because the response to the previous one may have removed it.
-        while let Some(increment_stream) = self.streams.get_mut(&stream) {
+        while let Some(increment_stream) = self.readable_stream(stream) {
             let connection = increment_stream.connection;
             match increment_stream.next_request() {
-                Ok(Some(request)) => self.enqueue(connection, stream, &request),
+                Ok(Some(request)) => {
+                    increment_stream.outstanding += 1;
+                    self.enqueue(connection, stream, &request);
+                }
                 Ok(None) => return,
                 Err(MalformedRequest) => return self.reject_malformed(stream),
             }
@@ -129,16 +168,13 @@
 
     fn reject_malformed(&mut self, stream: StreamId) {
         let trailers = grpc::trailers(Code::InvalidArgument, "expected an AddRequest");
-        let method = self
-            .streams
-            .remove(&stream)
-            .map(|increment_stream| increment_stream.method);
-        match method {
-            Some(Method::Single) => {
-                self.engine
-                    .respond(stream, grpc::trailers_only(trailers), true);
-            }
-            _ => self.engine.finish(stream, Some(trailers)),
+        let method = self.streams.get(&stream).map(|s| s.method);
+        if method == Some(Method::Single) {
+            self.streams.remove(&stream);
+            self.engine
+                .respond(stream, grpc::trailers_only(trailers), true);
+        } else {
+            self.end_after_responses(stream, trailers);
         }
     }
 
@@ -146,9 +182,10 @@
     pub(super) fn respond(&mut self, stream: StreamId, number: u64, outcome: IncrementOutcome) {
         let code = outcome.err().unwrap_or(Code::Ok);
         self.metrics.record_response(code);
-        let Some(increment_stream) = self.streams.get(&stream) else {
+        let Some(increment_stream) = self.streams.get_mut(&stream) else {
             return;
         };
+        increment_stream.outstanding -= 1;
         let response = AddResponse {
             total: outcome.unwrap_or(0.0),
             number,
@@ -180,7 +217,7 @@
         self.engine.finish(stream, Some(trailers));
     }
 
-    /// Sends the responses of this turn, all of one stream together.
+    /// Sends the responses of this turn, all of one stream together, and ends the streams that have all of theirs.
     pub(super) fn send_responses(&mut self) {
         for (stream, bytes) in self.responses.drain() {
             if self.engine.queued_bytes(stream) > MAX_UNSENT_BYTES {
@@ -190,5 +227,6 @@
             }
             self.engine.send(stream, bytes.freeze());
         }
+        self.finish_answered_streams();
     }
 }
--- a/crates/counter/tests/service.rs
+++ b/crates/counter/tests/service.rs
@@ -277,6 +277,23 @@
     let _ = std::fs::remove_dir_all(&folder);
 }
 
+/// Guards against responses that are dropped when a client ends its side of the stream, as a client does that has sent everything.
+#[test]
+fn client_ends_its_stream_then_all_increments_answered_before_the_end() {
+    let folder = temporary_folder("half-closed");
+    let config = write_settings(&folder, 1, "");
+    let program = Program::start(&config);
+    for malformed in [&[][..], &[0, 0, 0, 0, 3, 0xff, 0xff, 0xff]] {
+        let mut client = Client::new(program.partitions[0]);
+        client.send((1..=500).map(|number| increment(number, number % 3, 1.0)));
+        client.engine.send(client.stream, malformed.to_vec().into());
+        client.engine.finish(client.stream, None);
+        client.wait_until("the end of the stream", |client| client.is_stream_closed);
+        assert_eq!(client.responses.len(), 500);
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 #[test]
 fn counter_has_two_partitions_then_they_count_separately() {
     let folder = temporary_folder("parts");
