net: an HTTP connection that has ended lingers until its client has the last answer

What callers saw: during a drain of a gateway, counter or replica, a client that sends any frame (a ping, a window update) before it has read the last response gets a reset and loses the rest of the response. A client of an admin port that sends more than its request loses the end of a long answer likewise.

Cause: the socket was dropped as soon as the protocol had written everything. Bytes that arrive at a closed socket, or were unread in it, reset the connection, and what its send buffer still holds is gone.

Change: in the one place where a connection's protocol ends, an accepted HTTP connection goes over into the lingering close of plain connections, within the same limits. h2 does not return its socket, so it is shared with the connection. A write of 0 bytes ends an HTTP/1.1 connection; it was repeated for ever.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::h2_socket::H2Socket;
 use crate::http1::{Http1, Http1Progress};
 use crate::limits::Limits;
+use crate::lingering_close::LingeringClose;
 use crate::plain_connection::{PlainConnection, PlainProgress};
 use bytes::Bytes;
 use mio::net::TcpStream;
@@ -11,6 +12,7 @@
 use std::io;
 use std::net::IpAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
 /// The number of reset streams that `h2` keeps track of.
@@ -67,6 +69,8 @@
 /// A connection with its limits and its state.
 pub(crate) struct Connection {
     pub(crate) transport: Transport,
+    /// The socket of an accepted connection.
+    accepted_socket: Option<Arc<TcpStream>>,
     pub(crate) waker: Waker,
     pub(crate) limits: Limits,
     /// The key of the listener that accepted it.
@@ -117,15 +121,17 @@
         protocol: Protocol,
         waker: Waker,
     ) -> Connection {
+        let socket = Arc::new(stream);
         let transport = match protocol {
             Protocol::Http2 => {
-                let handshake = server_builder(&limits).handshake(H2Socket(stream));
+                let handshake = server_builder(&limits).handshake(H2Socket(socket.clone()));
                 Transport::ServerHandshake(Box::new(handshake))
             }
-            Protocol::Http1 => Transport::Http1(Http1::new(stream)),
-            Protocol::Plain => Transport::Plain(PlainConnection::new(stream)),
+            Protocol::Http1 => Transport::Http1(Http1::new(socket.clone())),
+            Protocol::Plain => Transport::Plain(PlainConnection::new(socket.clone())),
         };
         Connection {
+            accepted_socket: Some(socket),
             listener: Some(listener),
             peer_ip: Some(peer_ip),
             was_established: true,
@@ -145,6 +151,7 @@
     fn new(transport: Transport, limits: Limits, waker: Waker) -> Connection {
         Connection {
             transport,
+            accepted_socket: None,
             waker,
             limits,
             listener: None,
@@ -177,6 +184,22 @@
         }
     }
 
+    /// Begins a lingering close of an accepted HTTP connection whose protocol has ended and has written everything. Returns whether it
+    /// did; plain connections begin theirs on request.
+    pub(crate) fn linger(&mut self, now: u64) -> bool {
+        if !matches!(self.transport, Transport::Server(_) | Transport::Http1(_)) {
+            return false;
+        }
+        let Some(socket) = self.accepted_socket.take() else {
+            return false;
+        };
+        let mut plain = PlainConnection::new(socket);
+        plain.lingering_close = Some(LingeringClose::begin(now, 0));
+        self.transport = Transport::Plain(plain);
+        self.waker.wake_by_ref();
+        true
+    }
+
     /// Writes what is queued on an accepted plain connection, as far as its socket accepts it.
     pub(crate) fn flush_if_accepted(&mut self) {
         if let (Transport::Plain(plain), Some(_)) = (&mut self.transport, self.listener) {
@@ -271,10 +294,10 @@
         };
         self.was_established = true;
         if *protocol == Protocol::Plain {
-            self.transport = Transport::Plain(PlainConnection::new(stream));
+            self.transport = Transport::Plain(PlainConnection::new(Arc::new(stream)));
             return Some(Progress::Connected);
         }
-        let handshake = client_builder(&self.limits).handshake(H2Socket(stream));
+        let handshake = client_builder(&self.limits).handshake(H2Socket(Arc::new(stream)));
         self.transport = Transport::ClientHandshake(Box::pin(handshake));
         None
     }
--- a/crates/net/src/engine/connections.rs
+++ b/crates/net/src/engine/connections.rs
@@ -109,7 +109,7 @@
             return;
         };
         match http1.reply(status, body) {
-            Http1Progress::Closed => self.remove_connection(conn.0, CloseReason::ClosedLocally),
+            Http1Progress::Closed => self.on_protocol_ended(conn, CloseReason::ClosedLocally),
             Http1Progress::Wait | Http1Progress::Get(_) => waker.wake_by_ref(),
         }
     }
@@ -164,11 +164,24 @@
                         return;
                     }
                 }
-                Progress::Closed(reason) => return self.remove_connection(key, reason),
+                Progress::Closed(reason) => return self.on_protocol_ended(ConnId(key), reason),
             }
         }
     }
 
+    /// Removes a connection that has ended. If its protocol has ended in an orderly way, the socket lingers first, so that the peer
+    /// receives what was written last whatever it still sends.
+    fn on_protocol_ended(&mut self, conn: ConnId, reason: CloseReason) {
+        let now = self.now();
+        let is_orderly = !matches!(reason, CloseReason::Failed(_));
+        let connection = self.connections.get_mut(&conn.0);
+        if is_orderly && connection.is_some_and(|connection| connection.linger(now)) {
+            self.check_lingering_close(conn, now);
+        } else {
+            self.remove_connection(conn.0, reason);
+        }
+    }
+
     fn on_connected(&mut self, key: u64) {
         let conn = ConnId(key);
         self.events.push_back(Event::Connected { conn });
--- a/crates/net/src/engine/lingering.rs
+++ b/crates/net/src/engine/lingering.rs
@@ -1,4 +1,4 @@
-//! Lingering closes of plain connections, within time limits.
+//! Lingering closes, within time limits.
 
 use super::Engine;
 use crate::close_reason::CloseReason;
@@ -44,7 +44,7 @@
     }
 
     /// Closes a connection whose lingering close has timed out; schedules the next check otherwise.
-    fn check_lingering_close(&mut self, conn: ConnId, now: u64) {
+    pub(super) fn check_lingering_close(&mut self, conn: ConnId, now: u64) {
         let Some((plain, _)) = self.plain(conn) else {
             return;
         };
--- a/crates/net/src/h2_socket.rs
+++ b/crates/net/src/h2_socket.rs
@@ -4,11 +4,12 @@
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// A mio socket with tokio's I/O traits.
-pub(crate) struct H2Socket(pub(crate) TcpStream);
+/// A mio socket with tokio's I/O traits. It is shared, since `h2` does not return it when its connection has ended.
+pub(crate) struct H2Socket(pub(crate) Arc<TcpStream>);
 
 fn pending_if_blocked<T>(result: io::Result<T>) -> Poll<io::Result<T>> {
     match result {
@@ -19,12 +20,12 @@
 
 impl AsyncRead for H2Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         _: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            match self.0.read(buffer.initialize_unfilled()) {
+            match (&*self.0).read(buffer.initialize_unfilled()) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 result => {
                     return pending_if_blocked(result.map(|length| buffer.advance(length)));
@@ -36,19 +37,19 @@
 
 impl AsyncWrite for H2Socket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         _: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        pending_if_blocked(self.0.write(buffer))
+        pending_if_blocked((&*self.0).write(buffer))
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         _: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        pending_if_blocked(self.0.write_vectored(buffers))
+        pending_if_blocked((&*self.0).write_vectored(buffers))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/net/src/http1.rs
+++ b/crates/net/src/http1.rs
@@ -2,6 +2,7 @@
 
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
+use std::sync::Arc;
 
 /// Maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
@@ -12,7 +13,7 @@
 
 /// An HTTP/1.1 server connection.
 pub(crate) struct Http1 {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     head: Vec<u8>,
     response: Vec<u8>,
     /// The request head is complete.
@@ -27,7 +28,7 @@
 }
 
 impl Http1 {
-    pub(crate) fn new(stream: TcpStream) -> Http1 {
+    pub(crate) fn new(stream: Arc<TcpStream>) -> Http1 {
         Http1 {
             stream,
             head: Vec::new(),
@@ -42,7 +43,7 @@
         }
         let mut buffer = [0; MAX_READ_BYTES];
         loop {
-            match self.stream.read(&mut buffer) {
+            match (&*self.stream).read(&mut buffer) {
                 Ok(0) => return Http1Progress::Closed,
                 Ok(length) => self.head.extend_from_slice(&buffer[..length]),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -82,7 +83,8 @@
 
     fn flush(&mut self) -> Http1Progress {
         while !self.response.is_empty() {
-            match self.stream.write(&self.response) {
+            match (&*self.stream).write(&self.response) {
+                Ok(0) => return Http1Progress::Closed,
                 Ok(length) => drop(self.response.drain(..length)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     return Http1Progress::Wait
@@ -91,7 +93,6 @@
                 Err(_) => return Http1Progress::Closed,
             }
         }
-        let _ = self.stream.shutdown(std::net::Shutdown::Write);
         Http1Progress::Closed
     }
 }
--- a/crates/net/src/plain_connection.rs
+++ b/crates/net/src/plain_connection.rs
@@ -6,6 +6,7 @@
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
+use std::sync::Arc;
 
 /// Maximum number of bytes per read.
 const MAX_READ_BYTES: usize = 16 << 10;
@@ -14,7 +15,7 @@
 
 /// A plain connection with its queued bytes.
 pub(crate) struct PlainConnection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     write_buffer: BytesMut,
     /// The total number of bytes written to the socket.
     pub(crate) written_bytes: u64,
@@ -43,7 +44,7 @@
 }
 
 impl PlainConnection {
-    pub(crate) fn new(stream: TcpStream) -> PlainConnection {
+    pub(crate) fn new(stream: Arc<TcpStream>) -> PlainConnection {
         PlainConnection {
             stream,
             write_buffer: BytesMut::new(),
@@ -113,7 +114,7 @@
     fn read(&mut self) -> PlainProgress {
         let mut buffer = [0; MAX_READ_BYTES];
         loop {
-            match self.stream.read(&mut buffer) {
+            match (&*self.stream).read(&mut buffer) {
                 Ok(0) => return PlainProgress::Closed(CloseReason::PeerEnded),
                 // Readiness is edge-triggered: after a short read the socket is empty, and further bytes cause a new event.
                 Ok(length) => {
@@ -148,7 +149,7 @@
     /// Writes as many queued bytes as the socket accepts.
     pub(crate) fn flush(&mut self) -> io::Result<()> {
         while !self.write_buffer.is_empty() {
-            match self.stream.write(&self.write_buffer) {
+            match (&*self.stream).write(&self.write_buffer) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(length) => {
                     self.write_buffer.advance(length);
--- a/crates/net/tests/lingering.rs
+++ b/crates/net/tests/lingering.rs
@@ -2,6 +2,7 @@
 //! time limits allow.
 
 use chalkdeck_net::clock::{Clock, ClockJumps};
+use chalkdeck_net::grpc::{self, Code};
 use chalkdeck_net::{ConnId, Engine, Event, Limits};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -11,6 +12,8 @@
 const SECOND_MICROS: i64 = 1_000_000;
 /// More than the buffers of both sockets hold.
 const LONG_REPLY_BYTES: usize = 32 << 20;
+/// The size of a body that the buffers of the sending socket hold.
+const BODY_BYTES: usize = 2 << 20;
 
 /// An event loop with a controlled clock and one accepted connection.
 struct Fixture {
@@ -116,3 +119,106 @@
         "open although the peer accepted nothing for over 10 s"
     );
 }
+
+/// Guards against the reset of a connection whose peer sends more than its request: the part of the answer that the kernel holds goes
+/// with it.
+#[test]
+fn http1_client_sends_behind_its_request_then_it_still_receives_the_whole_answer() {
+    let mut engine = Engine::new().expect("a poll handle");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (_, address) = engine
+        .listen(any, Limits::default(), false, true)
+        .expect("a free port");
+    let mut client = TcpStream::connect(address).expect("a connection");
+    client
+        .write_all(b"GET /metrics HTTP/1.1\r\n\r\n")
+        .expect("the request is sent");
+    client
+        .write_all(&[b'x'; 32 << 10])
+        .expect("the socket has room");
+    let mut events = Vec::new();
+    let conn = loop {
+        engine.turn(1_000, &mut events).expect("a turn");
+        let request = events.iter().find_map(|event| match event {
+            Event::Get { conn, .. } => Some(*conn),
+            _ => None,
+        });
+        if let Some(conn) = request {
+            break conn;
+        }
+    };
+    engine.reply(conn, 200, &"m".repeat(BODY_BYTES));
+    let reading = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(50));
+        let mut received = String::new();
+        client.read_to_string(&mut received).map(|_| received)
+    });
+    while !reading.is_finished() {
+        engine.turn(1_000, &mut events).expect("a turn");
+    }
+    let received = reading.join().expect("no panic");
+    let received = received.expect("an answer and an orderly end");
+    assert!(received.ends_with(&"m".repeat(BODY_BYTES)));
+}
+
+/// The beginning of an HTTP/2 connection: the preface, a SETTINGS frame with a stream window of 16 MiB, an update of the connection's
+/// window by as much, and a HEADERS frame with a whole request.
+const HTTP2_REQUEST: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\
+    \x00\x00\x06\x04\x00\x00\x00\x00\x00\x00\x04\x01\x00\x00\x00\
+    \x00\x00\x04\x08\x00\x00\x00\x00\x00\x01\x00\x00\x00\
+    \x00\x00\x08\x01\x05\x00\x00\x00\x01\x83\x86\x84\x41\x03srv";
+/// A PING frame that answers the one by which `h2` finds out that its GOAWAY was received.
+const HTTP2_GOAWAY_PONG: &[u8] =
+    b"\x00\x00\x08\x06\x01\x00\x00\x00\x00\x0b\x7b\xa2\xf0\x8b\x9b\xfe\x54";
+/// A PING frame.
+const HTTP2_PING: &[u8] = b"\x00\x00\x08\x06\x00\x00\x00\x00\x00pingping";
+
+/// Guards against the reset of a drained connection whose client sends a frame, such as a ping, before it has read the last response: what
+/// the kernel still holds of the response goes with it.
+#[test]
+fn http2_client_sends_a_frame_behind_the_last_response_then_it_still_receives_all_of_it() {
+    let mut engine = Engine::new().expect("a poll handle");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let (listener, address) = engine
+        .listen(any, Limits::default(), false, false)
+        .expect("a free port");
+    let mut client = TcpStream::connect(address).expect("a connection");
+    client
+        .write_all(HTTP2_REQUEST)
+        .expect("the request is sent");
+    let mut events = Vec::new();
+    let stream = loop {
+        engine.turn(1_000, &mut events).expect("a turn");
+        let opened = events.iter().find_map(|event| match event {
+            Event::StreamOpened { stream, .. } => Some(*stream),
+            _ => None,
+        });
+        if let Some(stream) = opened {
+            break stream;
+        }
+    };
+    engine.drain(listener);
+    engine.turn(1_000, &mut events).expect("a turn");
+    client
+        .write_all(HTTP2_GOAWAY_PONG)
+        .expect("a frame is sent");
+    engine.turn(1_000, &mut events).expect("a turn");
+    engine.respond(stream, grpc::response_head(), false);
+    engine.send(stream, vec![b'r'; BODY_BYTES].into());
+    engine.finish(stream, Some(grpc::trailers(Code::Ok, "")));
+    for _ in 0..100 {
+        engine.turn(1_000, &mut events).expect("a turn");
+    }
+    client.write_all(HTTP2_PING).expect("a frame is sent");
+    engine.turn(1_000, &mut events).expect("a turn");
+    let reading = std::thread::spawn(move || {
+        let mut received = Vec::new();
+        client.read_to_end(&mut received).map(|_| received.len())
+    });
+    while !reading.is_finished() {
+        engine.turn(1_000, &mut events).expect("a turn");
+    }
+    let received = reading.join().expect("no panic");
+    let received = received.expect("a response and an orderly end");
+    assert!(received > BODY_BYTES, "{received} bytes");
+}
