net: replies queued in a process's last turn are written

The platform's gateway leaves its loop at the end of a turn, at the latest when every request received before the shutdown has been answered; replies queued in that turn were never written, as that happens at the start of the next one.

Cause: replies are written at the start of a turn, and dropping the loop dropped what was queued.

Change: dropping the loop writes what is queued on accepted plain connections, as far as their sockets take it, as a BufWriter does. Connections to endpoints and the counter are left alone: what was not written there must not run.

--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -236,3 +236,13 @@
         self.check_lingering_closes(now);
     }
 }
+
+/// Writes what is queued on accepted plain connections, as far as their sockets accept it: replies that were queued in the last turn are
+/// not lost when the process stops.
+impl Drop for Engine {
+    fn drop(&mut self) {
+        for connection in self.connections.values_mut() {
+            connection.flush_if_accepted();
+        }
+    }
+}
--- a/crates/net/tests/lingering.rs
+++ b/crates/net/tests/lingering.rs
@@ -120,6 +120,25 @@
     );
 }
 
+/// Guards against replies that are dropped when the process stops in the turn in which it queued them.
+#[test]
+fn loop_is_dropped_then_queued_bytes_were_written() {
+    let Fixture {
+        mut engine,
+        mut client,
+        conn,
+        ..
+    } = Fixture::new();
+    engine.write(conn, b"reply");
+    drop(engine);
+    client.set_nonblocking(false).expect("a socket");
+    let mut received = Vec::new();
+    client
+        .read_to_end(&mut received)
+        .expect("the reply and the end");
+    assert_eq!(received, b"reply");
+}
+
 /// Guards against the reset of a connection whose peer sends more than its request: the part of the answer that the kernel holds goes
 /// with it.
 #[test]
