net: calls answered before their requests end do not add up to a closed connection

What callers saw: a client whose calls are denied, invalid or over quota, so that they are answered before their bodies have come, loses its connection after some 1,000 of them, and all other calls on it lose their answers.

Cause: the stream of an answered call was dropped at once, which resets it. h2 remembers 64 such streams; a frame that the client had sent before it read the answer then comes on an unknown stream and counts as the client's error, and at 1,024 errors in the life of a connection h2 sends GOAWAY and closes.

Change: a server's stream stays until the client has ended its request as well, at most 0.5 s; what comes is discarded and reported to nobody. h2's limit stays.

Discarding costs a peer's frames for 0.5 s; not measured under load.

--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -58,6 +58,8 @@
     pings: BinaryHeap<Scheduled>,
     /// The times of the next checks of lingering closes, by connection.
     lingering_checks: BinaryHeap<Scheduled>,
+    /// When the discarding of what clients send on answered streams ends, by stream.
+    discards: BinaryHeap<Scheduled>,
     /// Events that `turn` has not returned yet.
     events: VecDeque<Event>,
     /// The number of streams that clients opened in this turn.
@@ -98,6 +100,7 @@
             timers: BinaryHeap::new(),
             pings: BinaryHeap::new(),
             lingering_checks: BinaryHeap::new(),
+            discards: BinaryHeap::new(),
             events: VecDeque::new(),
             opened_in_turn: 0,
             accepting_listeners: Vec::new(),
@@ -153,7 +156,12 @@
     fn wait(&mut self, max_wait_micros: u64) -> io::Result<()> {
         let is_idle =
             self.ready.is_empty() && self.events.is_empty() && self.accepting_listeners.is_empty();
-        let scheduled = [&self.timers, &self.pings, &self.lingering_checks];
+        let scheduled = [
+            &self.timers,
+            &self.pings,
+            &self.lingering_checks,
+            &self.discards,
+        ];
         let next = scheduled
             .iter()
             .filter_map(|heap| heap.peek())
@@ -234,6 +242,7 @@
         }
         self.send_pings(now);
         self.check_lingering_closes(now);
+        self.end_discards(now);
     }
 }
 
--- a/crates/net/src/engine/streams.rs
+++ b/crates/net/src/engine/streams.rs
@@ -8,8 +8,12 @@
 use crate::stream::{Outgoing, Stream};
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
+use std::cmp::Reverse;
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
+/// The time for which the rest of a request is received and discarded once its response is complete, in microseconds. After it, the stream
+/// is reset. Most clients end or reset it themselves when they have the response.
+const DISCARD_TIMEOUT_MICROS: u64 = 500_000;
 
 impl Engine {
     /// The number of further streams that can be opened on a connection now.
@@ -105,9 +109,10 @@
             .map_or(0, |stream| stream.queued_bytes())
     }
 
-    /// Whether the stream is still open.
+    /// Whether the stream is open, and its response is not complete if a client opened it.
     pub fn is_open(&self, stream: StreamId) -> bool {
-        self.streams.contains_key(&stream.0)
+        let stream = self.streams.get(&stream.0);
+        stream.is_some_and(|stream| !stream.is_answered())
     }
 
     /// Polls a stream, and removes it once it is finished.
@@ -120,6 +125,10 @@
         let was_reset = stream.was_reset();
         if stream.is_finished() {
             self.remove_stream(key);
+        } else if stream.begin_discarding() {
+            stream.waker.wake_by_ref();
+            let until = self.now() + DISCARD_TIMEOUT_MICROS;
+            self.discards.push(Reverse((until, key)));
         }
         if was_reset {
             self.count_reset(conn);
@@ -142,6 +151,17 @@
         }
     }
 
+    /// Removes the answered streams whose clients have not ended their requests in time.
+    pub(super) fn end_discards(&mut self, now: u64) {
+        while let Some(Reverse((at, key))) = self.discards.peek().copied() {
+            if at > now {
+                return;
+            }
+            self.discards.pop();
+            self.remove_stream(key);
+        }
+    }
+
     fn remove_stream(&mut self, key: u64) {
         let Some(stream) = self.streams.remove(&key) else {
             return;
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -54,6 +54,8 @@
     end: OutgoingEnd,
     has_failed: bool,
     is_cancelled: bool,
+    /// The response is complete, and what the client still sends is discarded.
+    is_discarding: bool,
 }
 
 /// Classifies an error by whether the peer may have processed the stream.
@@ -121,14 +123,24 @@
             end: OutgoingEnd::Open,
             has_failed: false,
             is_cancelled: false,
+            is_discarding: false,
         }
     }
 
-    /// Whether it has failed or its response is complete.
+    /// Whether it has failed, or nothing more is sent or received that concerns the response.
     pub(crate) fn is_finished(&self) -> bool {
-        let sent = matches!(self.outgoing, Outgoing::Done);
         let received = matches!(self.incoming, Incoming::Done);
-        self.has_failed || if self.is_server_side { sent } else { received }
+        self.has_failed || received && (self.is_answered() || !self.is_server_side)
+    }
+
+    /// Whether a client opened it and its response is complete.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.is_server_side && matches!(self.outgoing, Outgoing::Done)
+    }
+
+    /// Begins to discard what the client still sends, if the response is complete; returns whether it did so now.
+    pub(crate) fn begin_discarding(&mut self) -> bool {
+        self.is_answered() && !std::mem::replace(&mut self.is_discarding, true)
     }
 
     /// Whether the client reset it.
@@ -181,6 +193,9 @@
         }
         let waker = self.waker.clone();
         let mut context = Context::from_waker(&waker);
+        if self.is_discarding {
+            return self.discard_incoming(&mut context);
+        }
         let result = self
             .poll_incoming(&mut context, events)
             .and_then(|()| self.poll_outgoing(&mut context, events));
@@ -194,6 +209,21 @@
         }
     }
 
+    /// Discards what the client sends behind a complete response. That it ends or resets the stream concerns nobody.
+    fn discard_incoming(&mut self, context: &mut Context<'_>) {
+        let Incoming::Body(body) = &mut self.incoming else {
+            return;
+        };
+        while let Poll::Ready(data) = body.poll_data(context) {
+            let Some(Ok(data)) = data else {
+                self.incoming = Incoming::Done;
+                return;
+            };
+            // Fails only if the stream is closed.
+            let _ = body.flow_control().release_capacity(data.len());
+        }
+    }
+
     fn poll_incoming(
         &mut self,
         context: &mut Context<'_>,
