--- a/crates/resp-gateway/src/sessions/eviction_tests.rs
+++ b/crates/resp-gateway/src/sessions/eviction_tests.rs
@@ -97,6 +97,21 @@
     );
 }
 
+#[test]
+fn client_sends_its_first_command_byte_by_byte_then_evicted_before_one_that_waits_for_its_reply() {
+    let mut fixture = Fixture::new(1, 1 << 20);
+    let (_waiting_client, waiting) = fixture.connect();
+    let _slot = fixture.receive(waiting, PING).expect("a complete command");
+    let (_slow_client, slow) = fixture.connect();
+    fixture.test_loop.jumps.jump(NO_LONGER_NEW_MICROS);
+    assert!(fixture.receive(slow, &PING[..1]).is_none());
+    assert!(
+        !fixture.is_kept_after(0, slow),
+        "kept as a new client although it connected a while ago"
+    );
+    assert!(fixture.sessions.owns(waiting));
+}
+
 #[test]
 fn client_ended_by_an_error_then_evicted_before_a_resting_one_once_it_had_time_to_read() {
     let mut fixture = Fixture::new(1, 1 << 20);
--- a/crates/resp-gateway/src/sessions/session.rs
+++ b/crates/resp-gateway/src/sessions/session.rs
@@ -89,7 +89,7 @@
 
     /// Whether the client has sent no complete command, but may be about to send its first one.
     pub(super) fn is_new(&self, now: Timestamp) -> bool {
-        !self.has_sent_command && now < self.last_active_at + FIRST_COMMAND_GRACE
+        !self.has_sent_command && now < self.accepted_at + FIRST_COMMAND_GRACE
     }
 
     /// Records the total number of bytes that the client has accepted, and the number that it has not.
