Tests of lingering closes ask as close to the limits as before, whatever the machine's load

Change: the tests ask 0.1 s before the limit of 2 s and 1 s before that of 10 s again, and excuse a close only where the turns of the loop themselves took what was left of the limit in real time.

--- a/crates/net/tests/lingering.rs
+++ b/crates/net/tests/lingering.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const SECOND_MICROS: i64 = 1_000_000;
 /// More than the buffers of both sockets hold.
@@ -21,6 +21,8 @@
     jumps: Arc<ClockJumps>,
     client: TcpStream,
     conn: ConnId,
+    /// Whether the connection was reported as closed.
+    is_closed: bool,
 }
 
 impl Fixture {
@@ -45,19 +47,32 @@
             jumps,
             client,
             conn,
+            is_closed: false,
         }
     }
 
-    /// Advances the clock and runs turns; returns whether the connection was reported as closed.
+    /// Advances the clock and runs turns, and asserts that the connection stays open, unless the turns themselves took longer than what was
+    /// left of the time limit, `left`.
+    fn assert_open_after(&mut self, micros: i64, left: Duration) {
+        let started_at = Instant::now();
+        let is_closed = self.is_closed_after(micros);
+        assert!(
+            !is_closed || started_at.elapsed() >= left,
+            "closed too early"
+        );
+    }
+
+    /// Advances the clock and runs turns; returns whether the connection was reported as closed by then.
     fn is_closed_after(&mut self, micros: i64) -> bool {
         self.jumps.jump(micros);
         let mut events = Vec::new();
         for _ in 0..5 {
             self.engine.turn(1_000, &mut events).expect("a turn");
         }
-        events
+        self.is_closed |= events
             .iter()
-            .any(|event| matches!(event, Event::Closed { .. }))
+            .any(|event| matches!(event, Event::Closed { .. }));
+        self.is_closed
     }
 }
 
@@ -87,8 +102,8 @@
     let mut fixture = Fixture::new();
     fixture.engine.write(fixture.conn, b"reply");
     fixture.engine.start_lingering_close(fixture.conn);
-    assert!(!fixture.is_closed_after(SECOND_MICROS));
-    assert!(fixture.is_closed_after(SECOND_MICROS));
+    fixture.assert_open_after(19 * SECOND_MICROS / 10, Duration::from_millis(100));
+    assert!(fixture.is_closed_after(2 * SECOND_MICROS / 10));
     let mut received = Vec::new();
     fixture
         .client
@@ -104,16 +119,14 @@
         .engine
         .write(fixture.conn, &vec![b'r'; LONG_REPLY_BYTES]);
     fixture.engine.start_lingering_close(fixture.conn);
-    assert!(!fixture.is_closed_after(8 * SECOND_MICROS));
+    fixture.assert_open_after(9 * SECOND_MICROS, Duration::from_secs(1));
     let mut buffer = vec![0; 4 << 20];
     let read = fixture.client.read(&mut buffer).expect("some bytes");
     assert!(read > 0);
     std::thread::sleep(Duration::from_millis(1));
     assert!(!fixture.is_closed_after(SECOND_MICROS / 10));
-    assert!(
-        !fixture.is_closed_after(8 * SECOND_MICROS),
-        "closed although the peer accepted bytes 8 s ago"
-    );
+    // The limit counts from the first check after the read, which was not more than 0.2 s of the clock ago.
+    fixture.assert_open_after(9 * SECOND_MICROS, Duration::from_millis(800));
     assert!(
         fixture.is_closed_after(2 * SECOND_MICROS),
         "open although the peer accepted nothing for over 10 s"
