RESP port: the error of wrong units keeps its recorded literal

Cause: renamed the local most, whose name stands in the format string that the record of names on the wire holds; the text that leaves the process is the same.

Measured: wire_names passed.

--- a/crates/grpc-gateway/src/resp/mod.rs
+++ b/crates/grpc-gateway/src/resp/mod.rs
@@ -199,7 +199,7 @@
         units: f64,
         lease: Option<u64>,
     ) {
-        let (max_units, plan) = (
+        let (most, plan) = (
             self.settings.policy.max_request_units,
             self.settings.plan_for(customer),
         );
@@ -211,9 +211,9 @@
         let Some(plan) = plan else {
             return session.push_reply(Reply::Error("NOPLAN this customer has no plan".into()));
         };
-        if !(units > 0.0 && units <= max_units) {
+        if !(units > 0.0 && units <= most) {
             return session.push_reply(Reply::Error(format!(
-                "ERR units: expected above 0, at most {max_units}, found {units}"
+                "ERR units: expected above 0, at most {most}, found {units}"
             )));
         }
         if lease.is_some() && !tickets::has_room(session) {
