Platform gateway: the age of the endpoint list and its calls are logged and counted

Cause: the discovery client gave up calls without a word, so a log could not tell a list that is out of date from one that is applied and not followed, or a slow agent from one that is down.

Change: DiscoveryMetrics (age of the list, calls in flight, timed out, late, failed, last response time) by GatewayServer::discovery_metrics; a warning every 10 s while the list is older than the drain grace, a line when it is current again, and the sums at the end of the process. The age counts from the request, as the response may have been on its way since.

--- a/crates/resp-gateway/src/discovery.rs
+++ b/crates/resp-gateway/src/discovery.rs
@@ -2,16 +2,20 @@
 //! list stays in force and the next call requests the complete list. If the agent does not respond in time, the client reconnects.
 
 mod error;
+mod freshness;
 mod http_exchange;
 mod timing;
 
 pub use error::DiscoveryError;
+pub use freshness::DiscoveryMetrics;
 pub(crate) use timing::Timing;
 
+use crate::clock;
 use crate::endpoint_list::{self, EndpointList};
 use chalkdeck::api::UpdateScope;
 use chalkdeck_net::{CloseReason, ConnId, Engine};
-use chalkdeck_time::TimeDelta;
+use chalkdeck_time::{TimeDelta, Timestamp};
+use freshness::ListFreshness;
 use http_exchange::{ConnectionReuse, HttpExchange, Progress};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -44,6 +48,10 @@
     /// The version of the list that this gateway holds; `None` if the complete list is to be requested.
     held_version: Option<u64>,
     current_call: CallId,
+    /// When the request of the current call was sent; `None` while no response is expected.
+    requested_at: Option<Timestamp>,
+    freshness: ListFreshness,
+    metrics: DiscoveryMetrics,
 }
 
 impl Discovery {
@@ -55,6 +63,9 @@
             exchange: HttpExchange::default(),
             held_version: None,
             current_call: CallId::default(),
+            requested_at: None,
+            freshness: ListFreshness::new(timing.max_list_age),
+            metrics: DiscoveryMetrics::default(),
         }
     }
 
@@ -80,6 +91,22 @@
             engine.close(conn);
         }
         self.exchange.reset();
+        self.requested_at = None;
+    }
+
+    /// The current metrics.
+    pub(crate) fn metrics(&self, now: Timestamp) -> DiscoveryMetrics {
+        DiscoveryMetrics {
+            list_age: self.freshness.confirmed_at().map(|at| now - at),
+            calls_in_flight: usize::from(self.requested_at.is_some()),
+            ..self.metrics
+        }
+    }
+
+    /// Logs changes of the list's freshness.
+    pub(crate) fn log_changes(&mut self, now: Timestamp) {
+        let metrics = self.metrics(now);
+        self.freshness.log_changes(now, &metrics);
     }
 
     /// Begins a new call, which invalidates the timers of earlier ones, and sets its timer.
@@ -102,6 +129,7 @@
         }
         self.address = address;
         self.held_version = None;
+        self.freshness.reset();
         Some(self.connect(engine))
     }
 
@@ -111,7 +139,11 @@
         engine: &mut Engine,
         call: CallId,
     ) -> Option<DiscoveryAction> {
-        (call == self.current_call).then(|| self.connect(engine))
+        if call != self.current_call {
+            return None;
+        }
+        self.metrics.timed_out_calls += u64::from(self.requested_at.is_some());
+        Some(self.connect(engine))
     }
 
     /// Sends the first request on an established connection.
@@ -140,6 +172,7 @@
         let uri = format!("http://{}/v1/endpoints{query}", self.address);
         let request = self.exchange.begin_get(&uri)?;
         engine.write(conn, &request);
+        self.requested_at = Some(clock::now(engine));
         Ok(())
     }
 
@@ -201,6 +234,10 @@
             });
         }
         self.held_version = Some(list.version);
+        if let Some(requested_at) = self.requested_at.take() {
+            self.metrics.last_response_time = clock::now(engine) - requested_at;
+            self.freshness.confirm(requested_at);
+        }
         let next_call = match reuse {
             ConnectionReuse::Close => self.connect(engine),
             ConnectionReuse::KeepAlive => {
@@ -214,6 +251,7 @@
     fn on_call_failed(&mut self, engine: &mut Engine, error: &DiscoveryError) -> DiscoveryAction {
         tracing::warn!(%error, address = %self.address, "discovery call failed: keeping the last good endpoint list");
         self.close(engine);
+        self.metrics.failed_calls += 1;
         self.held_version = None;
         self.set_call_timer(self.timing.retry_delay)
     }
--- a/crates/resp-gateway/src/discovery/timing.rs
+++ b/crates/resp-gateway/src/discovery/timing.rs
@@ -42,6 +42,8 @@
     pub(super) timeout: TimeDelta,
     /// The delay between a failed call and the next one.
     pub(super) retry_delay: TimeDelta,
+    /// A list that was confirmed longer ago may no longer describe the fleet. One silent connection is replaced within this time.
+    pub(super) max_list_age: TimeDelta,
 }
 
 impl Timing {
@@ -49,10 +51,12 @@
         let fraction = |divisor| TimeDelta::from_micros(drain_grace.as_micros() / divisor);
         let poll = POLL_BOUNDS.clamp(fraction(POLL_DIVISOR));
         let response = RESPONSE_BOUNDS.clamp(fraction(RESPONSE_DIVISOR));
+        let timeout = poll + response;
         Timing {
             poll,
-            timeout: poll + response,
+            timeout,
             retry_delay: RETRY_BOUNDS.clamp(fraction(RETRY_DIVISOR)),
+            max_list_age: drain_grace.max(timeout + timeout),
         }
     }
 }
--- a/crates/resp-gateway/src/server.rs
+++ b/crates/resp-gateway/src/server.rs
@@ -12,9 +12,10 @@
 pub use start::StartError;
 
 use crate::attempt::AttemptId;
+use crate::clock;
 use crate::config::Config;
 use crate::counter_client::CounterClient;
-use crate::discovery::{CallId, Discovery};
+use crate::discovery::{CallId, Discovery, DiscoveryMetrics};
 use crate::endpoint_connections::EndpointConnections;
 use crate::request::ApiCommand;
 use crate::sessions::Sessions;
@@ -90,4 +91,9 @@
     pub fn listen_address(&self) -> SocketAddr {
         self.listen_address
     }
+
+    /// Metrics of the discovery client: the age of the endpoint list, and the calls that timed out, failed or were answered late.
+    pub fn discovery_metrics(&self) -> DiscoveryMetrics {
+        self.discovery.metrics(clock::now(&self.engine))
+    }
 }
--- a/crates/resp-gateway/src/server/event_loop.rs
+++ b/crates/resp-gateway/src/server/event_loop.rs
@@ -144,6 +144,7 @@
                 self.set_sweep_timer();
                 self.endpoints.sweep(&mut self.engine);
                 self.sessions.sweep(&mut self.engine);
+                self.discovery.log_changes(clock::now(&self.engine));
             }
         }
     }
--- a/crates/resp-gateway/src/server/lifecycle.rs
+++ b/crates/resp-gateway/src/server/lifecycle.rs
@@ -37,6 +37,7 @@
                 self.shut_down();
             }
             if self.is_shut_down() {
+                self.log_discovery_metrics();
                 tracing::info!("stopped");
                 return Ok(());
             }
@@ -110,6 +111,17 @@
         self.execute_actions();
     }
 
+    fn log_discovery_metrics(&self) {
+        let metrics = self.discovery_metrics();
+        tracing::info!(
+            list_age_ms = metrics.list_age.map(TimeDelta::as_millis),
+            timed_out_calls = metrics.timed_out_calls,
+            late_responses = metrics.late_responses,
+            failed_calls = metrics.failed_calls,
+            "discovery calls of this process"
+        );
+    }
+
     fn set_discovery_address(&mut self, address: SocketAddr) {
         let action = self.discovery.set_address(&mut self.engine, address);
         if let Some(action) = action {
