Platform gateway: responses of discovery count however late they are

Cause: not the length of the time-out. A call without a response by its time-out may be on a silent connection or at a slow agent, and the two cannot be told apart; the time-out replaced the connection (needed for the first) and with it dropped the response (wrong for the second), and the repeat loaded a slow agent anew each time. Any fixed time has an agent that is a little later.

Change: the call stays in flight when the next one begins beside it on another connection, as soon as before; a response counts until a later call has been answered, and then older calls are closed (discovery/schedule.rs, call.rs). A version that is older than the applied one and was requested before that arrived is dropped (applied_list.rs). 7 calls in flight and a spare connection; after late responses calls begin each fifth of the response time, and none is given up while the agent responds, as it may serve a call whose caller has gone. Incomplete responses together are bounded like one. 7 descriptors fewer for endpoint connections.

--- a/crates/resp-gateway/src/discovery.rs
+++ b/crates/resp-gateway/src/discovery.rs
@@ -1,9 +1,13 @@
-//! Client of the discovery agent: successive long polls over HTTP/1.1, each with a time-out. After an invalid response the last valid
-//! list stays in force and the next call requests the complete list. If the agent does not respond in time, the client reconnects.
+//! Client of the discovery agent: long polls over HTTP/1.1. A call without a response in time stays in flight, and the next one begins on
+//! another connection; each response counts, however late it is, until a later call has been answered. After an invalid response the last
+//! valid list stays in force and the next call requests the complete list.
 
+mod applied_list;
+mod call;
 mod error;
 mod freshness;
 mod http_exchange;
+mod schedule;
 mod timing;
 
 pub use error::DiscoveryError;
@@ -12,15 +16,21 @@
 
 use crate::clock;
 use crate::endpoint_list::{self, EndpointList};
+use applied_list::{AppliedList, Verdict};
+use call::{Call, SentRequest};
 use chalkdeck::api::UpdateScope;
 use chalkdeck_net::{CloseReason, ConnId, Engine};
 use chalkdeck_time::{TimeDelta, Timestamp};
 use freshness::ListFreshness;
-use http_exchange::{ConnectionReuse, HttpExchange, Progress};
+use http_exchange::{ConnectionReuse, Progress, MAX_RESPONSE_BYTES};
+use schedule::{CallSchedule, Room, MAX_CALLS_IN_FLIGHT};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+/// The maximum number of connections to the agent: one for each call in flight, and a spare one.
+pub(crate) const MAX_DISCOVERY_CONNECTIONS: usize = MAX_CALLS_IN_FLIGHT + 1;
+
 /// The number of a call. Timers of earlier calls have no effect.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct CallId(u64);
@@ -43,13 +53,15 @@
 pub(crate) struct Discovery {
     address: SocketAddr,
     timing: Timing,
-    conn: Option<ConnId>,
-    exchange: HttpExchange,
-    /// The version of the list that this gateway holds; `None` if the complete list is to be requested.
+    /// The calls in flight, the oldest first.
+    calls: Vec<Call>,
+    /// An established connection without a call, which the next call takes.
+    spare: Option<ConnId>,
+    schedule: CallSchedule,
+    /// The version that the next call requests changes of; `None` if the complete list is to be requested.
     held_version: Option<u64>,
+    applied: AppliedList,
     current_call: CallId,
-    /// When the request of the current call was sent; `None` while no response is expected.
-    requested_at: Option<Timestamp>,
     freshness: ListFreshness,
     metrics: DiscoveryMetrics,
 }
@@ -59,46 +71,32 @@
         Discovery {
             address,
             timing,
-            conn: None,
-            exchange: HttpExchange::default(),
+            calls: Vec::new(),
+            spare: None,
+            schedule: CallSchedule::new(timing.timeout),
             held_version: None,
+            applied: AppliedList::default(),
             current_call: CallId::default(),
-            requested_at: None,
             freshness: ListFreshness::new(timing.max_list_age),
             metrics: DiscoveryMetrics::default(),
         }
     }
 
-    /// Whether this is the connection to the agent.
+    /// Whether this is a connection to the agent.
     pub(crate) fn owns(&self, conn: ConnId) -> bool {
-        self.conn == Some(conn)
+        self.spare == Some(conn) || self.call_on(conn).is_some()
     }
 
-    /// Connects to the agent. An existing connection is closed first.
-    pub(crate) fn connect(&mut self, engine: &mut Engine) -> DiscoveryAction {
-        self.close(engine);
-        match engine.connect_plain(self.address) {
-            Ok(conn) => {
-                self.conn = Some(conn);
-                self.set_call_timer(self.timing.timeout)
-            }
-            Err(_) => self.set_call_timer(self.timing.retry_delay),
-        }
-    }
-
-    fn close(&mut self, engine: &mut Engine) {
-        if let Some(conn) = self.conn.take() {
-            engine.close(conn);
-        }
-        self.exchange.reset();
-        self.requested_at = None;
+    /// The index of the call on a connection.
+    fn call_on(&self, conn: ConnId) -> Option<usize> {
+        self.calls.iter().position(|call| call.conn == conn)
     }
 
     /// The current metrics.
     pub(crate) fn metrics(&self, now: Timestamp) -> DiscoveryMetrics {
         DiscoveryMetrics {
             list_age: self.freshness.confirmed_at().map(|at| now - at),
-            calls_in_flight: usize::from(self.requested_at.is_some()),
+            calls_in_flight: self.calls.len(),
             ..self.metrics
         }
     }
@@ -109,6 +107,60 @@
         self.freshness.log_changes(now, &metrics);
     }
 
+    /// Begins a call beside those in flight, on a connection of its own.
+    pub(crate) fn connect(&mut self, engine: &mut Engine) -> DiscoveryAction {
+        if !self.make_room(engine) {
+            return self.set_call_timer(self.timing.timeout);
+        }
+        self.metrics.repeated_calls += u64::from(!self.calls.is_empty());
+        let spare = self.spare.take();
+        if let Some(conn) = spare.filter(|conn| engine.is_idle(*conn)) {
+            return self.begin_call_on(engine, conn);
+        }
+        self.close_all(engine, spare);
+        match engine.connect_plain(self.address) {
+            Ok(conn) => {
+                let now = clock::now(engine);
+                self.calls.push(Call::new(conn, now));
+                self.set_call_timer(self.schedule.interval(now))
+            }
+            Err(_) => self.set_call_timer(self.timing.retry_delay),
+        }
+    }
+
+    /// Begins a call on an established connection.
+    fn begin_call_on(&mut self, engine: &mut Engine, conn: ConnId) -> DiscoveryAction {
+        let now = clock::now(engine);
+        self.calls.push(Call::new(conn, now));
+        match self.send_request(engine, self.calls.len() - 1) {
+            Ok(()) => self.set_call_timer(self.schedule.interval(now)),
+            Err(error) => {
+                self.give_up_invalid(engine, conn, &error);
+                self.set_call_timer(self.timing.retry_delay)
+            }
+        }
+    }
+
+    /// Whether another call may begin. One in flight is given up for it if necessary.
+    fn make_room(&mut self, engine: &mut Engine) -> bool {
+        let begun_at: Vec<Timestamp> = self.calls.iter().map(|call| call.begun_at).collect();
+        match self.schedule.room(clock::now(engine), &begun_at) {
+            Room::Free => true,
+            Room::Replace(index) => {
+                let call = self.calls.remove(index);
+                engine.close(call.conn);
+                true
+            }
+            Room::Full => false,
+        }
+    }
+
+    fn close_all(&mut self, engine: &mut Engine, conns: impl IntoIterator<Item = ConnId>) {
+        for conn in conns {
+            engine.close(conn);
+        }
+    }
+
     /// Begins a new call, which invalidates the timers of earlier ones, and sets its timer.
     fn set_call_timer(&mut self, after: TimeDelta) -> DiscoveryAction {
         self.current_call.0 += 1;
@@ -127,23 +179,24 @@
         if address == self.address {
             return None;
         }
+        let calls = std::mem::take(&mut self.calls);
+        let conns = calls.into_iter().map(|call| call.conn);
+        let conns: Vec<ConnId> = conns.chain(self.spare.take()).collect();
+        self.close_all(engine, conns);
         self.address = address;
         self.held_version = None;
-        self.freshness.reset();
+        self.applied.reset();
+        self.schedule.reset();
         Some(self.connect(engine))
     }
 
-    /// Handles the time-out of a call: if it is still the current one, reconnects to the agent.
+    /// Handles the time-out of a call: if it is still the current one, begins the next call beside it.
     pub(crate) fn on_call_timeout(
         &mut self,
         engine: &mut Engine,
         call: CallId,
     ) -> Option<DiscoveryAction> {
-        if call != self.current_call {
-            return None;
-        }
-        self.metrics.timed_out_calls += u64::from(self.requested_at.is_some());
-        Some(self.connect(engine))
+        (call == self.current_call).then(|| self.connect(engine))
     }
 
     /// Sends the first request on an established connection.
@@ -152,16 +205,14 @@
         engine: &mut Engine,
         conn: ConnId,
     ) -> Option<DiscoveryAction> {
-        if !self.owns(conn) {
-            return None;
-        }
-        match self.send_request(engine, conn) {
+        let index = self.call_on(conn)?;
+        match self.send_request(engine, index) {
             Ok(()) => None,
-            Err(error) => Some(self.on_call_failed(engine, &error)),
+            Err(error) => self.on_call_failed(engine, conn, &error),
         }
     }
 
-    fn send_request(&mut self, engine: &mut Engine, conn: ConnId) -> Result<(), DiscoveryError> {
+    fn send_request(&mut self, engine: &mut Engine, index: usize) -> Result<(), DiscoveryError> {
         let query = match self.held_version {
             Some(version) => {
                 let poll_ms = self.timing.poll.as_millis();
@@ -170,9 +221,13 @@
             None => String::new(),
         };
         let uri = format!("http://{}/v1/endpoints{query}", self.address);
-        let request = self.exchange.begin_get(&uri)?;
-        engine.write(conn, &request);
-        self.requested_at = Some(clock::now(engine));
+        let call = &mut self.calls[index];
+        let request = call.exchange.begin_get(&uri)?;
+        engine.write(call.conn, &request);
+        call.request = Some(SentRequest {
+            sent_at: clock::now(engine),
+            since: self.held_version,
+        });
         Ok(())
     }
 
@@ -185,16 +240,15 @@
         reason: &CloseReason,
         zones: &mut HashMap<String, u32>,
     ) -> Vec<DiscoveryAction> {
-        if !self.owns(conn) {
+        self.spare = self.spare.filter(|spare| *spare != conn);
+        let Some(index) = self.call_on(conn) else {
             return Vec::new();
-        }
-        self.conn = None;
-        let is_close_delimited = self.exchange.end();
+        };
+        let is_close_delimited = self.calls[index].exchange.end();
         if !is_close_delimited || *reason != CloseReason::PeerEnded {
-            return vec![self.set_call_timer(self.timing.retry_delay)];
+            return self.remove_failed(index).into_iter().collect();
         }
-        let actions = self.handle_response(engine, conn, ConnectionReuse::Close, zones);
-        actions.unwrap_or_else(|error| vec![self.on_call_failed(engine, &error)])
+        self.handle_response(engine, index, ConnectionReuse::Close, zones)
     }
 
     /// Handles received bytes.
@@ -205,57 +259,161 @@
         data: &[u8],
         zones: &mut HashMap<String, u32>,
     ) -> Vec<DiscoveryAction> {
-        if !self.owns(conn) {
+        let Some(index) = self.call_on(conn) else {
+            // No response is expected on a spare connection.
+            let spare = self.spare.take_if(|spare| *spare == conn);
+            self.close_all(engine, spare);
             return Vec::new();
-        }
-        let actions = match self.exchange.receive(data) {
-            Ok(Progress::Incomplete) => Ok(Vec::new()),
-            Ok(Progress::Complete(reuse)) => self.handle_response(engine, conn, reuse, zones),
-            Err(error) => Err(error),
         };
-        actions.unwrap_or_else(|error| vec![self.on_call_failed(engine, &error)])
+        match self.calls[index].exchange.receive(data) {
+            Ok(Progress::Incomplete) => {
+                self.limit_partial_responses(engine);
+                Vec::new()
+            }
+            Ok(Progress::Complete(reuse)) => self.handle_response(engine, index, reuse, zones),
+            Err(error) => {
+                let action = self.on_call_failed(engine, conn, &error);
+                action.into_iter().collect()
+            }
+        }
+    }
+
+    /// Gives up the newest partial responses as long as all of them together exceed the maximum length of one.
+    fn limit_partial_responses(&mut self, engine: &mut Engine) {
+        let buffered = |call: &Call| call.exchange.buffered_bytes();
+        while self.calls.iter().map(buffered).sum::<usize>() > MAX_RESPONSE_BYTES {
+            let newest = self.calls.iter().rposition(|call| buffered(call) > 0);
+            let Some(index) = newest else {
+                return;
+            };
+            let call = self.calls.remove(index);
+            engine.close(call.conn);
+        }
     }
 
-    /// Handles a complete response: returns its list as an update and sends the next request.
+    /// Handles a complete response: returns its list as an update and the confirmation of the list, and begins the next call if it is due.
     fn handle_response(
         &mut self,
         engine: &mut Engine,
-        conn: ConnId,
+        index: usize,
         reuse: ConnectionReuse,
         zones: &mut HashMap<String, u32>,
+    ) -> Vec<DiscoveryAction> {
+        let now = clock::now(engine);
+        let conn = self.calls[index].conn;
+        let mut actions = match self.apply_response(now, index, zones) {
+            Ok(actions) => actions,
+            Err(error) => {
+                let action = self.on_call_failed(engine, conn, &error);
+                return action.into_iter().collect();
+            }
+        };
+        // Calls that began earlier are on silent connections, or their responses can bring nothing new.
+        let answered = self.calls.drain(..=index);
+        let older: Vec<ConnId> = answered.map(|call| call.conn).take(index).collect();
+        self.close_all(engine, older);
+        actions.push(self.schedule_next_call(engine, conn, reuse));
+        actions
+    }
+
+    /// Parses a response and returns what follows from its list.
+    fn apply_response(
+        &mut self,
+        now: Timestamp,
+        index: usize,
+        zones: &mut HashMap<String, u32>,
     ) -> Result<Vec<DiscoveryAction>, DiscoveryError> {
-        let value: Value = serde_json::from_slice(self.exchange.body())?;
+        let call = &self.calls[index];
+        let Some(request) = call.request else {
+            return Ok(Vec::new());
+        };
+        let value: Value = serde_json::from_slice(call.exchange.body())?;
         let list = endpoint_list::parse(&value, zones)?;
-        if list.scope != UpdateScope::Complete
-            && self.held_version.is_none_or(|held| list.version < held)
-        {
-            return Err(DiscoveryError::Version {
-                found: list.version,
-            });
+        let verdict = self.applied.judge(request, &list)?;
+        self.record_response(now, request);
+        if verdict == Verdict::Outdated {
+            return Ok(Vec::new());
+        }
+        self.applied.set(list.version, now);
+        // After an invalid response changes still apply, and the complete list is requested nevertheless.
+        if list.scope == UpdateScope::Complete || self.held_version.is_some() {
+            self.held_version = Some(list.version);
+        }
+        self.freshness.confirm(request.sent_at);
+        Ok(vec![DiscoveryAction::UpdateEndpoints(list)])
+    }
+
+    fn record_response(&mut self, now: Timestamp, request: SentRequest) {
+        let response_time = now - request.sent_at;
+        self.metrics.last_response_time = response_time;
+        self.metrics.late_responses += u64::from(self.schedule.is_late(response_time));
+        self.schedule.on_response(now, response_time);
+    }
+
+    /// Begins the next call on the connection of the last response, or keeps that connection for it if a call began only recently.
+    fn schedule_next_call(
+        &mut self,
+        engine: &mut Engine,
+        conn: ConnId,
+        reuse: ConnectionReuse,
+    ) -> DiscoveryAction {
+        let now = clock::now(engine);
+        let newest = self.calls.last();
+        let next_at = newest.map_or(now, |call| call.begun_at + self.schedule.interval(now));
+        if reuse == ConnectionReuse::Close {
+            engine.close(conn);
         }
-        self.held_version = Some(list.version);
-        if let Some(requested_at) = self.requested_at.take() {
-            self.metrics.last_response_time = clock::now(engine) - requested_at;
-            self.freshness.confirm(requested_at);
+        if next_at <= now {
+            // The agent is quick again. Another connection could have fallen silent unnoticed.
+            let spare = self.spare.take();
+            self.close_all(engine, spare);
         }
-        let next_call = match reuse {
-            ConnectionReuse::Close => self.connect(engine),
+        match reuse {
+            ConnectionReuse::KeepAlive if next_at <= now => self.begin_call_on(engine, conn),
+            ConnectionReuse::Close if next_at <= now => self.connect(engine),
             ConnectionReuse::KeepAlive => {
-                self.send_request(engine, conn)?;
-                self.set_call_timer(self.timing.timeout)
+                let previous = self.spare.replace(conn);
+                self.close_all(engine, previous);
+                self.set_call_timer(next_at - now)
             }
-        };
-        Ok(vec![DiscoveryAction::UpdateEndpoints(list), next_call])
+            ConnectionReuse::Close => self.set_call_timer(next_at - now),
+        }
+    }
+
+    /// Handles the failure of the call on a connection.
+    fn on_call_failed(
+        &mut self,
+        engine: &mut Engine,
+        conn: ConnId,
+        error: &DiscoveryError,
+    ) -> Option<DiscoveryAction> {
+        let is_newest = self.calls.last().is_some_and(|call| call.conn == conn);
+        self.give_up_invalid(engine, conn, error);
+        is_newest.then(|| self.set_call_timer(self.timing.retry_delay))
     }
 
-    fn on_call_failed(&mut self, engine: &mut Engine, error: &DiscoveryError) -> DiscoveryAction {
+    /// Closes the connection of a call that failed, and requests the complete list next.
+    fn give_up_invalid(&mut self, engine: &mut Engine, conn: ConnId, error: &DiscoveryError) {
         tracing::warn!(%error, address = %self.address, "discovery call failed: keeping the last good endpoint list");
-        self.close(engine);
+        engine.close(conn);
+        self.calls.retain(|call| call.conn != conn);
         self.metrics.failed_calls += 1;
         self.held_version = None;
-        self.set_call_timer(self.timing.retry_delay)
+    }
+
+    /// Removes a call whose connection ended. The next one begins after a delay, unless a newer one is in flight.
+    fn remove_failed(&mut self, index: usize) -> Option<DiscoveryAction> {
+        self.calls.remove(index);
+        self.metrics.failed_calls += 1;
+        (index == self.calls.len()).then(|| self.set_call_timer(self.timing.retry_delay))
     }
 }
 
+#[cfg(test)]
+mod applied_list_tests;
+#[cfg(test)]
+mod late_response_tests;
+#[cfg(test)]
+mod test_support;
 #[cfg(test)]
 mod tests;
--- a/crates/resp-gateway/src/discovery/freshness.rs
+++ b/crates/resp-gateway/src/discovery/freshness.rs
@@ -12,9 +12,9 @@
     pub list_age: Option<TimeDelta>,
     /// Calls that wait for a response.
     pub calls_in_flight: usize,
-    /// Calls without a complete response by their time-out.
-    pub timed_out_calls: u64,
-    /// Complete responses that were received after the time-out of their call.
+    /// Calls that began because an earlier one had no complete response in time. The earlier one stays in flight.
+    pub repeated_calls: u64,
+    /// Complete responses that were received after the time-out of a call.
     pub late_responses: u64,
     /// Calls that ended with an error or with the end of their connection.
     pub failed_calls: u64,
@@ -49,11 +49,6 @@
         self.confirmed_at = self.confirmed_at.max(Some(requested_at));
     }
 
-    /// Forgets the confirmations of the previous agent.
-    pub(super) fn reset(&mut self) {
-        self.confirmed_at = None;
-    }
-
     pub(super) fn confirmed_at(&self) -> Option<Timestamp> {
         self.confirmed_at
     }
@@ -89,7 +84,7 @@
             list_age_ms = metrics.list_age.map(TimeDelta::as_millis),
             max_age_ms = self.max_age.as_millis(),
             calls_in_flight = metrics.calls_in_flight,
-            timed_out_calls = metrics.timed_out_calls,
+            repeated_calls = metrics.repeated_calls,
             late_responses = metrics.late_responses,
             failed_calls = metrics.failed_calls,
             response_ms = metrics.last_response_time.as_millis(),
--- a/crates/resp-gateway/src/discovery/http_exchange.rs
+++ b/crates/resp-gateway/src/discovery/http_exchange.rs
@@ -9,7 +9,7 @@
 use ureq_proto::BodyMode;
 
 /// The maximum length of a response.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// The size of the buffer that parts of a body are decoded into.
 const DECODE_BUFFER_BYTES: usize = 16 << 10;
 /// The maximum length of a request's head.
@@ -58,12 +58,6 @@
 }
 
 impl HttpExchange {
-    /// Clears the state of a connection that was closed.
-    pub(super) fn reset(&mut self) {
-        self.received.clear();
-        self.response = None;
-    }
-
     /// Begins a call; returns the bytes of its request.
     pub(super) fn begin_get(&mut self, uri: &str) -> Result<Vec<u8>, DiscoveryError> {
         let request = Request::get(uri).body(())?;
@@ -130,13 +124,22 @@
             Some(RecvBodyResult::Cleanup(call)) => call.must_close_connection(),
             _ => true,
         };
-        Ok(Progress::Complete(ConnectionReuse::from_must_close(
-            must_close,
-        )))
+        // Bytes behind the response would be taken for the next one.
+        let is_reusable = !must_close && self.received.is_empty();
+        Ok(Progress::Complete(if is_reusable {
+            ConnectionReuse::KeepAlive
+        } else {
+            ConnectionReuse::Close
+        }))
+    }
+
+    /// The number of bytes that are held.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.received.len() + self.body.len()
     }
 
     fn check_length(&self) -> Result<(), DiscoveryError> {
-        if self.received.len() + self.body.len() > MAX_RESPONSE_BYTES {
+        if self.buffered_bytes() > MAX_RESPONSE_BYTES {
             return Err(DiscoveryError::TooLong {
                 max: MAX_RESPONSE_BYTES,
             });
--- a/crates/resp-gateway/src/server/lifecycle.rs
+++ b/crates/resp-gateway/src/server/lifecycle.rs
@@ -115,7 +115,7 @@
         let metrics = self.discovery_metrics();
         tracing::info!(
             list_age_ms = metrics.list_age.map(TimeDelta::as_millis),
-            timed_out_calls = metrics.timed_out_calls,
+            repeated_calls = metrics.repeated_calls,
             late_responses = metrics.late_responses,
             failed_calls = metrics.failed_calls,
             "discovery calls of this process"
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -3,7 +3,7 @@
 use super::{GatewayServer, TimerPurpose};
 use crate::config::Config;
 use crate::counter_client::CounterClient;
-use crate::discovery::{Discovery, Timing};
+use crate::discovery::{Discovery, Timing, MAX_DISCOVERY_CONNECTIONS};
 use crate::endpoint_connections::EndpointConnections;
 use crate::sessions::Sessions;
 use chalkdeck::api::{RequestId, SettingsError};
@@ -17,9 +17,9 @@
 
 /// File descriptors reserved for the event loop, logs, the listener, discovery and the counter at its old and its new address.
 const RESERVED_DESCRIPTORS: usize = 32;
-/// The minimum number of connections to clients and endpoints, however few descriptors are granted.
-const MIN_CONNECTIONS: usize = 16;
-/// The share of client connections among them, in percent; the others are for endpoints.
+/// The minimum number of connections to clients, endpoints and discovery, however few descriptors are granted.
+const MIN_CONNECTIONS: usize = 24;
+/// The share of client connections among them, in percent; the others are for endpoints and for discovery calls beside the first.
 const CLIENT_PERCENT: usize = 55;
 /// Client connections that are accepted beyond the limit, so that a new one can replace an idle one.
 const EXTRA_CLIENT_CONNECTIONS: usize = RESERVED_DESCRIPTORS / 4;
@@ -73,9 +73,11 @@
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(MIN_CONNECTIONS);
         let clients = connections * CLIENT_PERCENT / 100;
+        // One connection to discovery is among the reserved descriptors.
+        let discovery = MAX_DISCOVERY_CONNECTIONS - 1;
         ConnectionLimits {
             clients,
-            endpoints: connections - clients,
+            endpoints: connections - clients - discovery,
         }
     }
 }
