A keyed request is retried only where the endpoint list proves its group

Cause: is_deduplicated took the listed cell for the cell that the attempt had reached. A list that is known to be stale does not prove that, nor does one that has dropped, moved or replaced the attempt's endpoint since (an endpoint that had left the list kept its last cell, a moved one got its new cell).

Change: discovery tells the decision engine when the list was confirmed (EndpointsConfirmed, the time of the request); beyond Settings::max_list_age, the drain grace on the platform, keyed requests that may have run fail. Endpoints have a registration that changes when they leave the list, change address, zone or cell, or take an address from another one; it has to be that of the attempt. Keys that all endpoints share, idempotent requests and first attempts are as before, and so are sources that confirm nothing (list files, the simulator). On the platform the list of the configuration counts as not confirmed.

--- a/crates/grpc-gateway/src/endpoints.rs
+++ b/crates/grpc-gateway/src/endpoints.rs
@@ -120,6 +120,7 @@
         state,
         weight: f64::from(endpoint.load_balancing_weight.unwrap_or(1)),
         started_at,
+        address: Some(address),
     };
     Ok(ListedEndpoint {
         address,
--- a/crates/policy/benches/request.rs
+++ b/crates/policy/benches/request.rs
@@ -73,6 +73,7 @@
             state: EndpointState::InService,
             weight: 1.0,
             started_at: None,
+            address: None,
         };
         harness.handle(Event::EndpointsUpdated {
             scope: UpdateScope::Complete,
--- a/crates/policy/src/api/messages.rs
+++ b/crates/policy/src/api/messages.rs
@@ -4,6 +4,7 @@
     CellId, ClassId, CounterKey, CustomerId, EndpointId, PlanId, RequestId, TimeDelta, TimerId,
     Timestamp, ZoneId,
 };
+use std::net::SocketAddr;
 
 /// State of an endpoint in the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +32,8 @@
     pub weight: f64,
     /// When it last started; `None` if that is long ago.
     pub started_at: Option<Timestamp>,
+    /// The address that it listens at; `None` if the address is its id.
+    pub address: Option<SocketAddr>,
 }
 
 /// How the entries of an update relate to the endpoint list.
@@ -169,6 +172,8 @@
         /// Entries of the list.
         entries: Vec<EndpointEntry>,
     },
+    /// The endpoint list was complete and current at this time.
+    EndpointsConfirmed(Timestamp),
     /// A request arrived.
     RequestArrived(IncomingRequest),
     /// A timer fired.
--- a/crates/policy/src/api/settings.rs
+++ b/crates/policy/src/api/settings.rs
@@ -106,6 +106,9 @@
     /// Whether updates of the endpoint list require
     /// [`Action::Subscribe`](super::Action::Subscribe).
     pub requires_subscription: bool,
+    /// How long after it was confirmed the endpoint list shows which endpoint listens at an address;
+    /// `None` if its source does not confirm it.
+    pub max_list_age: Option<TimeDelta>,
     /// Timeout of connection establishment, and so the longest delay before an attempt reaches its
     /// endpoint.
     pub dial_timeout: TimeDelta,
--- a/crates/policy/src/endpoint/mod.rs
+++ b/crates/policy/src/endpoint/mod.rs
@@ -6,6 +6,7 @@
 
 use crate::api::{CellId, EndpointEntry, EndpointId, EndpointState, TimeDelta, Timestamp, ZoneId};
 use crate::token_bucket::TokenBucket;
+use std::net::SocketAddr;
 
 /// Initial concurrency limit of an endpoint, before it is scaled to the gateway's share.
 pub(crate) const INITIAL_LIMIT: f64 = 2.0;
@@ -34,6 +35,13 @@
     pub(crate) zone: ZoneId,
     pub(crate) cell: CellId,
     pub(crate) weight: f64,
+    /// The address that it listens at, if that is not its id.
+    pub(crate) address: Option<SocketAddr>,
+    /// Whether the endpoint list names it, in service or draining.
+    pub(crate) is_listed: bool,
+    /// Changes whenever another endpoint may have listened at the address, or it has another zone
+    /// or cell.
+    pub(crate) registration: u64,
     /// Whether it accepts new attempts.
     pub(crate) is_in_service: bool,
     /// Attempts of this gateway in flight.
@@ -113,16 +121,28 @@
         self.slow_start_since.is_none_or(|known| known < started_at)
     }
 
-    /// Resets the state, except for the attempts in flight.
+    /// Resets the state, except for the registration and the attempts in flight.
     pub(crate) fn reset(&mut self) {
         *self = Endpoint {
             in_flight: self.in_flight,
+            zone: self.zone,
+            cell: self.cell,
+            address: self.address,
+            is_listed: self.is_listed,
+            registration: self.registration,
             ..Endpoint::new(self.id)
         };
     }
 
     /// Applies an entry of the endpoint list, except for its start time.
     pub(crate) fn apply_entry(&mut self, entry: &EndpointEntry) {
+        let is_same = self.is_listed
+            && (self.zone, self.cell, self.address) == (entry.zone, entry.cell, entry.address);
+        if !is_same {
+            self.registration += 1;
+        }
+        self.is_listed = entry.state != EndpointState::Removed;
+        self.address = entry.address;
         self.zone = entry.zone;
         self.cell = entry.cell;
         self.weight = if entry.weight > 0.0 {
--- a/crates/policy/src/endpoint/table.rs
+++ b/crates/policy/src/endpoint/table.rs
@@ -1,7 +1,9 @@
 //! Table of all endpoints, ordered by id.
 
 use super::Endpoint;
-use crate::api::{EndpointId, Timestamp};
+use crate::api::{EndpointEntry, EndpointId, EndpointState, Timestamp};
+use rustc_hash::FxHashMap;
+use std::net::SocketAddr;
 
 /// The endpoints, with an index of those in service.
 #[derive(Debug, Default)]
@@ -9,6 +11,8 @@
     endpoints: Vec<Endpoint>,
     /// Positions of the endpoints in service, in an order that is the same on all gateways.
     in_service: Vec<usize>,
+    /// The endpoint that was listed last at each address.
+    address_owners: FxHashMap<SocketAddr, EndpointId>,
     /// Number of endpoints in slow start.
     pub(crate) slow_start_count: usize,
     /// Attempts in flight at all endpoints.
@@ -55,6 +59,53 @@
         &mut self.endpoints[position]
     }
 
+    /// Applies an entry to its endpoint, which must be in the table, except for its start time.
+    pub(crate) fn apply_entry(&mut self, entry: &EndpointEntry) {
+        if let Some(address) = entry.address {
+            self.register_address(address, entry);
+        }
+        if let Some(endpoint) = self.get_mut(entry.endpoint) {
+            endpoint.apply_entry(entry);
+        }
+    }
+
+    /// Records which endpoint an address belongs to. An endpoint that takes an address from another
+    /// one is registered anew.
+    fn register_address(&mut self, address: SocketAddr, entry: &EndpointEntry) {
+        let id = entry.endpoint;
+        if entry.state == EndpointState::Removed {
+            if self.address_owners.get(&address) == Some(&id) {
+                self.address_owners.remove(&address);
+            }
+            return;
+        }
+        let previous = self.address_owners.insert(address, id);
+        if previous.is_some_and(|previous| previous != id) {
+            if let Some(endpoint) = self.get_mut(id) {
+                endpoint.registration += 1;
+            }
+        }
+    }
+
+    /// Whether the list names the endpoint, and no other one at its address.
+    pub(crate) fn is_registered(&self, endpoint: &Endpoint) -> bool {
+        let owner = endpoint
+            .address
+            .map(|address| self.address_owners.get(&address));
+        endpoint.is_listed && owner.is_none_or(|owner| owner == Some(&endpoint.id))
+    }
+
+    /// Takes endpoints that a complete list does not name off the list. `named` are the others, in
+    /// order.
+    pub(crate) fn remove_unnamed(&mut self, named: &[EndpointId]) {
+        for endpoint in &mut self.endpoints {
+            if named.binary_search(&endpoint.id).is_err() {
+                endpoint.is_in_service = false;
+                endpoint.is_listed = false;
+            }
+        }
+    }
+
     /// Iterates over all endpoints.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.iter()
--- a/crates/policy/src/engine/dispatch.rs
+++ b/crates/policy/src/engine/dispatch.rs
@@ -35,14 +35,15 @@
         };
         let units = request.incoming.units;
         let timeouts = self.attempt_timeouts(request, endpoint_id);
-        let quick_answers_before = self
-            .endpoints
-            .get(endpoint_id)
-            .map_or(0, |endpoint| endpoint.quick_answers);
+        let (quick_answers_before, registration) =
+            self.endpoints.get(endpoint_id).map_or((0, 0), |endpoint| {
+                (endpoint.quick_answers, endpoint.registration)
+            });
         let attempt = self.record_attempt(
             id,
             Attempt {
                 endpoint: endpoint_id,
+                registration,
                 sent_at: now,
                 is_in_flight: true,
                 may_have_run: false,
--- a/crates/policy/src/engine/endpoint_updates.rs
+++ b/crates/policy/src/engine/endpoint_updates.rs
@@ -20,9 +20,9 @@
                 return self.set_timer(TimerPurpose::Resubscribe, wait);
             }
             UpdateScope::Complete => {
-                for endpoint in self.endpoints.iter_mut() {
-                    endpoint.is_in_service = false;
-                }
+                let mut named: Vec<_> = entries.iter().map(|entry| entry.endpoint).collect();
+                named.sort_unstable();
+                self.endpoints.remove_unnamed(&named);
             }
             UpdateScope::Incremental => {}
         }
@@ -49,6 +49,14 @@
             }
             endpoint.slow_start_since = Some(started_at);
         }
-        endpoint.apply_entry(entry);
+        self.endpoints.apply_entry(entry);
+    }
+
+    /// Whether the endpoint list still shows which endpoint listens at an address.
+    pub(super) fn is_list_current(&self) -> bool {
+        self.settings.max_list_age.is_none_or(|max_age| {
+            let confirmed_at = self.list_confirmed_at;
+            confirmed_at.is_some_and(|at| self.now <= at + max_age)
+        })
     }
 }
--- a/crates/policy/src/engine/mod.rs
+++ b/crates/policy/src/engine/mod.rs
@@ -53,6 +53,8 @@
     pending: PendingRequests,
     retry_budget: RetryBudget,
     endpoints: EndpointTable,
+    /// When the endpoint list was last known to be complete and current.
+    list_confirmed_at: Option<Timestamp>,
     fleet: FleetHealth,
     send_rate: SendRate,
     shedder: LoadShedder,
@@ -80,6 +82,7 @@
             pending: PendingRequests::default(),
             retry_budget: RetryBudget::new(),
             endpoints: EndpointTable::default(),
+            list_confirmed_at: None,
             fleet: FleetHealth::default(),
             send_rate: SendRate::default(),
             shedder: LoadShedder::new(),
@@ -99,6 +102,9 @@
         self.advance_clock(now);
         match event {
             Event::EndpointsUpdated { scope, entries } => self.on_endpoints_updated(scope, entries),
+            Event::EndpointsConfirmed(at) => {
+                self.list_confirmed_at = self.list_confirmed_at.max(Some(at));
+            }
             Event::ZoneSharesChanged { shares, threshold } => {
                 self.zone_shares = shares;
                 self.shedder.threshold = Some(threshold);
--- a/crates/policy/src/engine/retries.rs
+++ b/crates/policy/src/engine/retries.rs
@@ -47,8 +47,8 @@
         }
     }
 
-    /// Whether an endpoint would still remember the idempotency key of an earlier attempt that may
-    /// have run. The key window begins when that attempt is sent, and establishing a connection may
+    /// Whether an endpoint surely remembers the idempotency key of an earlier attempt that may have
+    /// run. The key window begins when that attempt is sent, and establishing a connection may
     /// delay the retry.
     fn is_deduplicated(&self, class: &Class, attempt: &Attempt, endpoint: &Endpoint) -> bool {
         let tick = self.settings.timer_resolution;
@@ -62,6 +62,16 @@
             KeyScope::Zone => earlier.zone == endpoint.zone,
             KeyScope::Cell => earlier.cell == endpoint.cell,
         };
-        is_in_window && shares_keys
+        let is_group_known = class.key_scope == KeyScope::All
+            || self.is_group_known(attempt, earlier) && self.endpoints.is_registered(endpoint);
+        is_in_window && shares_keys && is_group_known
+    }
+
+    /// Whether an earlier attempt surely reached the endpoint that it was sent to, and so its group:
+    /// the list is current, and no other endpoint may have taken the address in the meantime.
+    fn is_group_known(&self, attempt: &Attempt, earlier: &Endpoint) -> bool {
+        self.is_list_current()
+            && self.endpoints.is_registered(earlier)
+            && attempt.registration == earlier.registration
     }
 }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointId,
+    /// The endpoint's registration when the attempt was sent.
+    pub(crate) registration: u64,
     pub(crate) sent_at: Timestamp,
     pub(crate) is_in_flight: bool,
     pub(crate) may_have_run: bool,
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -210,6 +210,7 @@
         state,
         weight: 1.0,
         started_at: started_at.map(Timestamp::from_micros),
+        address: None,
     }
 }
 
--- a/crates/policy/tests/recording/simulated_services.rs
+++ b/crates/policy/tests/recording/simulated_services.rs
@@ -16,6 +16,7 @@
         state,
         weight: 1.0 + (id % 3) as f64 * 0.5,
         started_at: started_at.map(Timestamp::from_micros),
+        address: None,
     }
 }
 
--- a/crates/resp-gateway/src/discovery.rs
+++ b/crates/resp-gateway/src/discovery.rs
@@ -40,6 +40,8 @@
 pub(crate) enum DiscoveryAction {
     /// Apply an endpoint update.
     UpdateEndpoints(EndpointList),
+    /// The applied list was complete and current at this time.
+    ConfirmEndpoints(Timestamp),
     /// Set a timer that calls `Discovery::on_call_timeout` with this call after the delay.
     SetCallTimer {
         /// The delay.
@@ -340,7 +342,10 @@
             self.held_version = Some(list.version);
         }
         self.freshness.confirm(request.sent_at);
-        Ok(vec![DiscoveryAction::UpdateEndpoints(list)])
+        Ok(vec![
+            DiscoveryAction::UpdateEndpoints(list),
+            DiscoveryAction::ConfirmEndpoints(request.sent_at),
+        ])
     }
 
     fn record_response(&mut self, now: Timestamp, request: SentRequest) {
--- a/crates/resp-gateway/src/discovery/test_support.rs
+++ b/crates/resp-gateway/src/discovery/test_support.rs
@@ -154,6 +154,7 @@
                         self.list_count += 1;
                     }
                 }
+                DiscoveryAction::ConfirmEndpoints(_) => {}
                 DiscoveryAction::SetCallTimer { after, call } => self.call_timers.push(CallTimer {
                     fires_at: self.engine.now() + after.as_micros(),
                     call,
--- a/crates/resp-gateway/src/discovery/timing.rs
+++ b/crates/resp-gateway/src/discovery/timing.rs
@@ -43,7 +43,7 @@
     /// The delay between a failed call and the next one.
     pub(super) retry_delay: TimeDelta,
     /// A list that was confirmed longer ago may no longer describe the fleet. One silent connection is replaced within this time.
-    pub(super) max_list_age: TimeDelta,
+    pub(crate) max_list_age: TimeDelta,
 }
 
 impl Timing {
--- a/crates/resp-gateway/src/endpoint_list.rs
+++ b/crates/resp-gateway/src/endpoint_list.rs
@@ -153,6 +153,7 @@
             .filter(|weight| weight.is_finite())
             .unwrap_or(DEFAULT_WEIGHT),
         started_at: started_at_ms.map(Timestamp::from_millis),
+        address: Some(address),
     };
     Ok(ListedEndpoint { address, entry })
 }
--- a/crates/resp-gateway/src/server/endpoint_updates.rs
+++ b/crates/resp-gateway/src/server/endpoint_updates.rs
@@ -9,6 +9,9 @@
     pub(super) fn execute_discovery_action(&mut self, action: DiscoveryAction) {
         match action {
             DiscoveryAction::UpdateEndpoints(list) => self.apply_endpoint_update(list),
+            DiscoveryAction::ConfirmEndpoints(at) => {
+                self.decisions.push(Event::EndpointsConfirmed(at));
+            }
             DiscoveryAction::SetCallTimer { after, call } => {
                 self.set_timer(after, TimerPurpose::DiscoveryTimeout(call));
             }
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -108,7 +108,9 @@
         Ok(server)
     }
 
-    fn bind(config: Config, clock: Clock) -> Result<GatewayServer, StartError> {
+    fn bind(mut config: Config, clock: Clock) -> Result<GatewayServer, StartError> {
+        let discovery_timing = Timing::new(config.drain_grace);
+        config.named_settings.settings.max_list_age = Some(discovery_timing.max_list_age);
         let mut engine = Engine::with_clock(clock).map_err(StartError::Poll)?;
         let limits = ConnectionLimits::new(config.limits.sockets);
         let listen_limits = Limits {
@@ -143,7 +145,7 @@
                 .counter
                 .map(|address| CounterClient::new(address, counter_timeout)),
             is_counter_timer_set: false,
-            discovery: Discovery::new(config.discovery, Timing::new(config.drain_grace)),
+            discovery: Discovery::new(config.discovery, discovery_timing),
             net_events: Vec::new(),
             shutdown_requested_at: None,
             config,
--- a/crates/resp-gateway/tests/common/mod.rs
+++ b/crates/resp-gateway/tests/common/mod.rs
@@ -203,12 +203,36 @@
             }
             assert!(
                 started_at.elapsed() < MAX_WAIT,
-                "timed out waiting until {what}"
+                "timed out waiting until {what}; {}",
+                self.describe()
             );
             self.turn();
         }
     }
 
+    /// What the peers hold, for the message of a failed test.
+    fn describe(&self) -> String {
+        let mut text = format!(
+            "counter silent: {}, {} counter calls, list version {}, {:?}",
+            self.is_counter_silent,
+            self.counter_call_count,
+            self.list_version,
+            self.gateway.discovery_metrics()
+        );
+        for (conn, bytes) in self.received.iter().filter(|(_, bytes)| !bytes.is_empty()) {
+            let tail = &bytes[bytes.len().saturating_sub(120)..];
+            let _ = write!(
+                text,
+                "; {conn:?} of {:?}, closed: {}, {} bytes, the last: {}",
+                self.listener_of.get(conn),
+                self.closed.contains(conn),
+                bytes.len(),
+                tail.escape_ascii()
+            );
+        }
+        text
+    }
+
     /// Runs enough turns for everything that was written to be received and handled.
     pub fn settle(&mut self) {
         for _ in 0..200 {
--- a/crates/simulator-adapter/src/events.rs
+++ b/crates/simulator-adapter/src/events.rs
@@ -102,6 +102,7 @@
             state,
             weight,
             started_at: Some(started_at).filter(|at| *at > Timestamp::ZERO),
+            address: None,
         })
     }
 }
