Platform gateway tests: a wait in vain prints how many replies the client received

Cause: hundreds_of_pipelined_commands_then_all_answered times out now and then, and its message did not tell what was missing. Measured: the package's tests pass.

--- a/crates/resp-gateway/tests/common/mod.rs
+++ b/crates/resp-gateway/tests/common/mod.rs
@@ -221,12 +221,18 @@
         );
         for (conn, bytes) in self.received.iter().filter(|(_, bytes)| !bytes.is_empty()) {
             let tail = &bytes[bytes.len().saturating_sub(120)..];
+            let lines_with = |prefix: &[u8]| {
+                let lines = bytes[..].split(|byte| *byte == b'\n');
+                lines.filter(|line| line.starts_with(prefix)).count()
+            };
             let _ = write!(
                 text,
-                "; {conn:?} of {:?}, closed: {}, {} bytes, the last: {}",
+                "; {conn:?} of {:?}, closed: {}, {} bytes, {} values, {} rejections, the last: {}",
                 self.listener_of.get(conn),
                 self.closed.contains(conn),
                 bytes.len(),
+                lines_with(b"$"),
+                lines_with(b"-BUSY"),
                 tail.escape_ascii()
             );
         }
