Coordinator: replicas that reply later than a heartbeat round elect a leader

Seen: with 60 ms between replicas (120 ms from heartbeat to reply) and the leader gone, no new leader is elected for as long as the run lasts: no session, no rule set comes into force, elections stay without a leader.

Cause: OmniPaxos elects in rounds of five ticks, 100 ms, and drops replies to an earlier round. The first leader hides it, as it is the replica with the highest id and needs no reply.

Change: consensus/heartbeat_pace.rs measures response times over any number of rounds and lets the library's clock advance only so fast that a quorum can reply within a round; a slow minority does not set the pace, and it recovers within a few rounds. The library's resends follow, so a slow link is not loaded with repeats either.

--- a/crates/coordinator/src/consensus.rs
+++ b/crates/coordinator/src/consensus.rs
@@ -5,14 +5,17 @@
 //! library's own stop signs are not used: in version 0.2.4, a follower that already has a stop sign counts it twice when a new leader
 //! forwards it, and the stop sign is never decided.
 
+mod heartbeat_pace;
+
 use crate::ids::ReplicaId;
 use crate::protocol::wire;
 use crate::storage::{Entry, Storage, StorageChange};
+use heartbeat_pace::HeartbeatPace;
 use omnipaxos::messages::Message;
 use omnipaxos::util::LogEntry;
 use omnipaxos::{ClusterConfig, OmniPaxos, ServerConfig};
 
-/// Ticks without a heartbeat of the leader after which a new leader is elected.
+/// The library's ticks in a heartbeat round. A new leader is elected after a round without a heartbeat of the leader.
 const ELECTION_TIMEOUT_TICKS: u64 = 5;
 /// Ticks after which unanswered messages are resent.
 const RESEND_TIMEOUT_TICKS: u64 = 10;
@@ -28,6 +31,7 @@
 /// One replica's part in the consensus of one configuration.
 pub struct Consensus {
     core: Core,
+    pace: HeartbeatPace,
     storage: Storage,
     /// The number of decided entries that were returned by [`Consensus::take_decided`].
     taken_count: usize,
@@ -82,6 +86,7 @@
         };
         Ok(Consensus {
             core,
+            pace: HeartbeatPace::new(ELECTION_TIMEOUT_TICKS, member_count),
             storage,
             taken_count: 0,
             outgoing: Vec::new(),
@@ -110,13 +115,17 @@
             return;
         };
         if let Ok(message) = postcard::from_bytes(body) {
+            self.pace.on_received(&message);
             core.handle_incoming(message);
         }
     }
 
-    /// Advances the library's clock by one tick.
+    /// Counts a tick, and advances the library's clock as the response times of the other replicas allow.
     pub fn tick(&mut self) {
-        if let Core::Replicated(core) = &mut self.core {
+        let Core::Replicated(core) = &mut self.core else {
+            return;
+        };
+        if self.pace.tick() {
             core.tick();
         }
     }
@@ -134,6 +143,9 @@
             return Vec::new();
         };
         core.take_outgoing_messages(&mut self.outgoing);
+        for message in &self.outgoing {
+            self.pace.on_sent(message);
+        }
         let messages = self.outgoing.drain(..);
         messages
             .map(|message| ConsensusMessage {
--- a/crates/coordinator/tests/simulated_faults.rs
+++ b/crates/coordinator/tests/simulated_faults.rs
@@ -5,7 +5,7 @@
 mod simulation;
 
 use fastrand::Rng;
-use simulation::{Fault, Node, Simulation, LEASE_TERMS, SECOND};
+use simulation::{Fault, Node, Simulation, LEASE_TERMS, MILLISECOND, SECOND};
 
 const EARLIEST_FAULT: u64 = 4 * SECOND;
 const LATEST_FAULT: u64 = 20 * SECOND;
@@ -310,3 +310,45 @@
         assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Additional delays of messages between replicas in microseconds. A reply then takes longer than a heartbeat round, up to several.
+const SLOW_LINK_DELAYS: [u64; 2] = [60 * MILLISECOND, 100 * MILLISECOND];
+/// Time by which replicas on slow links have measured them, elected a leader, opened sessions and elected the gateways.
+const SLOW_LINK_LIMIT: u64 = 10 * SECOND;
+
+/// Guards against a cluster that never elects a leader, because the replies to heartbeats always arrive in a later round and are
+/// ignored.
+#[test]
+fn replicas_always_hear_each_other_later_than_a_heartbeat_round_then_they_agree() {
+    for replica_count in [3, 5] {
+        for delay in SLOW_LINK_DELAYS {
+            for slow_from in [0, 6 * SECOND] {
+                let case = format!("{replica_count} replicas, {delay} us late from {slow_from} us");
+                let mut simulation = Simulation::new(delay + slow_from, replica_count, 2);
+                simulation.schedule_fault(slow_from, Fault::DelayBetweenReplicas(delay));
+                // The replica with the highest id leads at first, so the others have to elect a new leader.
+                let crash_at = slow_from + SLOW_LINK_LIMIT / 2;
+                simulation.schedule_fault(crash_at, Fault::CrashReplica(replica_count - 1));
+                simulation.run_until(slow_from + SLOW_LINK_LIMIT);
+                let sets_before = simulation.sets_in_force;
+                simulation.run_until(slow_from + 2 * SLOW_LINK_LIMIT);
+                assert!(
+                    simulation.has_session(0) && simulation.has_session(1),
+                    "{case}: a gateway has no session"
+                );
+                assert!(
+                    simulation.sets_in_force > sets_before,
+                    "{case}: no rule set comes into force"
+                );
+                assert!(
+                    simulation.time_without_leader() < MAX_TIME_WITHOUT_LEADER,
+                    "{case}: an election has no leader"
+                );
+                simulation.are_calls_stopped = true;
+                simulation.run_until(slow_from + 3 * SLOW_LINK_LIMIT);
+                simulation.check_service();
+                assert_eq!(simulation.violations, Vec::<String>::new(), "{case}");
+            }
+        }
+    }
+}
--- a/crates/coordinator/tests/simulation/faults.rs
+++ b/crates/coordinator/tests/simulation/faults.rs
@@ -11,6 +11,8 @@
     Cut(Node, Node),
     Heal(Node, Node),
     HealAll,
+    /// Sets the additional delay of messages between replicas, in microseconds.
+    DelayBetweenReplicas(u64),
     /// Sets the percentage of messages that are lost.
     Loss(u8),
     CrashReplica(usize),
@@ -40,6 +42,7 @@
                 self.links.cut.clear();
                 self.links.loss_percent = 0;
             }
+            Fault::DelayBetweenReplicas(delay) => self.links.delay_between_replicas = delay,
             Fault::Loss(percent) => self.links.loss_percent = percent,
             Fault::Stall(node, until) => self.stall(node, until),
             Fault::CrashReplica(replica) => {
--- a/crates/coordinator/tests/simulation/network.rs
+++ b/crates/coordinator/tests/simulation/network.rs
@@ -62,6 +62,8 @@
 pub(super) struct Links {
     /// Directed links that drop all messages.
     pub(super) cut: BTreeSet<(Node, Node)>,
+    /// Additional delay of all messages between replicas, in microseconds.
+    pub(super) delay_between_replicas: u64,
     /// Percentage of messages outside streams that are lost.
     pub(super) loss_percent: u8,
     /// Streams that lost a message; they deliver nothing more.
@@ -103,6 +105,8 @@
             } else {
                 0
             };
+            let is_between_replicas = matches!((from, to), (Node::Replica(_), Node::Replica(_)));
+            let extra = extra + u64::from(is_between_replicas) * self.links.delay_between_replicas;
             let delay = self.rng.u64(MIN_DELAY..MAX_DELAY) + extra;
             let event = Event::Deliver {
                 from,
