Coordinator: commands are not proposed again while their decision is only slow

Seen: where decisions take longer than 0.5 s every command is proposed again each 0.5 s until it is decided.

Change: the interval is twice the longest recent decision time, at least 0.5 s as before, at most 2 s, as times without a leader look like slow decisions and a lost command must not wait for as long after them.

With 200 ms a change of the configuration or of the leader still takes longer than the simulated lease of 2 s: elections have no leader meanwhile.

--- a/crates/coordinator/src/replica/apply.rs
+++ b/crates/coordinator/src/replica/apply.rs
@@ -59,7 +59,7 @@
         if command.origin != self.settings.incarnation {
             return;
         }
-        if let Some(pending) = self.pending.remove(command.origin_number) {
+        if let Some(pending) = self.pending.remove(command.origin_number, self.now) {
             self.respond(pending.requester, response);
         }
     }
--- a/crates/coordinator/src/replica/pending.rs
+++ b/crates/coordinator/src/replica/pending.rs
@@ -8,7 +8,15 @@
 
 /// A command that is not decided within this time is proposed again, as it may have been lost on its way to the leader.
 /// Deduplication ensures that it is applied once.
-const RETRY_INTERVAL: TimeDelta = TimeDelta::from_millis(500);
+const MIN_RETRY_INTERVAL: TimeDelta = TimeDelta::from_millis(500);
+/// If commands take longer to be decided, they are proposed again after this many decision times, so that slow decisions do not fill the
+/// log with repeats.
+const RETRY_DECISION_TIMES: u64 = 2;
+/// The longest time until a command is proposed again. Times without a leader count as slow decisions, and lost commands must not wait
+/// for as long after them.
+const MAX_RETRY_INTERVAL: TimeDelta = TimeDelta::from_secs(2);
+/// With each decision, the remembered decision time is divided by this, unless the decision took longer.
+const DECISION_TIME_DECAY_DIVISOR: u64 = 2;
 /// Maximum number of pending commands at one replica; further ones are rejected.
 const MAX_PENDING: usize = 8_192;
 
@@ -44,6 +52,7 @@
 pub(super) struct PendingCommand {
     pub(super) requester: Requester,
     pub(super) command: wire::Command,
+    first_proposed_at: Timestamp,
     proposed_at: Timestamp,
 }
 
@@ -52,6 +61,8 @@
 pub(super) struct PendingCommands {
     last_number: u64,
     commands: BTreeMap<u64, PendingCommand>,
+    /// The longest of the recent times from the first proposal of a command to its decision, which decays.
+    decision_time: TimeDelta,
 }
 
 impl PendingCommands {
@@ -75,24 +86,39 @@
                 origin_number: self.last_number,
                 ..command
             },
+            first_proposed_at: now,
             proposed_at: now,
         };
         let added_command = self.commands.entry(self.last_number).or_insert(pending);
         &added_command.command
     }
 
-    pub(super) fn remove(&mut self, number: u64) -> Option<PendingCommand> {
-        self.commands.remove(&number)
+    /// Removes a command that was decided.
+    pub(super) fn remove(&mut self, number: u64, now: Timestamp) -> Option<PendingCommand> {
+        let pending = self.commands.remove(&number)?;
+        let remembered = self.decision_time.as_micros() / DECISION_TIME_DECAY_DIVISOR;
+        let measured = now - pending.first_proposed_at;
+        self.decision_time = measured.max(TimeDelta::from_micros(remembered));
+        Some(pending)
+    }
+
+    fn retry_interval(&self) -> TimeDelta {
+        let interval = self.decision_time * RETRY_DECISION_TIMES;
+        interval.clamp(MIN_RETRY_INTERVAL, MAX_RETRY_INTERVAL)
     }
 
     /// Commands that are due to be proposed again at `now`, ordered by number.
     pub(super) fn due_for_retry(&mut self, now: Timestamp) -> impl Iterator<Item = &wire::Command> {
+        let retry_interval = self.retry_interval();
         self.commands
             .values_mut()
-            .filter(move |pending| now >= pending.proposed_at + RETRY_INTERVAL)
+            .filter(move |pending| now >= pending.proposed_at + retry_interval)
             .map(move |pending| {
                 pending.proposed_at = now;
                 &pending.command
             })
     }
 }
+
+#[cfg(test)]
+mod tests;
