Client of the replicas: answers count after the next replica was asked

Seen: where replicas take longer than 1.5 s for a command (slow disks or links, a leader to be elected), chalkdeck rules, contract and coordinator end with OutcomeUnknown or NoAnswer whatever the time limit, though every call was answered.

Cause: the call to one replica was given up with its connection when the next one was asked; its answer was dropped, and the command was proposed again and again.

Change: a call stays in flight while the next replica is asked; the first final answer of any counts. To one replica at most two calls are in flight: the first, which may be late, and the latest, as the first one's connection may be silent. coordinator status now waits for its 2 s; it was cut to 1.5 s. The call itself has a module of its own.

--- a/crates/coordinator/src/client.rs
+++ b/crates/coordinator/src/client.rs
@@ -1,24 +1,29 @@
-//! A blocking client of the replicas, for operators and tools. It tries one replica after another until one answers. A command is
-//! resent under the same number, so that it is applied only once.
+//! A blocking client of the replicas, for operators and tools. It asks one replica after another until one answers. A call without an
+//! answer stays in flight while the next replica is asked, so that replicas that take long are heard as well. A command is sent to each
+//! of them under the same number, so that it is applied only once.
+
+mod replica_call;
 
 use crate::ids::CommandNumber;
 use crate::protocol::{
     wire, CommandKind, CommandResponse, ReadRequest, ReadResponse, ResponseCode,
 };
-use crate::server::{connection_limits, MAX_STATE_MESSAGE_BYTES, READ_PATH, SUBMIT_PATH};
+use crate::server::{connection_limits, READ_PATH, SUBMIT_PATH};
 use chalkdeck_net::clock::generate_incarnation;
-use chalkdeck_net::grpc::{self, Code};
-use chalkdeck_net::unary::UnaryMessage;
-use chalkdeck_net::{ConnId, Engine, Event, StreamId};
+use chalkdeck_net::{ConnId, Engine, Event};
 use chalkdeck_time::{TimeDelta, Timestamp};
 use prost::Message;
+use replica_call::{CallState, ReplicaCall};
 use std::io;
 use std::net::SocketAddr;
 
-/// Timeout of a request to one replica, after which the next one is tried.
-const REPLICA_TIMEOUT: TimeDelta = TimeDelta::from_millis(1_500);
+/// Time without an answer after which the next replica is asked as well.
+const NEXT_REPLICA_DELAY: TimeDelta = TimeDelta::from_millis(1_500);
 /// Delay between a failed request to one replica and the request to the next.
 const RETRY_DELAY: TimeDelta = TimeDelta::from_millis(100);
+/// Maximum number of calls in flight to one replica: the first one, which may be answered late, and the latest one, as the connection of
+/// the first may be silent.
+const MAX_CALLS_PER_REPLICA: usize = 2;
 
 /// An error of a request to the replicas.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -68,6 +73,22 @@
     },
 }
 
+/// A connection that answered the last request.
+#[derive(Clone, Copy)]
+struct IdleConnection {
+    replica_index: usize,
+    connection: ConnId,
+}
+
+/// A request and what is known of it.
+struct Question<'a> {
+    path: &'static str,
+    request: Vec<u8>,
+    /// The indices of the replicas to ask, in order.
+    replicas: &'a [usize],
+    deadline: Timestamp,
+}
+
 /// A blocking client of the replicas.
 pub struct CoordinatorClient {
     engine: Engine,
@@ -75,9 +96,11 @@
     /// Identifies this client to the replicas, which deduplicate commands by caller and number.
     caller: u64,
     last_command_number: CommandNumber,
-    /// Index in the address list of the replica that answered last or is tried next.
+    /// Index in the address list of the replica that answered last or is asked first.
     replica_index: usize,
-    connection: Option<ConnId>,
+    idle: Option<IdleConnection>,
+    /// The calls in flight, the oldest first.
+    calls: Vec<ReplicaCall>,
 }
 
 impl CoordinatorClient {
@@ -95,7 +118,8 @@
             caller,
             last_command_number: CommandNumber(0),
             replica_index,
-            connection: None,
+            idle: None,
+            calls: Vec::new(),
         })
     }
 
@@ -115,26 +139,16 @@
             kind: Some(kind),
             ..wire::Command::default()
         };
-        let deadline = self.now() + timeout;
-        while self.now() < deadline {
-            let response = self.call::<CommandResponse>(SUBMIT_PATH, &command, deadline)?;
-            let Some(response) = response else {
-                self.switch_replica(deadline)?;
-                continue;
-            };
-            match response.code() {
-                ResponseCode::Done => return Ok(response),
-                ResponseCode::Elsewhere => self.switch_replica(deadline)?,
-                _ => {
-                    let reason = response.reason;
-                    return Err(ClientError::Rejected { reason });
-                }
-            }
+        let is_final = |response: &CommandResponse| response.code() != ResponseCode::Elsewhere;
+        let response = self.ask_in_turn(SUBMIT_PATH, &command, timeout, is_final)?;
+        match response {
+            Some(response) if response.code() == ResponseCode::Done => Ok(response),
+            Some(CommandResponse { reason, .. }) => Err(ClientError::Rejected { reason }),
+            None => Err(ClientError::OutcomeUnknown {
+                replicas: self.replicas.len(),
+                seconds: whole_seconds(timeout),
+            }),
         }
-        Err(ClientError::OutcomeUnknown {
-            replicas: self.replicas.len(),
-            seconds: whole_seconds(timeout),
-        })
     }
 
     /// Reads the state from any replica that is in a configuration. Without a quorum the state may be outdated.
@@ -146,14 +160,9 @@
         request: &ReadRequest,
         timeout: TimeDelta,
     ) -> Result<ReadResponse, ClientError> {
-        let deadline = self.now() + timeout;
-        while self.now() < deadline {
-            match self.call::<ReadResponse>(READ_PATH, request, deadline)? {
-                Some(response) if response.configuration > 0 => return Ok(response),
-                _ => self.switch_replica(deadline)?,
-            }
-        }
-        Err(ClientError::NoAnswer {
+        let is_final = |response: &ReadResponse| response.configuration > 0;
+        let response = self.ask_in_turn(READ_PATH, request, timeout, is_final)?;
+        response.ok_or(ClientError::NoAnswer {
             replicas: self.replicas.len(),
             seconds: whole_seconds(timeout),
         })
@@ -169,33 +178,79 @@
         request: &ReadRequest,
         timeout: TimeDelta,
     ) -> Result<Option<ReadResponse>, ClientError> {
-        self.disconnect();
-        self.replica_index = replica_index;
-        let deadline = self.now() + timeout;
-        self.call(READ_PATH, request, deadline)
+        let question = Question {
+            path: READ_PATH,
+            request: request.encode_to_vec(),
+            replicas: &[replica_index],
+            deadline: self.now() + timeout,
+        };
+        self.ask(&question, |_| true)
     }
 
     fn now(&self) -> Timestamp {
         Timestamp::from_micros(self.engine.now())
     }
 
-    fn disconnect(&mut self) {
-        if let Some(connection) = self.connection.take() {
-            self.engine.close(connection);
-        }
+    /// Asks all replicas in turn, beginning with the one that answered last.
+    fn ask_in_turn<R: Message + Default>(
+        &mut self,
+        path: &'static str,
+        request: &impl Message,
+        timeout: TimeDelta,
+        is_final: impl Fn(&R) -> bool,
+    ) -> Result<Option<R>, ClientError> {
+        let count = self.replicas.len();
+        let first = self.replica_index;
+        let replicas: Vec<usize> = (first..first + count).map(|index| index % count).collect();
+        let question = Question {
+            path,
+            request: request.encode_to_vec(),
+            replicas: &replicas,
+            deadline: self.now() + timeout,
+        };
+        self.ask(&question, is_final)
     }
 
-    /// Disconnects, selects the next replica and waits for the retry delay.
-    fn switch_replica(&mut self, deadline: Timestamp) -> Result<(), ClientError> {
-        self.disconnect();
-        self.replica_index = (self.replica_index + 1) % self.replicas.len();
-        let resume_at = (self.now() + RETRY_DELAY).min(deadline);
+    /// Asks the replicas in turn until one gives a final answer; `None` if none does before the deadline.
+    fn ask<R: Message + Default>(
+        &mut self,
+        question: &Question<'_>,
+        is_final: impl Fn(&R) -> bool,
+    ) -> Result<Option<R>, ClientError> {
+        let mut targets = question.replicas.iter().copied().cycle();
+        let mut next_call_at = self.now();
         let mut events = Vec::new();
-        while self.now() < resume_at {
-            self.poll_until(resume_at, &mut events)?;
-            events.clear();
+        let mut answer = None;
+        while answer.is_none() && self.now() < question.deadline {
+            if self.now() >= next_call_at {
+                let target = targets.next();
+                let is_begun = target.is_some_and(|target| self.begin_call(target, question));
+                let delay = if is_begun {
+                    NEXT_REPLICA_DELAY
+                } else {
+                    RETRY_DELAY
+                };
+                next_call_at = self.now() + delay;
+            }
+            self.poll_until(next_call_at.min(question.deadline), &mut events)?;
+            for event in events.drain(..) {
+                match self.on_event(&event) {
+                    CallState::Pending => continue,
+                    CallState::Answered(body) if answer.is_none() => {
+                        answer = R::decode(&body[..]).ok().filter(&is_final);
+                    }
+                    CallState::Answered(_) | CallState::Failed => {}
+                }
+                next_call_at = next_call_at.min(self.now() + RETRY_DELAY);
+            }
         }
-        Ok(())
+        for call in std::mem::take(&mut self.calls) {
+            self.engine.close(call.connection);
+        }
+        if let Some(idle) = self.idle.filter(|_| answer.is_some()) {
+            self.replica_index = idle.replica_index;
+        }
+        Ok(answer)
     }
 
     fn poll_until(&mut self, until: Timestamp, events: &mut Vec<Event>) -> Result<(), ClientError> {
@@ -205,116 +260,79 @@
             .map_err(ClientError::Poll)
     }
 
-    /// Makes a unary call to the selected replica; `None` if it has failed or timed out.
-    fn call<R: Message + Default>(
-        &mut self,
-        path: &str,
-        request: &impl Message,
-        deadline: Timestamp,
-    ) -> Result<Option<R>, ClientError> {
-        let deadline = deadline.min(self.now() + REPLICA_TIMEOUT);
-        let address = self.replicas[self.replica_index];
-        let is_connected = self.connection.is_some();
-        if !is_connected {
-            self.connection = self.engine.connect(address, connection_limits()).ok();
+    /// Begins a call to a replica, on the idle connection if that leads there.
+    /// Returns whether that is possible.
+    fn begin_call(&mut self, replica_index: usize, question: &Question<'_>) -> bool {
+        self.make_room(replica_index);
+        let address = self.replicas[replica_index];
+        let idle = self.idle.take();
+        let usable = idle.filter(|idle| idle.replica_index == replica_index);
+        if let Some(other) = idle.filter(|idle| idle.replica_index != replica_index) {
+            self.engine.close(other.connection);
         }
-        let Some(connection) = self.connection else {
-            return Ok(None);
+        let connection = match usable {
+            Some(idle) => idle.connection,
+            None => match self.engine.connect(address, connection_limits()) {
+                Ok(connection) => connection,
+                Err(_) => return false,
+            },
         };
-        let mut call = UnaryCall {
-            connection,
-            address,
-            path,
-            request: request.encode_to_vec(),
-            stream: None,
-            response: UnaryMessage::default(),
-        };
-        if is_connected {
+        let request = question.request.clone();
+        let mut call = ReplicaCall::new(replica_index, connection, address, question.path, request);
+        if usable.is_some() {
             call.send_request(&mut self.engine);
         }
-        let mut events = Vec::new();
-        while self.now() < deadline {
-            self.poll_until(deadline, &mut events)?;
-            for event in events.drain(..) {
-                match call.on_event(&mut self.engine, event) {
-                    CallState::Pending => {}
-                    CallState::ConnectionLost => {
-                        self.connection = None;
-                        return Ok(None);
-                    }
-                    CallState::Failed => return Ok(None),
-                    CallState::Answered(body) => return Ok(R::decode(&body[..]).ok()),
-                }
-            }
-        }
-        Ok(None)
+        self.calls.push(call);
+        true
     }
-}
 
-fn whole_seconds(span: TimeDelta) -> u64 {
-    span.as_millis() / 1_000
-}
-
-/// A unary call on a connection.
-struct UnaryCall<'a> {
-    connection: ConnId,
-    address: SocketAddr,
-    path: &'a str,
-    request: Vec<u8>,
-    stream: Option<StreamId>,
-    response: UnaryMessage,
-}
-
-/// The state of a unary call.
-enum CallState {
-    Pending,
-    Answered(Vec<u8>),
-    Failed,
-    ConnectionLost,
-}
-
-impl UnaryCall<'_> {
-    fn send_request(&mut self, engine: &mut Engine) {
-        let head = grpc::request_head(&self.address.to_string(), self.path);
-        self.stream = head.and_then(|head| engine.open_stream(self.connection, head, false));
-        if let Some(stream) = self.stream {
-            engine.send(stream, grpc::frame(&self.request));
-            engine.finish(stream, None);
+    /// Gives up the latest call to a replica if too many to it are in flight.
+    fn make_room(&mut self, replica_index: usize) {
+        let is_to_replica = |call: &&ReplicaCall| call.replica_index == replica_index;
+        if self.calls.iter().filter(is_to_replica).count() < MAX_CALLS_PER_REPLICA {
+            return;
+        }
+        let latest = self.calls.iter().rposition(|call| is_to_replica(&call));
+        if let Some(index) = latest {
+            let call = self.calls.remove(index);
+            self.engine.close(call.connection);
         }
     }
 
-    fn is_own_stream(&self, stream: StreamId) -> bool {
-        self.stream == Some(stream)
-    }
-
-    fn on_event(&mut self, engine: &mut Engine, event: Event) -> CallState {
-        match event {
-            Event::Connected { conn } if conn == self.connection => {
-                self.send_request(engine);
-                CallState::Pending
-            }
-            Event::Closed { conn, .. } if conn == self.connection => CallState::ConnectionLost,
-            Event::Data { stream, data } if self.is_own_stream(stream) => {
-                engine.consume(stream, data.len());
-                match self.response.push(&data, MAX_STATE_MESSAGE_BYTES) {
-                    Ok(()) => CallState::Pending,
-                    Err(_) => CallState::Failed,
+    /// Passes an event to the calls. A call that ends is removed; the connection of an answered one is kept.
+    fn on_event(&mut self, event: &Event) -> CallState {
+        for index in 0..self.calls.len() {
+            let state = self.calls[index].on_event(&mut self.engine, event);
+            match state {
+                CallState::Pending => continue,
+                CallState::Failed => {
+                    let call = self.calls.remove(index);
+                    self.engine.close(call.connection);
                 }
-            }
-            Event::StreamEnded { stream, trailers } if self.is_own_stream(stream) => {
-                let status = trailers.as_ref().and_then(Code::from_trailers);
-                match self.response.message() {
-                    Some(body) if status == Some(Code::Ok) => CallState::Answered(body.to_vec()),
-                    _ => CallState::Failed,
+                CallState::Answered(_) => {
+                    let call = self.calls.remove(index);
+                    self.keep_connection(&call);
                 }
             }
-            Event::StreamFailed { stream, .. }
-            | Event::ResponseHead {
-                stream,
-                is_end_stream: true,
-                ..
-            } if self.is_own_stream(stream) => CallState::Failed,
-            _ => CallState::Pending,
+            return state;
+        }
+        if let Event::Closed { conn, .. } = event {
+            self.idle = self.idle.filter(|idle| idle.connection != *conn);
         }
+        CallState::Pending
     }
+
+    fn keep_connection(&mut self, call: &ReplicaCall) {
+        let idle = IdleConnection {
+            replica_index: call.replica_index,
+            connection: call.connection,
+        };
+        if let Some(previous) = self.idle.replace(idle) {
+            self.engine.close(previous.connection);
+        }
+    }
+}
+
+fn whole_seconds(span: TimeDelta) -> u64 {
+    span.as_millis() / 1_000
 }
