Coordinator: one read of the configuration is in flight to each replica

Cause: a replica that has to catch up asks every other one each 0.25 s (one without a place each second) for its configuration, and a response contains the whole state. Responses were heard however late they came, but up to 8 for each replica (16 with three, as the limit held for their sum) were under way at once: where a state takes longer than a quarter of a second to arrive, the repeats take the link from the first copy.

Change: the next read is sent when the one before is answered or its connection has ended (pings end a silent one). The partial responses are kept with the connection they belong to.

Measured: src/server/peers/tests.rs, 20 reads while the first is not answered: one arrives, and its late response counts. That 16 would have arrived before is from reading, not run.

--- a/crates/coordinator/src/server/peers.rs
+++ b/crates/coordinator/src/server/peers.rs
@@ -8,7 +8,6 @@
 use chalkdeck_net::{ConnId, Engine, StreamId};
 use chalkdeck_time::{TimeDelta, Timestamp};
 use prost::Message;
-use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 
 /// Minimum time between two connect attempts.
@@ -17,8 +16,12 @@
 const CONNECT_TIMEOUT: TimeDelta = TimeDelta::from_millis(2_000);
 /// Maximum size of a replica's send queue. The connection to a replica that reads too slowly is closed beyond that.
 const MAX_PEER_SEND_QUEUE_BYTES: usize = 1 << 30;
-/// Maximum number of pending reads, as an average over all replicas: the limit applies to their total.
-const MAX_PENDING_READS_PER_REPLICA: usize = 8;
+
+/// A read whose response has not been received completely.
+struct PendingRead {
+    stream: StreamId,
+    response: UnaryMessage,
+}
 
 /// The connection to one replica.
 struct PeerConnection {
@@ -26,6 +29,9 @@
     connection: Option<ConnId>,
     is_established: bool,
     stream: Option<StreamId>,
+    /// At most one read is pending, because a response contains the whole state: repeated reads would load a slow replica or link more
+    /// with each repeat. The pending one ends with its connection at the latest.
+    read: Option<PendingRead>,
     /// No connect attempt is made before this time.
     next_connect_at: Timestamp,
     /// When the connect attempt times out.
@@ -39,6 +45,7 @@
             connection: None,
             is_established: false,
             stream: None,
+            read: None,
             next_connect_at: Timestamp::ZERO,
             connect_deadline: Timestamp::ZERO,
         }
@@ -91,8 +98,6 @@
     own_slot: Slot,
     /// By index in the address list. The entry of the replica's own slot is not used.
     peers: Vec<PeerConnection>,
-    /// Partial responses of pending reads, by stream.
-    pending_reads: FxHashMap<StreamId, UnaryMessage>,
 }
 
 impl PeerConnections {
@@ -100,7 +105,6 @@
         PeerConnections {
             own_slot,
             peers: addresses.iter().copied().map(PeerConnection::new).collect(),
-            pending_reads: FxHashMap::default(),
         }
     }
 
@@ -131,7 +135,7 @@
         engine.send(stream, grpc::frame(&message.encode_to_vec()));
     }
 
-    /// Sends a read of a replica's configuration, or drops it if there is no connection or too many reads are pending.
+    /// Sends a read of a replica's configuration, or drops it if there is no connection or a read is pending.
     pub(super) fn send_read(&mut self, engine: &mut Engine, slot: Slot, request: &ReadRequest) {
         let Some(peer) = self.peer(slot) else {
             return;
@@ -140,9 +144,8 @@
         let Some(connection) = peer.connect_if_needed(engine) else {
             return;
         };
-        self.pending_reads
-            .retain(|stream, _| engine.is_open(*stream));
-        if self.pending_reads.len() >= MAX_PENDING_READS_PER_REPLICA * self.peers.len() {
+        let pending = peer.read.as_ref();
+        if pending.is_some_and(|read| engine.is_open(read.stream)) {
             return;
         }
         let Some(stream) = open_stream(engine, connection, address, READ_PATH) else {
@@ -150,7 +153,10 @@
         };
         engine.send(stream, grpc::frame(&request.encode_to_vec()));
         engine.finish(stream, None);
-        self.pending_reads.insert(stream, UnaryMessage::default());
+        peer.read = Some(PendingRead {
+            stream,
+            response: UnaryMessage::default(),
+        });
     }
 
     /// Closes connections that were not established before their deadline.
@@ -182,11 +188,11 @@
     }
 
     pub(super) fn on_stream_closed(&mut self, stream: StreamId) {
-        self.pending_reads.remove(&stream);
         for peer in &mut self.peers {
             if peer.stream == Some(stream) {
                 peer.stream = None;
             }
+            peer.read.take_if(|read| read.stream == stream);
         }
     }
 
@@ -196,14 +202,23 @@
         stream: StreamId,
         data: &[u8],
     ) -> Option<ReadResponse> {
-        let buffer = self.pending_reads.get_mut(&stream)?;
-        let is_valid = buffer.push(data, MAX_STATE_MESSAGE_BYTES).is_ok();
-        let response = buffer
+        let is_reading = |peer: &&mut PeerConnection| {
+            let read = peer.read.as_ref();
+            read.is_some_and(|read| read.stream == stream)
+        };
+        let peer = self.peers.iter_mut().find(is_reading)?;
+        let read = peer.read.as_mut()?;
+        let is_valid = read.response.push(data, MAX_STATE_MESSAGE_BYTES).is_ok();
+        let response = read
+            .response
             .message()
             .and_then(|body| ReadResponse::decode(&body[..]).ok());
         if !is_valid || response.is_some() {
-            self.pending_reads.remove(&stream);
+            peer.read = None;
         }
         response
     }
 }
+
+#[cfg(test)]
+mod tests;
