Platform gateway: a connection established after the dial time-out carries the next attempt

Cause: a connection to an endpoint that was not established within the dial time-out (250 ms) was closed and dialled anew for the next attempt. An endpoint whose connections always take a little longer is never reached, and each repeat costs it a handshake.

Change: the attempt ends as before (never ran), but one connection to each endpoint may go on being established for 10 s; it then carries the next attempt if the endpoint still has that address.

The package's tests pass.

--- a/crates/resp-gateway/src/endpoint_connections.rs
+++ b/crates/resp-gateway/src/endpoint_connections.rs
@@ -36,6 +36,9 @@
 /// and would otherwise be taken for the reply to the next request. The latest of 69 that were observed arrived 4 ms after the reply.
 const MIN_REUSE_DELAY: TimeDelta = TimeDelta::from_millis(10);
 
+/// How long a connection may take to be established after its dial timed out.
+const MAX_LATE_TIME: TimeDelta = TimeDelta::from_secs(10);
+
 /// The immediate result of sending an attempt.
 pub(crate) enum SendResult {
     /// The command was written.
@@ -225,19 +228,32 @@
         true
     }
 
-    /// Closes connections whose keep-alive time has passed. Called at a fixed interval.
+    /// Closes connections whose keep-alive time has passed or that were not established for too long. Called at a fixed interval.
     pub(crate) fn sweep(&mut self, engine: &mut Engine) {
         let keep_alive = self.keep_alive.current();
-        for conn in self.pool.idle_for(clock::now(engine), keep_alive) {
+        let now = clock::now(engine);
+        let mut expired = self.pool.idle_for(now, keep_alive);
+        expired.extend(self.pool.late_for(now, MAX_LATE_TIME));
+        for conn in expired {
             self.close(engine, conn);
         }
     }
 
-    /// Writes the command of the attempt that waits for an established connection.
+    /// Writes the command of the attempt that waits for an established connection. A connection whose dial timed out is kept for the
+    /// next attempt, if it still leads to its endpoint.
     pub(crate) fn on_connected(&mut self, engine: &mut Engine, conn: ConnId) {
         let Some(connection) = self.pool.get_mut(conn) else {
             return;
         };
+        if connection.late_since.take().is_some() {
+            let listed = self.addresses.get(&connection.endpoint);
+            if listed == Some(&connection.address) {
+                self.pool.keep_idle(conn, clock::now(engine));
+            } else {
+                self.close(engine, conn);
+            }
+            return;
+        }
         let Some(active) = &mut connection.active else {
             return;
         };
@@ -374,17 +390,32 @@
         Some(end)
     }
 
-    /// Handles the dial time-out of a connection: if it is not established, closes it and ends its attempt.
+    /// Handles the dial time-out of a connection: if it is not established, ends its attempt. One connection to each endpoint may still
+    /// be established later, as an endpoint whose connections always take longer would otherwise never be reached; others are closed.
     pub(crate) fn on_dial_timeout(
         &mut self,
         engine: &mut Engine,
         conn: ConnId,
     ) -> Option<AttemptEnd> {
-        if !self.pool.get(conn)?.is_dialing() {
+        let connection = self.pool.get(conn)?;
+        if !connection.is_dialing() {
             return None;
         }
-        let end = self.remove_and_end_attempt(clock::now(engine), conn, 0);
+        let endpoint = connection.endpoint;
+        let now = clock::now(engine);
+        if !self.pool.has_late(endpoint) {
+            let active = self.pool.take_attempt(conn)?;
+            self.pool.get_mut(conn)?.late_since = Some(now);
+            let elapsed = now - active.started_at;
+            let outcome = Outcome::ConnectFailed;
+            let end = AttemptEnd::without_reply(active.id, endpoint, outcome, elapsed);
+            return Some(end);
+        }
+        let end = self.remove_and_end_attempt(now, conn, 0);
         engine.close(conn);
         end
     }
 }
+
+#[cfg(test)]
+mod late_connection_tests;
--- a/crates/resp-gateway/src/endpoint_connections/connection.rs
+++ b/crates/resp-gateway/src/endpoint_connections/connection.rs
@@ -27,6 +27,8 @@
     pub(super) active: Option<ActiveAttempt>,
     /// When the connection last became idle; `None` if it has completed no attempt yet.
     pub(super) idle_since: Option<Timestamp>,
+    /// When its dial timed out, which ended its attempt, while it is still being established.
+    pub(super) late_since: Option<Timestamp>,
 }
 
 impl Connection {
@@ -42,6 +44,7 @@
             partial_reply: BytesMut::new(),
             active: Some(attempt),
             idle_since: None,
+            late_since: None,
         }
     }
 
--- a/crates/resp-gateway/src/endpoint_connections/pool.rs
+++ b/crates/resp-gateway/src/endpoint_connections/pool.rs
@@ -121,6 +121,25 @@
             .map(|(conn, _)| *conn)
     }
 
+    /// Whether a connection to an endpoint is still being established after its dial timed out.
+    pub(super) fn has_late(&self, endpoint: EndpointId) -> bool {
+        self.connections
+            .values()
+            .any(|connection| connection.endpoint == endpoint && connection.late_since.is_some())
+    }
+
+    /// The connections that are still not established so long after their dial timed out.
+    pub(super) fn late_for(&self, now: Timestamp, min_time: TimeDelta) -> Vec<ConnId> {
+        self.connections
+            .iter()
+            .filter(|(_, connection)| {
+                let since = connection.late_since;
+                since.is_some_and(|since| now >= since + min_time)
+            })
+            .map(|(conn, _)| *conn)
+            .collect()
+    }
+
     /// The connections that have been idle for at least `min_time`.
     pub(super) fn idle_for(&self, now: Timestamp, min_time: TimeDelta) -> Vec<ConnId> {
         self.connections
