--- a/crates/grpc-gateway/src/gateway_server/endpoint_list.rs
+++ b/crates/grpc-gateway/src/gateway_server/endpoint_list.rs
@@ -6,6 +6,8 @@
 use chalkdeck::api::{EndpointEntry, EndpointState, Event, Outcome, UpdateScope};
 use chalkdeck_net::file_watch::FileWatchError;
 
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
 impl GatewayServer {
     /// Reads the endpoint list if its file has changed. If it is invalid, the last valid list stays in use.
     pub(super) fn poll_endpoint_list(&mut self) {
@@ -21,6 +23,8 @@
             Ok(listed) => {
                 tracing::info!(endpoints = listed.len(), "endpoint list read");
                 self.metrics.endpoints.set(listed.len() as i64);
+                let read_at = self.engine.now() / MICROS_PER_SECOND;
+                self.metrics.endpoint_list_read_at.set(read_at as i64);
                 self.apply_endpoint_list(listed);
             }
             Err(error) => {
--- a/crates/grpc-gateway/src/metrics.rs
+++ b/crates/grpc-gateway/src/metrics.rs
@@ -88,6 +88,8 @@
     pub(crate) connections: Gauge,
     pub(crate) endpoints: Gauge,
     pub(crate) endpoint_list_failures: Counter,
+    /// When the endpoint list in force was read, in seconds since the Unix epoch; its age is the time since then.
+    pub(crate) endpoint_list_read_at: Gauge,
     /// The time from a call's head to its final answer, in seconds.
     pub(crate) call_duration: Histogram,
 }
@@ -114,6 +116,7 @@
             connections: Gauge::default(),
             endpoints: Gauge::default(),
             endpoint_list_failures: Counter::default(),
+            endpoint_list_read_at: Gauge::default(),
             call_duration: Histogram::new(buckets),
         };
         metrics.register_arrival_metrics();
@@ -190,6 +193,11 @@
             "Server lists that could not be read",
             self.endpoint_list_failures.clone(),
         );
+        registry.register(
+            "server_list_read_timestamp_seconds",
+            "When the server list in force was read",
+            self.endpoint_list_read_at.clone(),
+        );
         registry.register(
             "call_seconds",
             "Time from a call's head to its final answer",
--- a/crates/grpc-gateway/tests/servers.rs
+++ b/crates/grpc-gateway/tests/servers.rs
@@ -318,6 +318,14 @@
             .metrics_text()
             .contains("chalkdeck_server_list_failures_total 1")
     });
+    let read_at = |text: &str| {
+        let name = "chalkdeck_server_list_read_timestamp_seconds ";
+        let line = text.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|value| value.parse::<u64>().ok())
+    };
+    let list_read_at = read_at(&harness.gateway.metrics_text()).expect("the metric");
+    let unix_time = std::time::UNIX_EPOCH.elapsed().expect("a date").as_secs();
+    assert!(list_read_at.abs_diff(unix_time) < 600, "{list_read_at}");
     let call = harness.call(BUY, &[]);
     let stream = harness.wait_for_server_call(1);
     harness.servers.answer(stream, b"fine");
