Decisions: a counter's reply after the end of its window is judged by that window

Change: the count of a window remembers the one before it; a late total charges the bucket for what it had not seen, and the request is admitted if the bucket then has room. A ceiling is judged by the old window's total as before.

--- a/crates/policy/src/customer.rs
+++ b/crates/policy/src/customer.rs
@@ -4,7 +4,7 @@
 use crate::counter::calls::CounterPurpose;
 use crate::counter::circuit_breaker::CircuitBreaker;
 use crate::token_bucket::TokenBucket;
-use crate::window::WindowCounter;
+use crate::window::{PreviousWindow, WindowCounter};
 
 /// Time without requests or attempts after which a customer's state is dropped.
 pub(crate) const CUSTOMER_EXPIRY: TimeDelta = TimeDelta::from_secs(120);
@@ -114,16 +114,19 @@
         // Carries the bucket level over from the previous window. After a gap the bucket is full,
         // so that the window's allowance alone decides.
         let follows_last = self.quota_counter.index + 1 == index;
-        let bucket_level = if follows_last {
-            let known_total = self.quota_counter.known_total();
-            self.quota_counter.available(now, known_total, plan)
-        } else {
-            plan.burst
-        };
+        let previous = follows_last.then(|| PreviousWindow {
+            index: self.quota_counter.index,
+            charged_total: self.quota_counter.known_total(),
+        });
+        let bucket_level = previous.map_or(plan.burst, |previous| {
+            let total = previous.charged_total;
+            self.quota_counter.available(now, total, plan)
+        });
         self.quota_counter = WindowCounter {
             index,
             bucket_level,
             bucket_refilled_at: now,
+            previous,
             ..WindowCounter::default()
         };
     }
--- a/crates/policy/src/engine/counter_replies.rs
+++ b/crates/policy/src/engine/counter_replies.rs
@@ -22,7 +22,7 @@
             return;
         }
         let result = if outcome == Outcome::Ok {
-            CounterResult::Total(self.apply_total(&call, total))
+            self.apply_total(&call, total)
         } else {
             self.apply_failed_call(&call, outcome);
             CounterResult::Unavailable
@@ -40,14 +40,15 @@
 
     /// Updates the customer's count with a total. Returns the total that decides the request:
     /// without the units added for unsampled requests, with the own units that it does not contain.
-    fn apply_total(&mut self, call: &CounterCall, total: f64) -> f64 {
+    fn apply_total(&mut self, call: &CounterCall, total: f64) -> CounterResult {
         let now = self.now;
         let Some(customer) = self.customers.get_mut(&call.customer) else {
-            return total;
+            return CounterResult::Total(total);
         };
         let plan = &self.settings.plans[customer.plan.0];
         let mut deciding_total = total - call.unsampled_units;
         let counter = customer.counter_mut(call.purpose);
+        let is_of_previous_window = counter.charge_previous(call.window_index, total);
         if counter.index == call.window_index {
             counter.end_posting(call.posted_late);
             let lost = counter.confirm_add(call.amount, total, call.purpose);
@@ -64,7 +65,11 @@
             customer.local_bucket = None;
         }
         self.record_counter_success(call);
-        deciding_total
+        if is_of_previous_window {
+            CounterResult::PreviousWindowTotal(deciding_total)
+        } else {
+            CounterResult::Total(deciding_total)
+        }
     }
 
     fn record_counter_success(&mut self, call: &CounterCall) {
--- a/crates/policy/src/engine/quota.rs
+++ b/crates/policy/src/engine/quota.rs
@@ -19,6 +19,8 @@
 pub(super) enum CounterResult {
     /// The total over all gateways, including this request.
     Total(f64),
+    /// The same, of a window that ended before the reply arrived.
+    PreviousWindowTotal(f64),
     /// The request was not sampled, so the last total decides.
     NotSampled,
     /// The counter cannot be called, or the call failed.
@@ -113,7 +115,10 @@
         }
         let customer = request.incoming.customer;
         let is_within_quota = self.is_within_quota(id, result);
-        if let CounterResult::Total(_) = result {
+        if matches!(
+            result,
+            CounterResult::Total(_) | CounterResult::PreviousWindowTotal(_)
+        ) {
             if let Some(customer) = self.customers.get_mut(&customer) {
                 customer.over_quota_at = (!is_within_quota).then_some(self.now);
             }
@@ -132,10 +137,18 @@
         let is_retry = request.is_retry;
         let plan = request.plan;
         match result {
-            CounterResult::Total(total) => {
+            CounterResult::Total(total) | CounterResult::PreviousWindowTotal(total) => {
+                // The bucket of the current window has been charged for a total of the previous
+                // one, and compared with that total it would be charged twice.
+                let compared_total = match result {
+                    CounterResult::PreviousWindowTotal(_) => {
+                        self.customers[&customer].quota_counter.known_total()
+                    }
+                    _ => total,
+                };
                 // The quota is exhausted. Units that the counter lost are part of the total, so
                 // under a ceiling they are paid off before any request is admitted.
-                if self.available_units(customer, total) < 0.0 {
+                if self.available_units(customer, compared_total) < 0.0 {
                     return false;
                 }
                 let allowance = QuotaWindow::for_plan(&self.settings.plans[plan.0]).allowance;
--- a/crates/policy/src/window.rs
+++ b/crates/policy/src/window.rs
@@ -64,6 +64,14 @@
     }
 }
 
+/// The window before the current one, for replies that arrive after its end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PreviousWindow {
+    pub(crate) index: u64,
+    /// The total that the bucket level of the current window accounts for.
+    pub(crate) charged_total: f64,
+}
+
 /// This gateway's view of a customer's shared count in one window or epoch.
 #[derive(Debug, Default)]
 pub(crate) struct WindowCounter {
@@ -84,6 +92,8 @@
     pub(crate) bucket_level: f64,
     pub(crate) bucket_level_total: f64,
     pub(crate) bucket_refilled_at: Timestamp,
+    /// The window whose bucket level this one carries over; `None` if it follows no other.
+    pub(crate) previous: Option<PreviousWindow>,
 }
 
 impl WindowCounter {
@@ -135,6 +145,18 @@
         lost
     }
 
+    /// Charges the bucket for units of the previous window that a total shows which was returned
+    /// after its end. Returns whether the total belongs to that window.
+    pub(crate) fn charge_previous(&mut self, window_index: u64, total: f64) -> bool {
+        let previous = self.previous.as_mut();
+        let Some(previous) = previous.filter(|previous| previous.index == window_index) else {
+            return false;
+        };
+        self.bucket_level -= (total - previous.charged_total).max(0.0);
+        previous.charged_total = previous.charged_total.max(total);
+        true
+    }
+
     /// Records a total that the counter returned now.
     pub(crate) fn observe_total(&mut self, now: Timestamp, total: f64, plan: &Plan) {
         self.last_total = total;
