--- a/crates/grpc-gateway/src/resp/session.rs
+++ b/crates/grpc-gateway/src/resp/session.rs
@@ -4,6 +4,7 @@
 use super::command::Command;
 use super::reply::{encode, Reply};
 use bytes::BytesMut;
+use chalkdeck_net::write_progress::WriteProgress;
 use chalkdeck_resp::{ReplyQueue, ReplySlot};
 
 /// The state of one client connection.
@@ -19,8 +20,7 @@
     pub(crate) is_progress_check_scheduled: bool,
     /// When bytes were last received, or the client was last seen to accept bytes, by the loop's clock in microseconds.
     pub(crate) last_progress_at: u64,
-    /// The total number of bytes that the client was last seen to have accepted.
-    written_bytes: u64,
+    write_progress: WriteProgress,
     /// Whether no more commands are read, because of a protocol error or `QUIT`.
     pub(crate) is_read_closed: bool,
     /// The number of tickets that it holds.
@@ -48,8 +48,7 @@
     }
     /// Records the total number of bytes that the client has accepted.
     pub(crate) fn record_written_bytes(&mut self, written_bytes: u64, now: u64) {
-        if written_bytes != self.written_bytes {
-            self.written_bytes = written_bytes;
+        if self.write_progress.observe(now, written_bytes) {
             self.last_progress_at = now;
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -24,6 +24,7 @@
 mod stream;
 pub mod timer_queue;
 pub mod unary;
+pub mod write_progress;
 
 pub use close_reason::CloseReason;
 pub use engine::Engine;
--- a/crates/resp-gateway/src/sessions/session.rs
+++ b/crates/resp-gateway/src/sessions/session.rs
@@ -2,6 +2,7 @@
 
 use bytes::BytesMut;
 use chalkdeck::api::RequestId;
+use chalkdeck_net::write_progress::WriteProgress;
 use chalkdeck_net::ConnId;
 use chalkdeck_resp::{Frame, ReplyQueue};
 use chalkdeck_time::{TimeDelta, Timestamp};
@@ -21,15 +22,6 @@
 /// Multiplier of Fibonacci hashing: spreads consecutive connection numbers evenly.
 const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// The progress of writing replies to a client that has not accepted all of them.
-#[derive(Clone, Copy)]
-pub(super) struct BlockedWrite {
-    /// The total number of bytes that the client has accepted.
-    accepted_bytes: u64,
-    /// When this number last grew.
-    since: Timestamp,
-}
-
 /// The state of one client connection.
 #[derive(Default)]
 pub(super) struct Session {
@@ -60,7 +52,7 @@
     /// When reading was paused; kept until the socket has been read empty.
     pub(super) unread_since: Option<Timestamp>,
     /// Set while the client has not accepted all its replies.
-    blocked_write: Option<BlockedWrite>,
+    blocked_write: Option<WriteProgress>,
 }
 
 impl Session {
@@ -99,23 +91,19 @@
         unsent: usize,
         now: Timestamp,
     ) {
-        let unchanged = self
-            .blocked_write
-            .filter(|blocked| blocked.accepted_bytes == accepted_bytes);
-        if self.blocked_write.is_some() && unchanged.is_none() {
+        let begun = WriteProgress::begin(now.as_micros(), accepted_bytes);
+        let mut progress = self.blocked_write.unwrap_or(begun);
+        if progress.observe(now.as_micros(), accepted_bytes) {
             self.last_active_at = now;
         }
-        let blocked = unchanged.unwrap_or(BlockedWrite {
-            accepted_bytes,
-            since: now,
-        });
-        self.blocked_write = (unsent > 0).then_some(blocked);
+        self.blocked_write = (unsent > 0).then_some(progress);
     }
 
     /// Whether the client has accepted no bytes within the write time-out.
     pub(super) fn is_write_timed_out(&self, now: Timestamp) -> bool {
-        self.blocked_write
-            .is_some_and(|blocked| now - blocked.since >= WRITE_TIMEOUT)
+        self.blocked_write.is_some_and(|progress| {
+            progress.has_stalled_for(now.as_micros(), WRITE_TIMEOUT.as_micros())
+        })
     }
 
     /// Whether a client that has all its replies has exceeded the command or idle time-out. Only bytes that were read count as received.
