--- a/crates/coordinator/src/replica/pending.rs
+++ b/crates/coordinator/src/replica/pending.rs
@@ -3,7 +3,7 @@
 use crate::ids::{CommandNumber, RequesterId};
 use crate::protocol::wire;
 use chalkdeck_leader_election::{RenewalNumber, SessionId};
-use chalkdeck_time::{TimeDelta, Timestamp};
+use chalkdeck_time::{RecentMaximum, TimeDelta, Timestamp};
 use std::collections::BTreeMap;
 
 /// A command that is not decided within this time is proposed again, as it may have been lost on its way to the leader.
@@ -15,8 +15,6 @@
 /// The longest time until a command is proposed again. Times without a leader count as slow decisions, and lost commands must not wait
 /// for as long after them.
 const MAX_RETRY_INTERVAL: TimeDelta = TimeDelta::from_secs(2);
-/// With each decision, the remembered decision time is divided by this, unless the decision took longer.
-const DECISION_TIME_DECAY_DIVISOR: u64 = 2;
 /// Maximum number of pending commands at one replica; further ones are rejected.
 const MAX_PENDING: usize = 8_192;
 
@@ -61,8 +59,8 @@
 pub(super) struct PendingCommands {
     last_number: u64,
     commands: BTreeMap<u64, PendingCommand>,
-    /// The longest of the recent times from the first proposal of a command to its decision, which decays.
-    decision_time: TimeDelta,
+    /// The time from the first proposal of a command to its decision.
+    decision_time: RecentMaximum,
 }
 
 impl PendingCommands {
@@ -96,14 +94,12 @@
     /// Removes a command that was decided.
     pub(super) fn remove(&mut self, number: u64, now: Timestamp) -> Option<PendingCommand> {
         let pending = self.commands.remove(&number)?;
-        let remembered = self.decision_time.as_micros() / DECISION_TIME_DECAY_DIVISOR;
-        let measured = now - pending.first_proposed_at;
-        self.decision_time = measured.max(TimeDelta::from_micros(remembered));
+        self.decision_time.observe(now - pending.first_proposed_at);
         Some(pending)
     }
 
     fn retry_interval(&self) -> TimeDelta {
-        let interval = self.decision_time * RETRY_DECISION_TIMES;
+        let interval = self.decision_time.get() * RETRY_DECISION_TIMES;
         interval.clamp(MIN_RETRY_INTERVAL, MAX_RETRY_INTERVAL)
     }
 
--- a/crates/resp-gateway/src/discovery/schedule.rs
+++ b/crates/resp-gateway/src/discovery/schedule.rs
@@ -6,7 +6,7 @@
 //! received. Calls that begin faster than a slow agent responds would load it more, so after late responses calls begin at a fraction of
 //! the response time, and none is given up while the agent responds: it may serve a call whose caller has gone like any other.
 
-use chalkdeck_time::{TimeDelta, Timestamp};
+use chalkdeck_time::{RecentMaximum, TimeDelta, Timestamp};
 
 /// The maximum number of calls in flight, each of which takes a descriptor.
 pub(super) const MAX_CALLS_IN_FLIGHT: usize = 7;
@@ -14,8 +14,6 @@
 const CALLS_PER_RESPONSE_TIME: u64 = MAX_CALLS_IN_FLIGHT as u64 - 2;
 /// A call in flight for longer than this is given up first. It is the longest time for which the agent may hold a long poll.
 const MAX_CALL_AGE: TimeDelta = TimeDelta::from_secs(60);
-/// After each response the remembered response time is reduced to one divided by this, unless the response took longer.
-const RESPONSE_TIME_DECAY: u64 = 2;
 /// After this many intervals without a response calls begin as often as if the agent were not slow.
 const MAX_QUIET_INTERVALS: u64 = 2;
 /// After this many response times without a response the agent is considered silent, and calls are given up for new ones.
@@ -37,8 +35,7 @@
 pub(super) struct CallSchedule {
     /// The time from one call to the next while the agent is not known to be slow.
     timeout: TimeDelta,
-    /// The longest of the recent response times, which decays.
-    response_time: TimeDelta,
+    response_time: RecentMaximum,
     /// When the last response was received.
     responded_at: Timestamp,
 }
@@ -47,21 +44,19 @@
     pub(super) fn new(timeout: TimeDelta) -> CallSchedule {
         CallSchedule {
             timeout,
-            response_time: TimeDelta::ZERO,
+            response_time: RecentMaximum::default(),
             responded_at: Timestamp::ZERO,
         }
     }
 
     /// Forgets the response times of the previous agent.
     pub(super) fn reset(&mut self) {
-        self.response_time = TimeDelta::ZERO;
+        self.response_time = RecentMaximum::default();
     }
 
     /// Records a complete response.
     pub(super) fn on_response(&mut self, now: Timestamp, response_time: TimeDelta) {
-        let remembered =
-            TimeDelta::from_micros(self.response_time.as_micros() / RESPONSE_TIME_DECAY);
-        self.response_time = response_time.max(remembered);
+        self.response_time.observe(response_time);
         self.responded_at = now;
     }
 
@@ -72,7 +67,7 @@
 
     /// The time from the beginning of a call to that of the next one, if no response allows to begin it earlier.
     pub(super) fn interval(&self, now: Timestamp) -> TimeDelta {
-        let fraction = self.response_time.as_micros() / CALLS_PER_RESPONSE_TIME;
+        let fraction = self.response_time.get().as_micros() / CALLS_PER_RESPONSE_TIME;
         let interval = self.timeout.max(TimeDelta::from_micros(fraction));
         if now > self.responded_at + interval * MAX_QUIET_INTERVALS {
             self.timeout
@@ -103,6 +98,6 @@
     }
 
     fn is_silent(&self, now: Timestamp) -> bool {
-        now > self.responded_at + self.response_time * SILENT_AFTER_RESPONSE_TIMES
+        now > self.responded_at + self.response_time.get() * SILENT_AFTER_RESPONSE_TIMES
     }
 }
--- a/crates/time/src/lib.rs
+++ b/crates/time/src/lib.rs
@@ -15,6 +15,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod recent_maximum;
+
+pub use recent_maximum::RecentMaximum;
+
 use std::ops::{Add, AddAssign, Mul, Sub};
 
 /// Microseconds in a second.
