Coordinator: new callers are heard after 4,096 others

Cause: a caller without a record is new or evicted. The two were told apart by the version of the state that it had seen, compared with a log index, which is always ahead of it; a new caller sends 0.

Change: callers are incarnations, which grow with time: one above all evicted ones is new; others are judged by versions alone. All replicas have to decide alike, so the rule begins with protocol version 2 of all of them; a state without replicas counts as this program's.

--- a/crates/coordinator/src/state/deduplication.rs
+++ b/crates/coordinator/src/state/deduplication.rs
@@ -24,6 +24,17 @@
     responses: VecDeque<RecordedResponse>,
     /// Responses up to this number were evicted.
     forgotten_up_to: CommandNumber,
+    /// The version of the state after the last command; 0 if protocol version 1 recorded it.
+    last_version: u64,
+}
+
+/// What is known of all callers whose records were evicted.
+#[derive(Clone, Copy, Debug)]
+struct EvictedCallers {
+    /// The largest caller. Callers are incarnations, which grow with time, so a larger one is new.
+    caller: u64,
+    /// The latest version of the state after the last command of one of them.
+    version: u64,
 }
 
 /// The recorded responses of all callers.
@@ -34,9 +45,34 @@
     by_last_index: BTreeMap<u64, u64>,
     /// The largest log index of the last command of an evicted caller.
     forgotten_at: u64,
+    /// `None` until every replica supports protocol version 2, as the replicas must decide alike. Until then `forgotten_at` decides.
+    evicted: Option<EvictedCallers>,
 }
 
 impl CallerRecords {
+    /// Begins to distinguish new callers from evicted ones, once every replica does. `version` is the version of the state, which no
+    /// command of a caller that was evicted before has seen.
+    pub(super) fn begin_distinguishing_new_callers(&mut self, version: u64) {
+        if self.evicted.is_some() {
+            return;
+        }
+        let has_evicted = self.forgotten_at > 0;
+        let latest_caller = self.records.keys().next_back().copied();
+        self.evicted = Some(EvictedCallers {
+            caller: latest_caller.filter(|_| has_evicted).unwrap_or_default(),
+            version: if has_evicted { version } else { 0 },
+        });
+    }
+
+    /// Whether a caller without a record may be an evicted one, whose command may already have been applied. `begun_version` is the
+    /// version of the state that the caller had seen; an evicted caller saw it before its last command was applied.
+    fn may_be_evicted(&self, caller: u64, begun_version: u64) -> bool {
+        match self.evicted {
+            Some(evicted) => caller <= evicted.caller && begun_version <= evicted.version,
+            None => begun_version < self.forgotten_at,
+        }
+    }
+
     /// The recorded response to a command that was already applied, or a rejection if it is no longer known whether the command was
     /// applied. `begun_version` is the version of the state that the caller had seen.
     pub(super) fn recorded_response(
@@ -52,9 +88,8 @@
             )
         };
         let Some(record) = self.records.get(&caller) else {
-            // An evicted caller saw its `begun_version` before its last command was applied. A caller without a record whose
-            // version is below `forgotten_at` may therefore be an evicted one, and its command may already have been applied.
-            return (begun_version < self.forgotten_at).then(forgotten_rejection);
+            let may_be_evicted = self.may_be_evicted(caller, begun_version);
+            return may_be_evicted.then(forgotten_rejection);
         };
         let known = record.responses.iter().find(|r| r.number == number);
         if let Some(known) = known {
@@ -63,17 +98,19 @@
         (number <= record.forgotten_up_to).then(forgotten_rejection)
     }
 
-    /// Records the response to the command at a log index.
+    /// Records the response to the command at a log index, after which the state has this version.
     pub(super) fn record(
         &mut self,
         caller: u64,
         number: CommandNumber,
         response: &CommandResponse,
         index: u64,
+        version: u64,
     ) {
         let record = self.records.entry(caller).or_default();
         self.by_last_index.remove(&record.last_index);
         record.last_index = index;
+        record.last_version = version;
         record.responses.push_back(RecordedResponse {
             number,
             response: response.clone(),
@@ -92,8 +129,13 @@
             let Some((last_index, oldest)) = self.by_last_index.pop_first() else {
                 return;
             };
-            self.records.remove(&oldest);
+            let record = self.records.remove(&oldest);
             self.forgotten_at = self.forgotten_at.max(last_index);
+            if let Some(evicted) = &mut self.evicted {
+                let version = record.map_or(0, |record| record.last_version);
+                evicted.caller = evicted.caller.max(oldest);
+                evicted.version = evicted.version.max(version);
+            }
         }
     }
 
@@ -101,6 +143,14 @@
         self.forgotten_at
     }
 
+    pub(super) fn evicted_to_wire(&self) -> Option<wire::EvictedCallers> {
+        let evicted = self.evicted?;
+        Some(wire::EvictedCallers {
+            caller: evicted.caller,
+            version: evicted.version,
+        })
+    }
+
     pub(super) fn to_wire(&self) -> Vec<wire::CallerRecord> {
         let to_wire = |(caller, record): (&u64, &CallerRecord)| wire::CallerRecord {
             caller: *caller,
@@ -112,6 +162,7 @@
                 .map(|r| r.response.encode_to_vec())
                 .collect(),
             forgotten_up_to: record.forgotten_up_to.0,
+            last_version: record.last_version,
         };
         self.records.iter().map(to_wire).collect()
     }
@@ -120,9 +171,15 @@
     pub(super) fn from_wire(
         list: &[wire::CallerRecord],
         forgotten_at: u64,
+        evicted: Option<wire::EvictedCallers>,
     ) -> Option<CallerRecords> {
+        let evicted = evicted.map(|stored| EvictedCallers {
+            caller: stored.caller,
+            version: stored.version,
+        });
         let mut callers = CallerRecords {
             forgotten_at,
+            evicted,
             ..CallerRecords::default()
         };
         for stored in list {
@@ -130,6 +187,7 @@
                 last_index: stored.last_index,
                 responses: responses_from_wire(stored)?,
                 forgotten_up_to: CommandNumber(stored.forgotten_up_to),
+                last_version: stored.last_version,
             };
             callers.records.insert(stored.caller, record);
             callers
--- a/crates/coordinator/src/state/membership.rs
+++ b/crates/coordinator/src/state/membership.rs
@@ -1,6 +1,6 @@
 //! The replicas of the configuration, and the protocol version that all of them support.
 
-use super::{done, ReplicatedState};
+use super::{done, ReplicatedState, PROTOCOL_VERSION};
 use crate::ids::ReplicaId;
 use crate::protocol::{wire, CommandResponse};
 
@@ -22,12 +22,12 @@
         self.members.get(&id)
     }
 
-    /// The protocol version that every replica supports.
+    /// The protocol version that every replica supports; that of this program if the state has no replicas yet.
     pub fn supported_protocol_version(&self) -> u32 {
         let versions = self.members.values().map(|member| member.protocol_version);
         versions
             .min()
-            .unwrap_or_default()
+            .unwrap_or(PROTOCOL_VERSION)
             .max(FIRST_PROTOCOL_VERSION)
     }
 
--- a/crates/coordinator/src/state/mod.rs
+++ b/crates/coordinator/src/state/mod.rs
@@ -32,7 +32,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The protocol version of this program: it determines which commands it can apply.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
+/// The protocol version from which new callers are distinguished from evicted ones.
+const NEW_CALLERS_PROTOCOL_VERSION: u32 = 2;
 /// Length of a period of recent calls, in milliseconds of the agreed time.
 const RECENT_CALLS_PERIOD_MS: u64 = 120_000;
 
@@ -104,6 +106,9 @@
         if command.caller == 0 {
             return self.apply_once(command);
         }
+        if self.supported_protocol_version() >= NEW_CALLERS_PROTOCOL_VERSION {
+            self.callers.begin_distinguishing_new_callers(self.version);
+        }
         let number = CommandNumber(command.number);
         if let Some(response) =
             self.callers
@@ -113,7 +118,7 @@
         }
         let response = self.apply_once(command);
         self.callers
-            .record(command.caller, number, &response, self.index);
+            .record(command.caller, number, &response, self.index, self.version);
         response
     }
 
--- a/crates/coordinator/src/state/snapshot.rs
+++ b/crates/coordinator/src/state/snapshot.rs
@@ -81,6 +81,7 @@
             contract_revision: self.contract_revision,
             recent_span_start_ms: self.recent_period_start_ms,
             forgotten_at: self.callers.forgotten_at(),
+            evicted_callers: self.callers.evicted_to_wire(),
             cluster: self.cluster,
         }
     }
@@ -91,8 +92,12 @@
     /// See [`SnapshotError`].
     pub fn from_snapshot(snapshot: &StateSnapshot) -> Result<ReplicatedState, SnapshotError> {
         check_rule_sets(&snapshot.rules)?;
-        let callers = CallerRecords::from_wire(&snapshot.callers, snapshot.forgotten_at)
-            .ok_or(SnapshotError::Responses)?;
+        let callers = CallerRecords::from_wire(
+            &snapshot.callers,
+            snapshot.forgotten_at,
+            snapshot.evicted_callers,
+        )
+        .ok_or(SnapshotError::Responses)?;
         let mut state = ReplicatedState {
             index: snapshot.index,
             version: snapshot.version,
