gRPC gateway: a connection established after the connect time-out serves later attempts

Change: the attempts that wait for it end as before (never ran), but one connection to each endpoint may go on being established for 10 s. Attempts do not wait for it meanwhile, and it does not count against the limit of connections.

--- a/crates/grpc-gateway/src/endpoint_connections.rs
+++ b/crates/grpc-gateway/src/endpoint_connections.rs
@@ -20,6 +20,8 @@
 struct Connection {
     conn: ConnId,
     is_established: bool,
+    /// Whether it was not established in time and is kept for later attempts.
+    is_late: bool,
     /// Attempts that wait until it is established.
     waiting: Vec<AttemptId>,
 }
@@ -147,7 +149,7 @@
         if endpoint.wait_for_connection(attempt, self.limits.max_streams as usize) {
             return FoundConnection::Connecting;
         }
-        if endpoint.connections.len() >= self.max_connections {
+        if endpoint.timely_connections() >= self.max_connections {
             return FoundConnection::Full;
         }
         let Ok(conn) = engine.connect(endpoint.address, self.limits) else {
@@ -156,6 +158,7 @@
         endpoint.connections.push(Connection {
             conn,
             is_established: false,
+            is_late: false,
             waiting: vec![attempt],
         });
         self.endpoint_of.insert(conn, endpoint_id);
@@ -167,6 +170,20 @@
     pub(crate) fn mark_established(&mut self, conn: ConnId) -> Option<Vec<AttemptId>> {
         let connection = self.connection(conn)?;
         connection.is_established = true;
+        connection.is_late = false;
+        Some(std::mem::take(&mut connection.waiting))
+    }
+
+    /// Keeps a connection that was not established in time, as an endpoint whose connections always take longer would otherwise never be
+    /// reached. Returns the attempts that waited for it; `None`: it is to be closed, as another one to its endpoint is kept already.
+    pub(crate) fn keep_late(&mut self, conn: ConnId) -> Option<Vec<AttemptId>> {
+        let endpoint_id = self.endpoint_of.get(&conn)?;
+        let endpoint = self.endpoints.get(endpoint_id)?;
+        if endpoint.connections.iter().any(|other| other.is_late) {
+            return None;
+        }
+        let connection = self.connection(conn)?;
+        connection.is_late = true;
         Some(std::mem::take(&mut connection.waiting))
     }
 
@@ -208,10 +225,17 @@
         (engine.available_streams(conn) > 0).then_some(conn)
     }
 
+    /// The number of connections, without one that is late.
+    fn timely_connections(&self) -> usize {
+        let connections = self.connections.iter();
+        connections.filter(|connection| !connection.is_late).count()
+    }
+
     /// Adds an attempt to those that wait for a connection in progress. Returns false if none has room.
     fn wait_for_connection(&mut self, attempt: AttemptId, max_waiting: usize) -> bool {
         let connecting = self.connections.iter_mut().find(|connection| {
-            !connection.is_established && connection.waiting.len() < max_waiting
+            let is_timely = !connection.is_established && !connection.is_late;
+            is_timely && connection.waiting.len() < max_waiting
         });
         match connecting {
             Some(connection) => {
@@ -230,3 +254,6 @@
         .parse()
         .unwrap_or(Authority::from_static("server"))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/grpc-gateway/src/gateway_server/timers.rs
+++ b/crates/grpc-gateway/src/gateway_server/timers.rs
@@ -2,9 +2,12 @@
 
 use super::GatewayServer;
 use crate::endpoint_connections::AttemptId;
-use chalkdeck::api::{Event, RequestId, TimerId, Timestamp};
+use chalkdeck::api::{Event, Outcome, RequestId, TimerId, Timestamp};
 use chalkdeck_net::ConnId;
 
+/// How long a connection to an endpoint may take to be established after its connect time-out.
+const MAX_LATE_MICROS: u64 = 10_000_000;
+
 /// The purpose of a timer.
 #[derive(Clone, Copy)]
 pub(crate) enum TimerPurpose {
@@ -57,10 +60,20 @@
         }
     }
 
+    /// Ends the attempts that wait for a connection which is not established in time. The connection may be established later, but not
+    /// after a second such timer.
     fn on_connect_timeout(&mut self, conn: ConnId) {
-        if self.endpoint_connections.is_connecting(conn) {
+        if !self.endpoint_connections.is_connecting(conn) {
+            return;
+        }
+        let Some(waiting) = self.endpoint_connections.keep_late(conn) else {
             self.engine.close(conn);
-            self.on_closed(conn, "not made in time");
+            return self.on_closed(conn, "not made in time");
+        };
+        self.set_timer(MAX_LATE_MICROS, TimerPurpose::ConnectTimeout(conn));
+        for attempt in waiting {
+            self.end_attempt(attempt, Outcome::ConnectFailed, false);
         }
+        self.execute_actions();
     }
 }
