Review case 8: drains are applied late after a slow discovery was down

Cause: while seven calls are in flight no further call to discovery begins for twice its recent response time.

--- a/review/kit-2/standin.py
+++ b/review/kit-2/standin.py
@@ -51,12 +51,12 @@
             file.write("\n".join(self.lines) + "\n")
 
 
-def free_port():
-    """A port that is free now. It is bound once and released, as a gateway binds it itself."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def reserve_port():
+    """A free port, and the socket that keeps it: bound and never listening, so that only a process that asks for this port gets it."""
+    keeper = socket.socket()
+    keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    keeper.bind(("127.0.0.1", 0))
+    return keeper.getsockname()[1], keeper
 
 
 def command(*words):
@@ -359,7 +359,7 @@
 
     def __init__(self, number, world, memory_mb=32, sockets=256, change=None):
         self.number, self.memory_mb = number, memory_mb
-        self.port = free_port()
+        self.port, self.port_keeper = reserve_port()
         self.listen = "127.0.0.1:%d" % self.port
         self.folder = tempfile.mkdtemp(prefix="chalkdeck-review-")
         self.config_file = os.path.join(self.folder, "config.json")
@@ -401,6 +401,8 @@
                     return
             except (OSError, asyncio.TimeoutError):
                 await asyncio.sleep(0.02)
+            if self.process.poll() is not None:
+                break
         raise RuntimeError("gateway %d is not ready" % self.number)
 
     def signal(self, which):
@@ -439,14 +441,14 @@
     def on_run(self, backend, request, words, fields):
         self.runs.setdefault(request, []).append((time.monotonic(), backend.name))
 
-    async def start(self, backends, gateways):
+    async def start(self, backends, gateways, discovery=Discovery):
         """Starts the backends, the counter and discovery, then the gateways."""
         self.backends = backends
         for backend in backends:
             await backend.start()
         self.counter = Counter()
         await self.counter.start()
-        self.discovery = Discovery(backends)
+        self.discovery = discovery(backends)
         await self.discovery.start()
         self.gateways = gateways
         for gateway in gateways:
