--- a/review/6/case.py
+++ b/review/6/case.py
@@ -55,8 +55,8 @@
     await asyncio.sleep(TROUBLE_FROM)
     if TROUBLE:
         world.record.add("%d bad clients begin at gateway 0" % BAD_CLIENTS)
-        helper = await asyncio.create_subprocess_exec(
-            sys.executable, os.path.abspath(__file__), "bad", str(gateways[0].port), str(TROUBLE_FOR), stdout=asyncio.subprocess.PIPE
+        helper = await world.start_helper(
+            os.path.abspath(__file__), "bad", str(gateways[0].port), str(TROUBLE_FOR)
         )
     killed, peak, noted = set(), 0, 0
     while time.monotonic() < until:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -58,8 +58,8 @@
     if TROUBLE:
         world.record.add("%d bad clients begin at gateway 0" % (PROCESSES * BAD_CLIENTS))
         helpers = [
-            await asyncio.create_subprocess_exec(
-                sys.executable, os.path.abspath(__file__), "bad", str(gateways[0].port), str(TROUBLE_FOR), stdout=asyncio.subprocess.PIPE
+            await world.start_helper(
+                os.path.abspath(__file__), "bad", str(gateways[0].port), str(TROUBLE_FOR)
             )
             for _ in range(PROCESSES)
         ]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -77,8 +77,8 @@
     tasks = clients.start(gateways, until)
     await asyncio.sleep(TROUBLE_FROM)
     world.record.add("%d clients send %d commands at once to gateway 0%s" % (LEAVERS, COMMANDS_AT_ONCE, " and leave" if TROUBLE else ""))
-    helper = await asyncio.create_subprocess_exec(
-        sys.executable, os.path.abspath(__file__), "leave", str(gateways[0].port), str(TROUBLE_FOR), stdout=asyncio.subprocess.PIPE
+    helper = await world.start_helper(
+        os.path.abspath(__file__), "leave", str(gateways[0].port), str(TROUBLE_FOR)
     )
     out, _ = await helper.communicate()
     await asyncio.gather(*tasks)
--- a/review/kit-2/standin.py
+++ b/review/kit-2/standin.py
@@ -9,9 +9,11 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -434,6 +436,7 @@
         self.record = Record()
         self.backends, self.gateways = [], []
         self.arrivals, self.runs = {}, {}
+        self.helpers = []
 
     def on_arrival(self, backend, request, words, fields):
         self.arrivals.setdefault(request, []).append((time.monotonic(), backend.name))
@@ -457,9 +460,21 @@
         for gateway in gateways:
             await gateway.wait_until_ready()
 
+    async def start_helper(self, *words):
+        """Starts a process that plays clients: a case's own script with these words."""
+        out = asyncio.subprocess.PIPE
+        helper = await asyncio.create_subprocess_exec(sys.executable, *words, stdout=out, stderr=asyncio.subprocess.DEVNULL)
+        self.helpers.append(helper)
+        return helper
+
     def end(self):
+        """Ends all processes that the run started, and removes the temporary folders."""
+        for helper in self.helpers:
+            if helper.returncode is None:
+                helper.kill()
         for gateway in self.gateways:
             gateway.end()
+            shutil.rmtree(gateway.folder, ignore_errors=True)
 
 
 class Client:
@@ -613,8 +628,6 @@
             world.record.write(os.path.join(folder, "record.txt"))
 
     status = asyncio.run(run())
-    import sys
-
     sys.stdout.flush()
     # Without the interpreter's clean-up, which reports the streams that are still open.
     os._exit(status)
