Review cases in the order of their gravity

Change: folders renumbered: 10 is 7 now, 7 is 8, 8 is 9, 9 is 10; nothing else is changed. Measured: not measured, the cases are the same.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,96 +1,113 @@
-"""Case 10: some backends hang for a few seconds while clients pipeline requests with long answers. The gateways' memory is watched."""
+"""Case 10: some clients send many long commands at once and leave. The attempts that begin after they have left are watched."""
 
 import asyncio
+import json
 import os
 import random
+import socket
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "kit-2"))
-from standin import Backend, Gateway, HALLS, Parser, command, customer_id, request_id, run_case
+from standin import Gateway, UsualClients, command, customer_id, request_id, run_case, usual_backends
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SECONDS, TROUBLE_FROM, TROUBLE_FOR = 22.0, 8.0, 4.0
+SECONDS, TROUBLE_FROM, TROUBLE_FOR = 22.0, 4.0, 15.0
 MEMORY_MB, SOCKETS = 32, 256
-CONNECTIONS, PER_SECOND = 12, 480.0  # to one gateway
-HANGING, BACKENDS = 5, 12
-LONG_SHARE, LONG = 0.6, 60000  # of the answers; a value holds 64 KiB at most
-CUSTOMERS = [customer_id() for _ in range(1000)]
+LEAVERS, COMMANDS_AT_ONCE = 10, 60
+BODY = b"x" * 60000  # a value holds 64 KiB at most
+CUSTOMERS = [customer_id() for _ in range(2000)]
+BOUND_S = 0.1 + 0.05  # an attempt begins at most 0.1 s after the close; every time limit is extended by 50 ms
 
 
-class LongBackend(Backend):
-    def answer(self, request, words):
-        value = ("value of %s" % request).encode()
-        if random.random() < LONG_SHARE:
-            value = value.ljust(LONG, b"y")
-        return b"*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n" % (len(value), value)
-
-
-async def pipeline(world, gateway, until, counts):
-    """A connection of the front that carries the requests of many customers, one written behind another."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port, limit=1 << 22)
+def leaver(port, until, closed):
+    """Sends its commands at once and closes its connection; without the disruption it stays until it has all its answers."""
+    while time.monotonic() < until:
+        requests, commands = [], []
+        for _ in range(COMMANDS_AT_ONCE):
+            requests.append(request_id())
+            fields = "c=harvest-sale,t=mavuno,d=3000,k=%016x,units=1,spread=2,first=0" % random.getrandbits(62)
+            commands.append(command("API.WRITE", random.choice(CUSTOMERS), requests[-1], fields, BODY))
+        connection = socket.create_connection(("127.0.0.1", port))
+        try:
+            connection.sendall(b"".join(commands))
+            answers = 0
+            while not TROUBLE and answers < COMMANDS_AT_ONCE:
+                data = connection.recv(1 << 16)
+                if not data:
+                    break
+                # An error is one line, a value two.
+                answers += data.count(b"\n") - data.count(b"$")
+        except OSError:
+            pass
+        connection.close()
+        now = time.monotonic()
+        closed.extend((request, now) for request in requests)
+        time.sleep(random.uniform(0.5, 1.0))
 
-    async def read():
-        parser = Parser()
-        while data := await reader.read(1 << 18):
-            parser.feed(data)
-            while (message := parser.take()) is not None:
-                kind = "served" if isinstance(message[0], tuple) else "turned away or failed"
-                counts[kind] += 1
 
-    reading = asyncio.ensure_future(read())
-    try:
-        while time.monotonic() < until and not reading.done():
-            await asyncio.sleep(random.expovariate(PER_SECOND / CONNECTIONS))
-            request = request_id()
-            fields = "c=shamba-view,t=mavuno,d=3000,units=1,spread=2,first=0"
-            writer.write(command("API.READ", random.choice(CUSTOMERS), request, fields))
-            counts["sent"] += 1
-    except ConnectionError:
-        pass
-    await asyncio.sleep(0.1)
-    reading.cancel()
-    writer.transport.abort()
+def leavers(port, seconds):
+    until, closed = time.monotonic() + seconds, []
+    threads = [threading.Thread(target=leaver, args=(port, until, closed)) for _ in range(LEAVERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    print(json.dumps(closed))
 
 
 async def main(world):
-    backends = [LongBackend(world, "s-%d" % i, zone=HALLS[i % 3], cell=i // 6, work_ms=60.0, slots=32) for i in range(BACKENDS)]
     gateways = [Gateway(i, world, MEMORY_MB, SOCKETS) for i in range(3)]
-    await world.start(backends, gateways)
-    gateway, counts = gateways[0], {"sent": 0, "served": 0, "turned away or failed": 0}
-    begun = time.monotonic()
-    until = begun + SECONDS
-    tasks = [asyncio.ensure_future(pipeline(world, gateway, until, counts)) for _ in range(CONNECTIONS)]
-    killed, peak, noted, was_hanging = False, 0, 0, False
-    while time.monotonic() < until:
-        await asyncio.sleep(0.02)
-        passed = time.monotonic() - begun
-        is_hanging = TROUBLE and TROUBLE_FROM < passed < TROUBLE_FROM + TROUBLE_FOR
-        if is_hanging != was_hanging:
-            was_hanging = is_hanging
-            world.record.add("%d of %d backends %s" % (HANGING, BACKENDS, "hang" if is_hanging else "work again"))
-            for backend in backends[:HANGING]:
-                backend.is_hanging = is_hanging
-        memory = gateway.memory_kb()
-        peak = max(peak, memory)
-        if memory > noted * 1.1:
-            noted = memory
-            world.record.add("memory %d KB; requests %s" % (memory, counts))
-        if memory > MEMORY_MB * 1024 and not killed:
-            # The platform kills a gateway that is over its memory.
-            killed = True
-            world.record.add("%d KB, over %d MB: killed by the platform" % (memory, MEMORY_MB))
-            gateway.process.kill()
-            break
-    ended = not killed and gateway.process.poll() is not None
-    text = "requests %s; most memory %d KB%s%s" % (counts, peak, ", killed" if killed else "", ", ended" if ended else "")
+    lags = []  # how late this process itself was, as (time, seconds): it is taken off
+
+    async def watch_lag():
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.005)
+            now = time.monotonic()
+            if now - before > 0.015:
+                lags.append((now, now - before - 0.005))
+
+    await world.start(usual_backends(world), gateways)
+    watch = asyncio.ensure_future(watch_lag())
+    until = time.monotonic() + SECONDS
+    clients = UsualClients(world, connections=8, per_second=12.0)
+    tasks = clients.start(gateways, until)
+    await asyncio.sleep(TROUBLE_FROM)
+    world.record.add("%d clients send %d commands at once to gateway 0%s" % (LEAVERS, COMMANDS_AT_ONCE, " and leave" if TROUBLE else ""))
+    helper = await world.start_helper(
+        os.path.abspath(__file__), "leave", str(gateways[0].port), str(TROUBLE_FOR)
+    )
+    out, _ = await helper.communicate()
+    await asyncio.gather(*tasks)
+    watch.cancel()
+    closed = dict(json.loads(out))
+    late, begun, arrived = [], world.record.begun, 0
+    for request, arrivals in world.arrivals.items():
+        for at, backend in arrivals if request in closed else []:
+            arrived += 1
+            lag = max((by for when, by in lags if at - 0.2 < when < at + 0.05), default=0.0)
+            after = at - closed[request] - lag
+            if after > BOUND_S:
+                late.append(after)
+                world.record.lines.append(
+                    "%9.4f request %s at %s %.3f s after its client closed at %.4f LATE" % (at - begun, request, backend, after, closed[request] - begun)
+                )
+    ended = [gateway.number for gateway in gateways if gateway.process.poll() is not None]
+    text = "usual requests %s; of %d commands %d attempts, %d begun too long after the close, latest %.3f s; ended: %s" % (
+        clients.summary()[0], len(closed), arrived, len(late), max(late, default=0.0), ended,
+    )
     world.record.add(text)
     print(text)
-    if counts["served"] < 1000:
+    if arrived < 100 or ended:
         return 2
-    return 1 if killed or ended else 0
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
-    run_case(main, FOLDER)
+    if len(sys.argv) > 1 and sys.argv[1] == "leave":
+        leavers(int(sys.argv[2]), float(sys.argv[3]))
+    else:
+        run_case(main, FOLDER)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,109 +1,89 @@
-"""Case 8: discovery is slow, then down for some seconds; backends drain when it is back. What gateways send to them is watched."""
+"""Case 8: a few clients send hundreds of long commands at once. The requests of the other clients of the gateway are watched."""
 
 import asyncio
 import os
+import random
 import sys
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "kit-2"))
-from standin import Backend, Discovery, Gateway, HALLS, UsualClients, run_case
+from standin import Gateway, Parser, UsualClients, command, customer_id, request_id, run_case, usual_backends
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SLOW_FROM, SLOW_FOR, SLOW_S = 3.0, 15.0, 4.5
-DOWN_FOR = 6.0
-AFTER = 8.0
-LEAVING = 4
-GRACE_S = 2.0  # rules.stop_sending_within of the settings
-BOUND_S = GRACE_S + 0.05  # every time limit is extended by 50 ms
-
-
-class DrainingBackend(Backend):
-    """It completes what it holds and turns away what is new once it drains. It stays up."""
-
-    told_at = None
-
-    async def handle(self, words, state, writer):
-        if words[0] in (b"API.READ", b"API.WRITE") and self.status == "draining":
-            self.world.on_draining_arrival(self, words[2].decode())
-            return b"-BUSY\r\n"
-        return await super().handle(words, state, writer)
-
-
-class SlowDiscovery(Discovery):
-    """The agent of one gateway. Slow: each answer comes so much later. Down: it is silent, and a call that was open then is not answered
-    any more (such a watch "is broken and has to be opened anew")."""
-
-    delay_s, down_count = 0.0, 0
-
-    async def answer(self, query):
-        self.record.add("discovery called %s" % query)
-        count = self.down_count
-        delay = self.delay_s
-        if self.is_silent:
-            await asyncio.Event().wait()
-        body = await super().answer(query)
-        if delay:
-            await asyncio.sleep(delay)
-        if self.is_silent or self.down_count != count:
-            await asyncio.Event().wait()
-        return body
+SECONDS, TROUBLE_FROM, TROUBLE_FOR = 40.0, 5.0, 30.0
+MEMORY_MB, SOCKETS = 32, 256
+PROCESSES = 3
+BAD_CLIENTS = 4  # for each of the processes that play them
+COMMANDS_AT_ONCE = 200
+BODY = b"x" * 60000  # a value holds 64 KiB at most
+CUSTOMERS = [customer_id() for _ in range(3000)]
+
+
+async def bad_client(port, until):
+    """Sends hundreds of commands at once, reads all that it is sent, and sends as many again as have been answered."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 22)
+    parser, waiting, sent = Parser(), 0, 0
+    try:
+        while time.monotonic() < until:
+            for _ in range(COMMANDS_AT_ONCE - waiting):
+                fields = "c=harvest-sale,t=mavuno,d=3000,k=%016x,units=1,spread=2,first=0" % random.getrandbits(62)
+                writer.write(command("API.WRITE", random.choice(CUSTOMERS), request_id(), fields, BODY))
+            sent += COMMANDS_AT_ONCE - waiting
+            waiting = COMMANDS_AT_ONCE
+            data = await asyncio.wait_for(reader.read(1 << 16), 10)
+            if not data:
+                break
+            parser.feed(data)
+            while parser.take() is not None:
+                waiting -= 1
+    except (ConnectionError, asyncio.TimeoutError):
+        pass
+    return sent
+
+
+async def bad_clients(port, seconds):
+    until = time.monotonic() + seconds
+    sent = await asyncio.gather(*(bad_client(port, until) for _ in range(BAD_CLIENTS)))
+    print("commands sent", sum(sent))
 
 
 async def main(world):
-    backends = [DrainingBackend(world, "s-%d" % i, zone=HALLS[i % 3], cell=i * 2 // 9) for i in range(9)]
-    gateways = [Gateway(i, world, 64, 512) for i in range(3)]
-    late = []
-
-    def on_draining_arrival(backend, request):
-        now = time.monotonic()
-        after = None if backend.told_at is None else now - backend.told_at
-        is_late = after is not None and after > BOUND_S
-        late.extend([after] if is_late else [])
-        since = "before it was told" if after is None else "%.3f s after it was told" % after
-        world.record.add("request %s sent to draining %s %s%s" % (request, backend.name, since, " LATE" if is_late else ""))
-
-    SlowDiscovery.record = world.record
-    world.on_draining_arrival = on_draining_arrival
-    await world.start(backends, gateways, SlowDiscovery)
-    discovery = world.discovery
-    begun = time.monotonic()
-    total = SLOW_FROM + SLOW_FOR + DOWN_FOR + AFTER
-    clients = UsualClients(world, connections=20, per_second=45.0)
-    tasks = clients.start(gateways, begun + total)
-    await asyncio.sleep(SLOW_FROM)
-    if TROUBLE:
-        world.record.add("discovery answers %.1f s late from now on" % SLOW_S)
-        discovery.delay_s = SLOW_S
-    await asyncio.sleep(SLOW_FOR)
-    if TROUBLE:
-        world.record.add("discovery is down")
-        discovery.is_silent = True
-        discovery.down_count += 1
-    discovery.delay_s = 0.0
-    await asyncio.sleep(DOWN_FOR)
+    gateways = [Gateway(i, world, MEMORY_MB, SOCKETS) for i in range(3)]
+    await world.start(usual_backends(world), gateways)
+    until = time.monotonic() + SECONDS
+    clients = UsualClients(world, connections=20, per_second=30.0, deadlines=(1500,), per_connection=3)
+    tasks = clients.start(gateways, until)
+    await asyncio.sleep(TROUBLE_FROM)
     if TROUBLE:
-        discovery.is_silent = False
-        world.record.add("discovery is back; it answers at once")
-    leaving = backends[:LEAVING]
-    for backend in leaving:
-        backend.status = "draining"
-        backend.told_at = time.monotonic()
-        discovery.tell(backend.entry())
-    world.record.add("%s drain, and discovery has it" % [backend.name for backend in leaving])
+        world.record.add("%d bad clients begin at gateway 0" % (PROCESSES * BAD_CLIENTS))
+        helpers = [
+            await world.start_helper(
+                os.path.abspath(__file__), "bad", str(gateways[0].port), str(TROUBLE_FOR)
+            )
+            for _ in range(PROCESSES)
+        ]
+    peak = 0
+    while time.monotonic() < until:
+        await asyncio.sleep(0.05)
+        peak = max(peak, gateways[0].memory_kb())
     await asyncio.gather(*tasks)
-    counts, lost = clients.summary()
+    if TROUBLE:
+        for helper in helpers:
+            out, _ = await helper.communicate()
+            world.record.add("bad clients: " + out.decode().strip())
     ended = [gateway.number for gateway in gateways if gateway.process.poll() is not None]
-    latest = max(late, default=0.0)
-    text = "usual requests %s; sent to draining backends too late: %d, latest %.3f s after it was told; ended: %s" % (
-        counts, len(late), latest, ended,
-    )
+    counts, lost = clients.summary()
+    text = "usual requests %s, lost %d; most memory of gateway 0 %d KB; ended: %s" % (counts, lost, peak, ended)
     world.record.add(text)
     print(text)
     if counts.get("served", 0) < 500:
         return 2
-    return 1 if late else 0
+    return 1 if lost or ended else 0
 
 
 if __name__ == "__main__":
-    run_case(main, FOLDER)
+    if len(sys.argv) > 1 and sys.argv[1] == "bad":
+        asyncio.run(bad_clients(int(sys.argv[2]), float(sys.argv[3])))
+    else:
+        run_case(main, FOLDER)
