Timers of answered requests are cancelled instead of kept until they fire

Callers saw: one client that sent sound requests of one customer at full speed on one connection took a gateway from 1 to 135 MB in seconds, and the platform killed it.

Cause: each request set a timer for its deadline (and each attempt one or two more), in the decision engine, in the server and in the event loop. None was taken back when the request was answered, so all requests of the last three seconds were kept three times. The same in the gRPC gateway, where a returned ticket also kept the timer of its lease.

Change: the event loop's timers can be cancelled, tokens are never reused, and the decision engine cancels a request's timers with its final answer (Action::CancelTimer). The simulator cannot take a wake-up back and ignores it. What is left is bounded by the open requests.

--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -1,5 +1,9 @@
 //! Test harness of the platform: gateways as processes, and fake backends, a counter and a discovery agent on loopback sockets, with one
 //! thread for each connection.
+#![allow(
+    dead_code,
+    reason = "each test program uses only a part of this module"
+)]
 
 use bytes::{Bytes, BytesMut};
 use chalkdeck_net::ReservedPort;
@@ -117,6 +121,14 @@
     })
 }
 
+/// The resources that the platform grants a gateway, and the deadline of its classes.
+#[derive(Clone, Copy)]
+pub struct GatewayOptions {
+    pub memory_mb: usize,
+    pub descriptors: usize,
+    pub deadline_ms: u64,
+}
+
 /// A gateway of the platform: its address, its configuration file and its current process.
 pub struct Gateway {
     pub listen: SocketAddr,
@@ -126,23 +138,46 @@
 }
 
 impl Gateway {
-    /// Starts a gateway and waits until it responds.
+    /// Starts a gateway with ample resources and waits until it responds.
     pub fn start(number: usize, discovery: SocketAddr, counter: SocketAddr) -> Gateway {
+        let options = GatewayOptions {
+            memory_mb: 192,
+            descriptors: 1024,
+            deadline_ms: 3_000,
+        };
+        Gateway::start_with(number, discovery, counter, options)
+    }
+
+    /// Starts a gateway with these options and waits until it responds.
+    pub fn start_with(
+        number: usize,
+        discovery: SocketAddr,
+        counter: SocketAddr,
+        options: GatewayOptions,
+    ) -> Gateway {
+        let GatewayOptions {
+            memory_mb,
+            descriptors,
+            deadline_ms,
+        } = options;
         // The port is reserved because it has to stay the same over restarts.
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let port = ReservedPort::reserve(any_port).expect("a free port");
         let listen = port.address();
         let config_file = std::env::temp_dir().join(format!(
-            "chalkdeck-restarts-{}-{number}",
-            std::process::id()
+            "chalkdeck-platform-{}-{}",
+            std::process::id(),
+            listen.port()
         ));
         let text = format!(
             r#"{{"name":"n{number}","listen":"{listen}","discovery":"{discovery}","counter":"{counter}","seed":"{number:x}",
-            "limits":{{"memory_mb":192,"sockets":1024}},
+            "limits":{{"memory_mb":{memory_mb},"sockets":{descriptors}}},
             "settings":{{"balancers":8,"my_number":{number},"tick":2000,"zone":"a","zones":["a"],
             "bounds":{{"max_attempts":4,"dial_timeout":250000,"conn_idle":30000000,"second_copies":true,"may_cancel":true}},
-            "classes":[{{"name":"view","deadline":3000000,"on_time":750000,"effect":"pure","credit":2.0}}],
-            "plans":[{{"name":"team","per_second":100000.0,"peak_units":200000.0}}],
+            "classes":[{{"name":"view","deadline":{deadline_ms}000,"on_time":750000,"effect":"pure","credit":2.0}},
+            {{"name":"sale","deadline":{deadline_ms}000,"on_time":750000,"effect":"side_effect","credit":2.0}}],
+            "plans":[{{"name":"team","per_second":100000.0,"peak_units":200000.0}},
+            {{"name":"few","per_second":2.0,"peak_units":20.0}}],
             "rules":{{"cold":18000000,"cold_from":0.2,"fall_multiple":2.0,"tip_after":1000000,"answer_slack":8000,
             "stop_sending_within":2000000}},
             "specifics":{{"counter":true,"count_limit":80000,"units_top":4}}}}}}"#
@@ -169,6 +204,14 @@
         command.spawn().expect("the program starts")
     }
 
+    /// The anonymous memory of the process, which the platform limits, in bytes; `None` if it has ended.
+    pub fn memory_bytes(&self) -> Option<usize> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        let kilobytes: usize = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     fn wait_until_ready(&self) {
         let mut pong = [0; 7];
         while TcpStream::connect(self.listen)
--- a/crates/grpc-gateway/src/call_flow/attempts.rs
+++ b/crates/grpc-gateway/src/call_flow/attempts.rs
@@ -30,6 +30,7 @@
             stream: None,
             started_at: now,
             is_open: true,
+            timeout_timer: None,
             returned_bytes: 0,
         });
         call.response = ResponseState::Pending;
@@ -37,10 +38,13 @@
         tracing::debug!(call = id.0, attempt = attempt.number, endpoint = ?self.endpoint_connections.address(endpoint), "attempt forwarded");
         // At the call's deadline the decision engine ends the call and its attempt.
         if deadline < call_deadline {
-            self.set_timer(
+            let token = self.set_timer(
                 deadline.saturating_sub(now),
                 TimerPurpose::AttemptTimeout(attempt),
             );
+            if let Some(attempt) = self.calls.open_attempt(attempt) {
+                attempt.timeout_timer = Some(token);
+            }
         }
         self.report_attempt_sent(endpoint);
         self.connect_attempt(attempt, endpoint);
@@ -61,10 +65,9 @@
                     self.drop_endpoint_connection(conn);
                 }
                 FoundConnection::Started(conn) => {
-                    return self.set_timer(
-                        self.settings.connect_timeout,
-                        TimerPurpose::ConnectTimeout(conn),
-                    );
+                    let timeout = self.settings.connect_timeout;
+                    self.set_timer(timeout, TimerPurpose::ConnectTimeout(conn));
+                    return;
                 }
                 FoundConnection::Connecting => return,
                 FoundConnection::Full => {
@@ -157,9 +160,13 @@
         attempt.is_open = false;
         let endpoint = attempt.endpoint;
         let latency = now.saturating_sub(attempt.started_at);
+        let timeout_timer = attempt.timeout_timer.take();
         if let Some(stream) = attempt.stream {
             self.calls.release_attempt_stream(stream);
         }
+        if let Some(timer) = timeout_timer {
+            self.timers.cancel(&mut self.engine, timer);
+        }
         tracing::debug!(
             call = id.call.0,
             attempt = id.number,
--- a/crates/grpc-gateway/src/calls.rs
+++ b/crates/grpc-gateway/src/calls.rs
@@ -5,6 +5,7 @@
 use crate::request_buffer::RequestBuffer;
 use bytes::Bytes;
 use chalkdeck::api::{EndpointId, IncomingRequest, RequestId};
+use chalkdeck_net::timer_queue::TimerToken;
 use chalkdeck_net::StreamId;
 use http::uri::PathAndQuery;
 use http::{response, HeaderMap};
@@ -38,6 +39,8 @@
     pub(crate) started_at: u64,
     /// Whether it has not ended yet.
     pub(crate) is_open: bool,
+    /// The timer of its time-out, unless the call's deadline ends it.
+    pub(crate) timeout_timer: Option<TimerToken>,
     /// The number of bytes at the beginning of the request's body whose flow-control window is already returned to the client.
     pub(crate) returned_bytes: usize,
 }
--- a/crates/grpc-gateway/src/gateway_server/event_loop.rs
+++ b/crates/grpc-gateway/src/gateway_server/event_loop.rs
@@ -112,8 +112,10 @@
                 time_to_live,
             } => self.add_to_counter(key, amount, time_to_live.as_micros()),
             Action::SetTimer { timer, after } => {
-                self.set_timer(after.as_micros(), TimerPurpose::Decision(timer));
+                let token = self.set_timer(after.as_micros(), TimerPurpose::Decision(timer));
+                self.decision_timers.insert(timer, token);
             }
+            Action::CancelTimer(timer) => self.cancel_decision_timer(timer),
             Action::FetchEndpoints => self.poll_endpoint_list(),
             // The settings enable neither probes nor subscriptions; the endpoint list's file is polled instead.
             Action::Probe(_) | Action::Subscribe => {}
--- a/crates/grpc-gateway/src/gateway_server/mod.rs
+++ b/crates/grpc-gateway/src/gateway_server/mod.rs
@@ -25,11 +25,12 @@
 use crate::request_queue::RequestQueue;
 use crate::resp::RespPort;
 use crate::sites::SiteMonitor;
-use chalkdeck::api::EndpointId;
+use chalkdeck::api::{EndpointId, TimerId};
 use chalkdeck::DecisionQueue;
 use chalkdeck_net::file_watch::FileWatch;
-use chalkdeck_net::timer_queue::TimerQueue;
+use chalkdeck_net::timer_queue::{TimerQueue, TimerToken};
 use chalkdeck_net::{Engine, Event as NetEvent, ListenerId};
+use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -53,7 +54,9 @@
     /// Watches the file of the endpoint list.
     endpoint_list_watch: FileWatch,
     pub(crate) metrics: Metrics,
-    timers: TimerQueue<TimerPurpose>,
+    pub(crate) timers: TimerQueue<TimerPurpose>,
+    /// The timers that the decision engine has set.
+    decision_timers: FxHashMap<TimerId, TimerToken>,
     /// Buffer for the events of one turn, reused to avoid allocations.
     events: Vec<NetEvent>,
     /// When a shutdown ends at the latest, in microseconds of the loop's clock; `None`: none is in progress.
--- a/crates/grpc-gateway/src/gateway_server/startup.rs
+++ b/crates/grpc-gateway/src/gateway_server/startup.rs
@@ -16,6 +16,7 @@
 use chalkdeck_net::file_watch::FileWatch;
 use chalkdeck_net::timer_queue::TimerQueue;
 use chalkdeck_net::Engine;
+use rustc_hash::FxHashMap;
 use std::path::PathBuf;
 
 impl GatewayServer {
@@ -70,6 +71,7 @@
             endpoint_list_watch: FileWatch::new(settings.endpoint_list_file.clone()),
             metrics: Metrics::new(&settings.class_names, &settings.plan_names),
             timers: TimerQueue::default(),
+            decision_timers: FxHashMap::default(),
             events: Vec::new(),
             shutdown_deadline: None,
             fault: None,
--- a/crates/grpc-gateway/src/gateway_server/timers.rs
+++ b/crates/grpc-gateway/src/gateway_server/timers.rs
@@ -3,6 +3,7 @@
 use super::GatewayServer;
 use crate::endpoint_connections::AttemptId;
 use chalkdeck::api::{Event, Outcome, RequestId, TimerId, Timestamp};
+use chalkdeck_net::timer_queue::TimerToken;
 use chalkdeck_net::ConnId;
 
 /// How long a connection to an endpoint may take to be established after its connect time-out.
@@ -36,8 +37,15 @@
     }
 
     /// Sets a timer that fires after `after` microseconds.
-    pub(crate) fn set_timer(&mut self, after: u64, purpose: TimerPurpose) {
-        self.timers.set(&mut self.engine, after, purpose);
+    pub(crate) fn set_timer(&mut self, after: u64, purpose: TimerPurpose) -> TimerToken {
+        self.timers.set(&mut self.engine, after, purpose)
+    }
+
+    /// Cancels a timer of the decision engine.
+    pub(super) fn cancel_decision_timer(&mut self, timer: TimerId) {
+        if let Some(token) = self.decision_timers.remove(&timer) {
+            self.timers.cancel(&mut self.engine, token);
+        }
     }
 
     /// Handles a timer that has fired.
@@ -46,7 +54,10 @@
             return;
         };
         match purpose {
-            TimerPurpose::Decision(timer) => self.decisions.push(Event::Timer(timer)),
+            TimerPurpose::Decision(timer) => {
+                self.decision_timers.remove(&timer);
+                self.decisions.push(Event::Timer(timer));
+            }
             TimerPurpose::RespLease(id) => self.expire_ticket(id),
             TimerPurpose::RespProgressCheck(conn) => self.check_resp_progress(conn),
             TimerPurpose::RespResume(conn) => self.resume_resp_connection(conn),
--- a/crates/grpc-gateway/src/resp/mod.rs
+++ b/crates/grpc-gateway/src/resp/mod.rs
@@ -404,7 +404,9 @@
         for id in ended {
             if let Some(resp) = &mut self.resp {
                 resp.pending_requests.remove(&id);
-                resp.remove_ticket(id);
+                if let Some(ticket) = resp.remove_ticket(id) {
+                    self.timers.cancel(&mut self.engine, ticket.lease_timer);
+                }
             }
             self.release_from_queue(id);
             self.decisions.push(Event::ClientDisconnected(id));
--- a/crates/grpc-gateway/src/resp/tickets.rs
+++ b/crates/grpc-gateway/src/resp/tickets.rs
@@ -4,6 +4,7 @@
 use super::RespPort;
 use crate::gateway_server::{GatewayServer, TimerPurpose};
 use chalkdeck::api::{Event, RequestId};
+use chalkdeck_net::timer_queue::TimerToken;
 use chalkdeck_net::ConnId;
 
 /// The maximum number of tickets that one connection may hold.
@@ -14,6 +15,8 @@
     pub(super) conn: ConnId,
     /// A random part of the ticket's text, so that tickets cannot be guessed.
     secret: u32,
+    /// The timer of its lease.
+    pub(super) lease_timer: TimerToken,
 }
 
 /// Whether the client of a session may hold another ticket.
@@ -35,16 +38,14 @@
 }
 
 impl RespPort {
-    /// Removes a ticket; returns whether there was one.
-    pub(super) fn remove_ticket(&mut self, id: RequestId) -> bool {
-        let Some(ticket) = self.tickets.remove(&id) else {
-            return false;
-        };
+    /// Removes and returns a ticket, if there is one.
+    pub(super) fn remove_ticket(&mut self, id: RequestId) -> Option<Ticket> {
+        let ticket = self.tickets.remove(&id)?;
         self.sessions
             .get_mut(&ticket.conn)
             .into_iter()
             .for_each(|session| session.ticket_count -= 1);
-        true
+        Some(ticket)
     }
 }
 
@@ -60,8 +61,13 @@
         let secret = fastrand::u32(..);
         let resp = self.resp.as_mut()?;
         resp.sessions.get_mut(&conn)?.ticket_count += 1;
-        resp.tickets.insert(id, Ticket { conn, secret });
-        self.set_timer(lease, TimerPurpose::RespLease(id));
+        let lease_timer = self.set_timer(lease, TimerPurpose::RespLease(id));
+        let ticket = Ticket {
+            conn,
+            secret,
+            lease_timer,
+        };
+        self.resp.as_mut()?.tickets.insert(id, ticket);
         Some(format_ticket(id, secret))
     }
 
@@ -80,7 +86,9 @@
         {
             return false;
         }
-        resp.remove_ticket(id);
+        if let Some(ticket) = resp.remove_ticket(id) {
+            self.timers.cancel(&mut self.engine, ticket.lease_timer);
+        }
         units.into_iter().for_each(|units| {
             self.decisions
                 .push(Event::UnitsSettled { request: id, units })
@@ -94,7 +102,8 @@
         if self
             .resp
             .as_mut()
-            .is_some_and(|resp| resp.remove_ticket(id))
+            .and_then(|resp| resp.remove_ticket(id))
+            .is_some()
         {
             tracing::info!(
                 request = id.0,
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -20,7 +20,7 @@
 use mio::{Poll, Token};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,7 +53,8 @@
     listeners: FxHashMap<u64, Listener>,
     connections: FxHashMap<u64, Connection>,
     streams: FxHashMap<u64, Box<Stream>>,
-    timers: BinaryHeap<Scheduled>,
+    /// The timers that are set: the time and the token of each.
+    timers: BTreeSet<(u64, u64)>,
     /// The times of the next keepalive pings, by connection.
     pings: BinaryHeap<Scheduled>,
     /// The times of the next checks of lingering closes, by connection.
@@ -97,7 +98,7 @@
             listeners: FxHashMap::default(),
             connections: FxHashMap::default(),
             streams: FxHashMap::default(),
-            timers: BinaryHeap::new(),
+            timers: BTreeSet::new(),
             pings: BinaryHeap::new(),
             lingering_checks: BinaryHeap::new(),
             discards: BinaryHeap::new(),
@@ -128,10 +129,19 @@
         mio::Waker::new(self.poll.registry(), WAKER_TOKEN)
     }
 
-    /// Sets a timer that causes `Event::Timer(token)` at the time `at`. Timers cannot be cancelled; the caller ignores obsolete
-    /// ones.
+    /// Sets a timer that causes `Event::Timer(token)` at the time `at`.
     pub fn set_timer(&mut self, at: u64, token: u64) {
-        self.timers.push(Reverse((at, token)));
+        self.timers.insert((at, token));
+    }
+
+    /// Cancels the timer that was set with this time and token. Its event may already be among those of the last turn.
+    pub fn cancel_timer(&mut self, at: u64, token: u64) {
+        self.timers.remove(&(at, token));
+    }
+
+    /// The number of timers that are set.
+    pub fn timer_count(&self) -> usize {
+        self.timers.len()
     }
 
     /// Runs one turn of the loop: waits for an event, for at most `max_wait_micros`, and appends what happened to `events`.
@@ -156,17 +166,13 @@
     fn wait(&mut self, max_wait_micros: u64) -> io::Result<()> {
         let is_idle =
             self.ready.is_empty() && self.events.is_empty() && self.accepting_listeners.is_empty();
-        let scheduled = [
-            &self.timers,
-            &self.pings,
-            &self.lingering_checks,
-            &self.discards,
-        ];
-        let next = scheduled
+        let scheduled = [&self.pings, &self.lingering_checks, &self.discards];
+        let next_scheduled = scheduled
             .iter()
             .filter_map(|heap| heap.peek())
-            .map(|Reverse((at, _))| *at)
-            .min();
+            .map(|Reverse((at, _))| *at);
+        let next_timer = self.timers.first().map(|(at, _)| *at);
+        let next = next_scheduled.chain(next_timer).min();
         let until_next = next.map_or(max_wait_micros, |at| at.saturating_sub(self.now()));
         let wait = if is_idle {
             until_next.min(max_wait_micros)
@@ -233,11 +239,11 @@
 
     fn fire_timers(&mut self) {
         let now = self.now();
-        while let Some(Reverse((at, token))) = self.timers.peek().copied() {
+        while let Some((at, token)) = self.timers.first().copied() {
             if at > now {
                 break;
             }
-            self.timers.pop();
+            self.timers.pop_first();
             self.events.push_back(Event::Timer(token));
         }
         self.send_pings(now);
--- a/crates/policy/src/api/messages.rs
+++ b/crates/policy/src/api/messages.rs
@@ -262,6 +262,8 @@
         /// The delay from now.
         after: TimeDelta,
     },
+    /// Cancel a timer, whose event would have no effect any more. A caller may leave it set.
+    CancelTimer(TimerId),
     /// Subscribe to updates of the endpoint list.
     Subscribe,
     /// Fetch the complete endpoint list.
--- a/crates/policy/src/engine/arrival.rs
+++ b/crates/policy/src/engine/arrival.rs
@@ -24,12 +24,13 @@
         // takes another.
         let tick = self.settings.timer_resolution;
         let until_deadline = incoming.deadline - self.now - tick - tick;
-        self.set_timer(TimerPurpose::RequestDeadline(id), until_deadline);
+        let timer = self.set_timer(TimerPurpose::RequestDeadline(id), until_deadline);
         let customer = self.customers.entry(customer_id).or_default();
         customer.observe_request(self.now, &incoming);
         incoming.is_retry |= customer.repeats_rejection(self.now, &incoming);
-        self.requests
-            .insert(id, OpenRequest::new(self.now, incoming));
+        let mut request = OpenRequest::new(self.now, incoming);
+        request.timers.push(timer);
+        self.requests.insert(id, request);
         self.roll_windows(customer_id);
         let uses_endpoint = !self.settings.classes[class.0].is_admission_only;
         if uses_endpoint && self.is_shed(id) {
--- a/crates/policy/src/engine/completion.rs
+++ b/crates/policy/src/engine/completion.rs
@@ -63,6 +63,7 @@
         };
         if !request.is_done {
             request.is_done = true;
+            let timers = std::mem::take(&mut request.timers);
             self.actions.extend(answer);
             if self.settings.allow_cancel && !request.is_streaming {
                 let attempts = request.attempts.iter().enumerate();
@@ -73,6 +74,9 @@
                 });
                 self.actions.extend(cancels);
             }
+            for timer in timers {
+                self.cancel_timer(timer);
+            }
         }
         self.remove_if_finished(id);
     }
--- a/crates/policy/src/engine/dispatch.rs
+++ b/crates/policy/src/engine/dispatch.rs
@@ -63,7 +63,10 @@
         });
         if let Some(after) = timeouts.straggler_check {
             let request = id;
-            self.set_timer(TimerPurpose::StragglerCheck { request, attempt }, after);
+            let timer = self.set_timer(TimerPurpose::StragglerCheck { request, attempt }, after);
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.timers.push(timer);
+            }
         }
     }
 
--- a/crates/policy/src/engine/endpoint_updates.rs
+++ b/crates/policy/src/engine/endpoint_updates.rs
@@ -17,7 +17,8 @@
             UpdateScope::Unavailable => {
                 let micros = RESUBSCRIBE_MIN_MICROS + self.rng.u64(0..RESUBSCRIBE_SPREAD_MICROS);
                 let wait = TimeDelta::from_micros(micros);
-                return self.set_timer(TimerPurpose::Resubscribe, wait);
+                self.set_timer(TimerPurpose::Resubscribe, wait);
+                return;
             }
             UpdateScope::Complete => {
                 let mut named: Vec<_> = entries.iter().map(|entry| entry.endpoint).collect();
--- a/crates/policy/src/engine/mod.rs
+++ b/crates/policy/src/engine/mod.rs
@@ -148,9 +148,17 @@
         }
     }
 
-    fn set_timer(&mut self, purpose: TimerPurpose, after: TimeDelta) {
+    fn set_timer(&mut self, purpose: TimerPurpose, after: TimeDelta) -> TimerId {
         let timer = self.timers.register(purpose);
         self.actions.push(Action::SetTimer { timer, after });
+        timer
+    }
+
+    /// Cancels a timer, unless it has fired: a timer that stays set takes memory until it fires.
+    fn cancel_timer(&mut self, timer: TimerId) {
+        if self.timers.take(timer).is_some() {
+            self.actions.push(Action::CancelTimer(timer));
+        }
     }
 
     fn on_timer(&mut self, timer: TimerId) {
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -1,6 +1,8 @@
 //! An open request and its attempts.
 
-use crate::api::{Class, EndpointId, Idempotency, IncomingRequest, KeyScope, Settings, Timestamp};
+use crate::api::{
+    Class, EndpointId, Idempotency, IncomingRequest, KeyScope, Settings, TimerId, Timestamp,
+};
 
 /// One attempt of a request.
 #[derive(Clone, Debug)]
@@ -34,6 +36,8 @@
     pub(crate) holds_slot: bool,
     /// Number of its counter calls in flight.
     pub(crate) counter_calls: u32,
+    /// Its timers: that of its deadline, and one for the straggler check of each attempt.
+    pub(crate) timers: Vec<TimerId>,
     /// When it began to wait for an endpoint, while it waits.
     pub(crate) pending_since: Option<Timestamp>,
     /// Its response has started, or it was granted, so it cannot be retried.
--- a/crates/policy/tests/recording/mod.rs
+++ b/crates/policy/tests/recording/mod.rs
@@ -286,6 +286,8 @@
                 self.record("timer", &format!("{} {}", id.0, after.as_micros()));
                 self.schedule(after.as_micros(), ScheduledEvent::TimerFires(id));
             }
+            // Its event has no effect any more, whether it comes or not. Here it comes.
+            Action::CancelTimer(_) => {}
             Action::Subscribe => {
                 self.record("subscribe", "");
                 if self.random.f64() < 0.5 {
--- a/crates/resp-gateway/src/server.rs
+++ b/crates/resp-gateway/src/server.rs
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use chalkdeck::api::{RequestId, TimerId};
 use chalkdeck::DecisionQueue;
-use chalkdeck_net::timer_queue::TimerQueue;
+use chalkdeck_net::timer_queue::{TimerQueue, TimerToken};
 use chalkdeck_net::{ConnId, Engine, Event as NetEvent, ListenerId};
 use chalkdeck_resp::ReplySlot;
 use chalkdeck_time::Timestamp;
@@ -69,6 +69,10 @@
     is_listening: bool,
     listen_address: SocketAddr,
     timers: TimerQueue<TimerPurpose>,
+    /// The timers of the deadlines of open attempts.
+    attempt_timers: FxHashMap<AttemptId, TimerToken>,
+    /// The timers that the decision engine has set.
+    decision_timers: FxHashMap<TimerId, TimerToken>,
     sessions: Sessions,
     requests: FxHashMap<RequestId, OpenRequest>,
     /// Open requests by the ids that their clients chose.
--- a/crates/resp-gateway/src/server/actions.rs
+++ b/crates/resp-gateway/src/server/actions.rs
@@ -47,7 +47,13 @@
                 time_to_live,
             } => self.add_to_counter(key, amount, time_to_live),
             Action::SetTimer { timer, after } => {
-                self.set_timer(after, TimerPurpose::Decision(timer));
+                let token = self.set_timer(after, TimerPurpose::Decision(timer));
+                self.decision_timers.insert(timer, token);
+            }
+            Action::CancelTimer(timer) => {
+                if let Some(token) = self.decision_timers.remove(&timer) {
+                    self.timers.cancel(&mut self.engine, token);
+                }
             }
             Action::Probe(endpoint) => self.skip_probe(endpoint),
             // On this platform the gateway always forwards requests itself, and discovery is polled without being requested.
@@ -92,7 +98,8 @@
 
     fn set_attempt_timer(&mut self, attempt: AttemptId, deadline: Timestamp) {
         let remaining = deadline - clock::now(&self.engine);
-        self.set_timer(remaining, TimerPurpose::AttemptDeadline(attempt));
+        let token = self.set_timer(remaining, TimerPurpose::AttemptDeadline(attempt));
+        self.attempt_timers.insert(attempt, token);
     }
 
     pub(super) fn set_dial_timer(&mut self, conn: ConnId) {
@@ -110,6 +117,9 @@
         let Some(end) = end else {
             return;
         };
+        if let Some(token) = self.attempt_timers.remove(&end.attempt) {
+            self.timers.cancel(&mut self.engine, token);
+        }
         let request = end.attempt.request;
         let is_request_finished = end
             .value
--- a/crates/resp-gateway/src/server/event_loop.rs
+++ b/crates/resp-gateway/src/server/event_loop.rs
@@ -5,6 +5,7 @@
 use crate::attempt::AbortReason;
 use crate::clock;
 use chalkdeck::api::Event;
+use chalkdeck_net::timer_queue::TimerToken;
 use chalkdeck_net::{CloseReason, ConnId, Event as NetEvent};
 use chalkdeck_time::TimeDelta;
 use std::io;
@@ -109,9 +110,9 @@
         }
     }
 
-    pub(super) fn set_timer(&mut self, after: TimeDelta, purpose: TimerPurpose) {
+    pub(super) fn set_timer(&mut self, after: TimeDelta, purpose: TimerPurpose) -> TimerToken {
         self.timers
-            .set(&mut self.engine, after.as_micros(), purpose);
+            .set(&mut self.engine, after.as_micros(), purpose)
     }
 
     pub(super) fn set_sweep_timer(&mut self) {
@@ -123,7 +124,10 @@
             return;
         };
         match purpose {
-            TimerPurpose::Decision(timer) => self.decisions.push(Event::Timer(timer)),
+            TimerPurpose::Decision(timer) => {
+                self.decision_timers.remove(&timer);
+                self.decisions.push(Event::Timer(timer));
+            }
             TimerPurpose::AttemptDeadline(attempt) => {
                 self.abort_attempt(attempt, AbortReason::DeadlineExceeded);
             }
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -132,6 +132,8 @@
             is_listening: true,
             listen_address,
             timers: TimerQueue::<TimerPurpose>::default(),
+            attempt_timers: FxHashMap::default(),
+            decision_timers: FxHashMap::default(),
             sessions: Sessions::new(limits.clients, max_command_bytes),
             requests: FxHashMap::default(),
             requests_by_client_id: FxHashMap::default(),
--- a/crates/simulator-adapter/src/actions.rs
+++ b/crates/simulator-adapter/src/actions.rs
@@ -62,6 +62,8 @@
         Action::SetTimer { timer, after } => {
             writeln!(reply, "WAKE_ME ref={} in={}", timer.0, after.as_micros())
         }
+        // The simulator cannot take a wake-up back, and one that is not needed has no effect.
+        Action::CancelTimer(_) => Ok(()),
         Action::Subscribe => writeln!(reply, "LISTEN active=1"),
         Action::FetchEndpoints => writeln!(reply, "RELOAD"),
     }
