The decision engine holds a bounded number of customers, and forgets none of their quota

Cause: each customer that ever sent a request was kept for 120 to 240 s, before the request was shed, rejected or admitted.

Change: CustomerTable holds Settings::max_customers (65,536 by default; on the platform an eighth of the granted memory at 1,280 bytes each). At the bound the customer that has rested longest is dropped, one that was active since it was last examined is passed over once, one with an open request or a slot never. When the quota of a dropped customer is full again is kept in a fixed array by the hash of its id, the latest time of those that share a place, so that a customer that comes again never finds its quota renewed; the local share used while the counter is out is reduced by the same.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -112,3 +112,14 @@
         "{most} bytes of memory"
     );
 }
+
+/// Guards against a table of customers without a bound: a client that names a new customer in each request took a gateway over its memory
+/// in four seconds.
+#[test]
+fn requests_of_ever_new_customers_then_memory_is_within_the_grant() {
+    let most = most_memory_beside_flood(SMALL_GRANT, |id| id);
+    assert!(
+        most <= SMALL_GRANT.memory_mb * BYTES_PER_MB,
+        "{most} bytes of memory"
+    );
+}
--- a/crates/grpc-gateway/src/settings.rs
+++ b/crates/grpc-gateway/src/settings.rs
@@ -526,6 +526,7 @@
         requires_subscription: false,
         // Nothing confirms a list file: it is as current as whoever writes it.
         max_list_age: None,
+        max_customers: None,
         dial_timeout: millis(or_default(endpoints.connect_timeout_ms, 250)),
         answer_slack: TimeDelta::from_micros(0),
         slow_start_min_capacity: if start.cold_ms == 0 {
--- a/crates/policy/src/api/settings.rs
+++ b/crates/policy/src/api/settings.rs
@@ -103,6 +103,9 @@
     pub counter_timeout: TimeDelta,
     /// Maximum cost of one request, in units.
     pub max_request_units: f64,
+    /// Number of customers whose state is held at once; `None` for 65,536. Each takes about half a
+    /// kilobyte, and at the limit the one that has rested longest is dropped.
+    pub max_customers: Option<usize>,
     /// Whether updates of the endpoint list require
     /// [`Action::Subscribe`](super::Action::Subscribe).
     pub requires_subscription: bool,
--- a/crates/policy/src/customer.rs
+++ b/crates/policy/src/customer.rs
@@ -3,6 +3,7 @@
 use crate::api::{ClassId, IncomingRequest, Plan, PlanId, TimeDelta, Timestamp};
 use crate::counter::calls::CounterPurpose;
 use crate::counter::circuit_breaker::CircuitBreaker;
+use crate::customer_table::time_to_refill;
 use crate::token_bucket::TokenBucket;
 use crate::window::{PreviousWindow, WindowCounter};
 
@@ -57,14 +58,37 @@
     pub(crate) breaker: CircuitBreaker,
     /// Concurrency slots that requests at this gateway hold.
     pub(crate) held_slots: f64,
+    /// Number of its requests that the engine holds.
+    pub(crate) open_requests: usize,
     /// When its last request arrived.
     pub(crate) last_request_at: Timestamp,
+    /// Whether it had another request since it was last examined to make room for new customers.
+    pub(crate) is_recently_active: bool,
+    /// When the quota that it had used before its state was dropped is full again.
+    quota_full_at: Timestamp,
+    /// What is left of that quota; `None` if it is full.
+    carried_quota: Option<TokenBucket>,
 }
 
 impl Customer {
+    /// The state of a customer that is new, or whose state was dropped before its quota was full
+    /// again at `quota_full_at`.
+    pub(crate) fn returning(now: Timestamp, quota_full_at: Timestamp) -> Customer {
+        Customer {
+            quota_full_at: if quota_full_at > now {
+                quota_full_at
+            } else {
+                Timestamp::ZERO
+            },
+            ..Customer::default()
+        }
+    }
+
     /// Records a request that arrives.
     pub(crate) fn observe_request(&mut self, now: Timestamp, request: &IncomingRequest) {
-        if self.last_request_at == Timestamp::ZERO {
+        if self.last_request_at != Timestamp::ZERO {
+            self.is_recently_active = true;
+        } else {
             // The bucket starts empty, as this gateway may have used it before a restart.
             self.ceiling_bucket.refilled_at = now;
         }
@@ -90,9 +114,68 @@
             .is_some_and(|at| now < at + OVER_QUOTA_EXPIRY)
     }
 
-    /// Whether its state may be dropped.
+    /// Whether its state may be dropped to make room: no request depends on it.
+    pub(crate) fn can_be_dropped(&self) -> bool {
+        self.held_slots <= 0.0 && self.open_requests == 0
+    }
+
+    /// Whether its state is dropped, as it has rested for long.
     pub(crate) fn is_expired(&self, now: Timestamp) -> bool {
-        self.last_request_at + CUSTOMER_EXPIRY < now && self.held_slots <= 0.0
+        self.last_request_at + CUSTOMER_EXPIRY < now && self.can_be_dropped()
+    }
+
+    /// When its quota is full again, by the shared count, by the local share of it and by what it
+    /// carries from before.
+    pub(crate) fn quota_full_at(&self, now: Timestamp, plan: &Plan) -> Timestamp {
+        if plan.rate <= 0.0 {
+            return Timestamp::ZERO;
+        }
+        let counter = &self.quota_counter;
+        let missing = plan.burst - counter.available(now, counter.known_total(), plan);
+        let shared = time_to_refill(missing, plan.rate);
+        let local = bucket_time_to_refill(now, self.local_bucket.as_ref());
+        let carried = bucket_time_to_refill(now, self.carried_quota.as_ref());
+        now + shared.max(local).max(carried)
+    }
+
+    /// What is left of the quota that was used before the state was dropped; `None` if that quota
+    /// is full again.
+    pub(crate) fn carried_quota(
+        &mut self,
+        now: Timestamp,
+        plan: &Plan,
+    ) -> Option<&mut TokenBucket> {
+        if self.quota_full_at != Timestamp::ZERO {
+            let missing = plan.rate * (self.quota_full_at - now).as_secs_f64();
+            self.carried_quota = Some(TokenBucket {
+                level: plan.burst - missing,
+                capacity: plan.burst,
+                rate: plan.rate,
+                refilled_at: now,
+            });
+            self.quota_full_at = Timestamp::ZERO;
+        }
+        let bucket = self.carried_quota.as_mut()?;
+        bucket.refill(now);
+        if bucket.level >= bucket.capacity {
+            self.carried_quota = None;
+        }
+        self.carried_quota.as_mut()
+    }
+
+    /// Takes units from what is left of the quota that was used before the state was dropped.
+    /// Returns true if that quota is full again.
+    pub(crate) fn try_take_carried(&mut self, now: Timestamp, units: f64, plan: &Plan) -> bool {
+        self.carried_quota(now, plan)
+            .is_none_or(|bucket| bucket.try_take(now, units))
+    }
+
+    /// What this gateway's share of the quota lacks of its capacity because of requests before the
+    /// state was dropped.
+    pub(crate) fn carried_local_debt(&mut self, now: Timestamp, plan: &Plan) -> f64 {
+        let share = self.quota_share();
+        self.carried_quota(now, plan)
+            .map_or(0.0, |bucket| (bucket.capacity - bucket.level) * share)
     }
 
     /// The current count for a purpose.
@@ -156,3 +239,13 @@
         (carried_share + even_share) / 2.0
     }
 }
+
+/// The time until a bucket is full again; zero if there is none.
+fn bucket_time_to_refill(now: Timestamp, bucket: Option<&TokenBucket>) -> TimeDelta {
+    let Some(bucket) = bucket else {
+        return TimeDelta::ZERO;
+    };
+    let mut bucket = bucket.clone();
+    bucket.refill(now);
+    time_to_refill(bucket.capacity - bucket.level, bucket.rate)
+}
--- a/crates/policy/src/engine/arrival.rs
+++ b/crates/policy/src/engine/arrival.rs
@@ -25,7 +25,9 @@
         let tick = self.settings.timer_resolution;
         let until_deadline = incoming.deadline - self.now - tick - tick;
         let timer = self.set_timer(TimerPurpose::RequestDeadline(id), until_deadline);
-        let customer = self.customers.entry(customer_id).or_default();
+        let plans = &self.settings.plans;
+        let customer = self.customers.get_or_insert(self.now, customer_id, plans);
+        customer.open_requests += 1;
         customer.observe_request(self.now, &incoming);
         incoming.is_retry |= customer.repeats_rejection(self.now, &incoming);
         let mut request = OpenRequest::new(self.now, incoming);
--- a/crates/policy/src/engine/completion.rs
+++ b/crates/policy/src/engine/completion.rs
@@ -94,8 +94,10 @@
         let held_slot = std::mem::take(&mut request.holds_slot);
         let counted = request.counted.take();
         // The reply to a counter call in flight still needs the request's state.
-        if request.counter_calls == 0 {
-            self.requests.remove(&id);
+        if request.counter_calls == 0 && self.requests.remove(&id).is_some() {
+            if let Some(customer) = self.customers.get_mut(&customer_id) {
+                customer.open_requests = customer.open_requests.saturating_sub(1);
+            }
         }
         if let Some(counted) = counted {
             self.refund(customer_id, counted);
--- a/crates/policy/src/engine/local_quota.rs
+++ b/crates/policy/src/engine/local_quota.rs
@@ -48,12 +48,15 @@
         let Some(customer) = self.customers.get_mut(&customer) else {
             return false;
         };
+        let carried_debt = customer.carried_local_debt(now, plan);
         let counter = &customer.quota_counter;
         let available = counter.available(now, counter.known_total(), plan).max(0.0);
         let share = customer.quota_share();
+        let capacity = (plan.burst * share).max(max_request_units);
+        let level = (available * share).max(max_request_units);
         let bucket = customer.local_bucket.get_or_insert(TokenBucket {
-            level: (available * share).max(max_request_units),
-            capacity: (plan.burst * share).max(max_request_units),
+            level: level.min(capacity - carried_debt),
+            capacity,
             rate: plan.rate * share,
             refilled_at: now,
         });
--- a/crates/policy/src/engine/mod.rs
+++ b/crates/policy/src/engine/mod.rs
@@ -23,11 +23,11 @@
 mod subset;
 
 use crate::api::{
-    Action, CustomerId, Event, RequestId, Settings, SettingsError, TimeDelta, TimerId, Timestamp,
-    ZoneShare,
+    Action, Event, RequestId, Settings, SettingsError, TimeDelta, TimerId, Timestamp, ZoneShare,
 };
 use crate::counter::CounterState;
-use crate::customer::{Customer, CUSTOMER_EXPIRY};
+use crate::customer::CUSTOMER_EXPIRY;
+use crate::customer_table::{CustomerTable, DEFAULT_MAX_CUSTOMERS};
 use crate::endpoint::fleet::{FleetHealth, SendRate};
 use crate::endpoint::table::EndpointTable;
 use crate::pending_requests::PendingRequests;
@@ -48,7 +48,7 @@
     actions: Vec<Action>,
     timers: Timers,
     counter: CounterState,
-    customers: FxHashMap<CustomerId, Customer>,
+    customers: CustomerTable,
     requests: FxHashMap<RequestId, OpenRequest>,
     pending: PendingRequests,
     retry_budget: RetryBudget,
@@ -77,7 +77,7 @@
             actions: Vec::new(),
             timers: Timers::default(),
             counter: CounterState::new(settings.gateways),
-            customers: FxHashMap::default(),
+            customers: CustomerTable::new(settings.max_customers.unwrap_or(DEFAULT_MAX_CUSTOMERS)),
             requests: FxHashMap::default(),
             pending: PendingRequests::default(),
             retry_budget: RetryBudget::new(),
@@ -184,9 +184,7 @@
     }
 
     fn expire_customers(&mut self) {
-        let now = self.now;
-        self.customers
-            .retain(|_, customer| !customer.is_expired(now));
+        self.customers.drop_expired(self.now, &self.settings.plans);
         self.set_timer(TimerPurpose::CustomerExpiry, CUSTOMER_EXPIRY);
     }
 }
--- a/crates/policy/src/engine/quota.rs
+++ b/crates/policy/src/engine/quota.rs
@@ -114,7 +114,9 @@
             return;
         }
         let customer = request.incoming.customer;
-        let is_within_quota = self.is_within_quota(id, result);
+        let units = request.incoming.units;
+        let is_within_quota =
+            self.is_within_quota(id, result) && self.try_take_carried(customer, units);
         if matches!(
             result,
             CounterResult::Total(_) | CounterResult::PreviousWindowTotal(_)
@@ -130,6 +132,15 @@
         }
     }
 
+    /// Takes units from what a customer whose state was dropped has left of its quota.
+    fn try_take_carried(&mut self, customer: CustomerId, units: f64) -> bool {
+        let Some(customer) = self.customers.get_mut(&customer) else {
+            return true;
+        };
+        let plan = &self.settings.plans[customer.plan.0];
+        customer.try_take_carried(self.now, units, plan)
+    }
+
     fn is_within_quota(&mut self, id: RequestId, result: CounterResult) -> bool {
         let request = &self.requests[&id].incoming;
         let customer = request.customer;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod api;
 mod counter;
 mod customer;
+mod customer_table;
 mod decision_queue;
 mod endpoint;
 mod engine;
--- a/crates/policy/tests/recording/settings.rs
+++ b/crates/policy/tests/recording/settings.rs
@@ -102,6 +102,7 @@
         max_request_units: 4.0,
         requires_subscription: random.bool(),
         max_list_age: None,
+        max_customers: None,
         dial_timeout: TimeDelta::from_micros(random.u64(..200) * MILLISECOND),
         answer_slack: TimeDelta::from_micros(8 * MILLISECOND),
         slow_start_min_capacity: 0.2,
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -25,6 +25,10 @@
 const EXTRA_CLIENT_CONNECTIONS: usize = RESERVED_DESCRIPTORS / 4;
 /// The fraction of the granted memory that the commands of open requests may take.
 const COMMANDS_MEMORY_FRACTION: f64 = 0.125;
+/// The fraction of the granted memory that the state of customers may take.
+const CUSTOMERS_MEMORY_FRACTION: f64 = 0.125;
+/// The memory that the state of one customer takes at most, with its part of the free places of the table.
+const CUSTOMER_BYTES: f64 = 1_280.0;
 /// Bytes in a megabyte.
 const BYTES_PER_MB: f64 = 1e6;
 
@@ -111,6 +115,9 @@
     fn bind(mut config: Config, clock: Clock) -> Result<GatewayServer, StartError> {
         let discovery_timing = Timing::new(config.drain_grace);
         config.named_settings.settings.max_list_age = Some(discovery_timing.max_list_age);
+        let memory_bytes = config.limits.memory_mb * BYTES_PER_MB;
+        let max_customers = memory_bytes * CUSTOMERS_MEMORY_FRACTION / CUSTOMER_BYTES;
+        config.named_settings.settings.max_customers = Some(max_customers as usize);
         let mut engine = Engine::with_clock(clock).map_err(StartError::Poll)?;
         let limits = ConnectionLimits::new(config.limits.sockets);
         let listen_limits = Limits {
@@ -122,7 +129,6 @@
             .listen_plain(address, listen_limits)
             .map_err(|source| StartError::Listen { address, source })?;
         let decision_engine = DecisionEngine::new(config.seed, config.settings().clone())?;
-        let memory_bytes = config.limits.memory_mb * BYTES_PER_MB;
         let max_command_bytes = (memory_bytes * COMMANDS_MEMORY_FRACTION) as usize;
         let counter_timeout = config.settings().counter_timeout;
         Ok(GatewayServer {
--- a/crates/simulator-adapter/src/settings.rs
+++ b/crates/simulator-adapter/src/settings.rs
@@ -225,6 +225,7 @@
         max_request_units: fields.f64_or("specifics.units_top", 1.0)?,
         requires_subscription: fields.get("membership_mode") == Some("subscribe"),
         max_list_age: None,
+        max_customers: None,
         dial_timeout: duration("bounds.dial_timeout")?,
         answer_slack: duration("rules.answer_slack")?,
         slow_start_min_capacity: fields.f64_or("rules.cold_from", 1.0)?,
