Discovery: a slow agent that was down is called again within the drain grace of its return

Cause: all seven calls in flight were from before the outage, and with seven in flight no further call began for twice the recent response time, 10 s. A slow agent that responds shows it once in each interval between calls, not once in a response time.

Change: the agent counts as silent after two of its usual gaps between responses (the response time where that is shorter) or two intervals. An agent that serves one call at a time still gets no more than it can serve (test unchanged).

Not covered: an agent so slow that its interval exceeds the grace.

--- a/crates/resp-gateway/src/discovery/late_response_tests.rs
+++ b/crates/resp-gateway/src/discovery/late_response_tests.rs
@@ -141,6 +141,30 @@
     }
 }
 
+/// Guards against drains that are learned after the grace: with all calls in flight from before an outage, none began for twice the response
+/// time of the slow agent.
+#[test]
+fn slow_agent_is_down_for_any_time_then_its_list_is_applied_within_the_grace_of_its_return() {
+    for first_byte in [1_000_000, 2_500_000, 4_500_000] {
+        for outage in (500_000..9_000_000).step_by(370_000) {
+            let mut setup = setup(DRAIN_GRACE);
+            setup.response_delay.first_byte = first_byte;
+            setup.advance(15_000_000);
+            setup.set_mode(AgentMode::Silent);
+            setup.silence_open_conns();
+            setup.advance(outage);
+            setup.silence_open_conns();
+            setup.response_delay = ResponseDelay::default();
+            setup.set_mode(AgentMode::Responds);
+            let delay = setup.publish_delay();
+            assert!(
+                delay <= DRAIN_GRACE + TOLERANCE,
+                "{first_byte} late, outage {outage}: {delay}"
+            );
+        }
+    }
+}
+
 /// Guards against repeats that load an agent more than it can serve, so that each response is later than the one before.
 #[test]
 fn agent_serves_one_call_at_a_time_then_calls_do_not_pile_up() {
--- a/crates/resp-gateway/src/discovery/schedule.rs
+++ b/crates/resp-gateway/src/discovery/schedule.rs
@@ -16,8 +16,8 @@
 const MAX_CALL_AGE: TimeDelta = TimeDelta::from_secs(60);
 /// After this many intervals without a response calls begin as often as if the agent were not slow.
 const MAX_QUIET_INTERVALS: u64 = 2;
-/// After this many response times without a response the agent is considered silent, and calls are given up for new ones.
-const SILENT_AFTER_RESPONSE_TIMES: u64 = 2;
+/// After this many of the usual times between two responses without one the agent is considered silent, and calls are given up for new ones.
+const MAX_SILENT_GAPS: u64 = 2;
 
 /// Whether another call may begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +36,8 @@
     /// The time from one call to the next while the agent is not known to be slow.
     timeout: TimeDelta,
     response_time: RecentMaximum,
+    /// The time from one response to the next, or the response time where that is shorter: no call was in flight before.
+    response_gap: RecentMaximum,
     /// When the last response was received.
     responded_at: Timestamp,
 }
@@ -45,6 +47,7 @@
         CallSchedule {
             timeout,
             response_time: RecentMaximum::default(),
+            response_gap: RecentMaximum::default(),
             responded_at: Timestamp::ZERO,
         }
     }
@@ -52,11 +55,14 @@
     /// Forgets the response times of the previous agent.
     pub(super) fn reset(&mut self) {
         self.response_time = RecentMaximum::default();
+        self.response_gap = RecentMaximum::default();
     }
 
     /// Records a complete response.
     pub(super) fn on_response(&mut self, now: Timestamp, response_time: TimeDelta) {
         self.response_time.observe(response_time);
+        let gap = (now - self.responded_at).min(response_time);
+        self.response_gap.observe(gap);
         self.responded_at = now;
     }
 
@@ -67,8 +73,7 @@
 
     /// The time from the beginning of a call to that of the next one, if no response allows to begin it earlier.
     pub(super) fn interval(&self, now: Timestamp) -> TimeDelta {
-        let fraction = self.response_time.get().as_micros() / CALLS_PER_RESPONSE_TIME;
-        let interval = self.timeout.max(TimeDelta::from_micros(fraction));
+        let interval = self.response_interval();
         if now > self.responded_at + interval * MAX_QUIET_INTERVALS {
             self.timeout
         } else {
@@ -76,6 +81,18 @@
         }
     }
 
+    /// The time from one call to the next, and so from one response to the next, while the agent responds.
+    fn response_interval(&self) -> TimeDelta {
+        let fraction = self.response_time.get().as_micros() / CALLS_PER_RESPONSE_TIME;
+        self.timeout.max(TimeDelta::from_micros(fraction))
+    }
+
+    /// Whether the agent has not responded for longer than a slow one would: a slow agent responds to one call after another.
+    fn is_silent(&self, now: Timestamp) -> bool {
+        let gap = self.response_gap.get().max(self.response_interval());
+        now > self.responded_at + gap * MAX_SILENT_GAPS
+    }
+
     /// Whether another call may begin beside those in flight, which began at these times, in order. Of too many, the oldest call stays, as
     /// the agent may be just about to respond to it, and of the others the one whose neighbours are closest to each other goes: the ages of
     /// the remaining calls cover every delay of the agent about evenly.
@@ -96,8 +113,4 @@
         let closest = (1..begun_at.len()).min_by_key(|index| gap(*index));
         closest.map_or(Room::Full, Room::Replace)
     }
-
-    fn is_silent(&self, now: Timestamp) -> bool {
-        now > self.responded_at + self.response_time.get() * SILENT_AFTER_RESPONSE_TIMES
-    }
 }
