--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -31,7 +31,12 @@
 }
 
 /// Writes commands at full speed until the test is over, hundreds at once, and reads everything that is received.
-fn flood(address: SocketAddr, is_over: &AtomicBool, sent: &AtomicU64, customer_of: fn(u64) -> u64) {
+fn flood(
+    address: SocketAddr,
+    is_over: &AtomicBool,
+    sent: &AtomicU64,
+    command_of: fn(u64) -> String,
+) {
     let mut writer = TcpStream::connect(address).expect("a connection");
     let mut reader = writer.try_clone().expect("a second handle");
     let timeout = Some(Duration::from_millis(500));
@@ -47,9 +52,7 @@
         while !is_over.load(Ordering::Relaxed) {
             let first = sent.fetch_add(COMMANDS_AT_ONCE as u64, Ordering::Relaxed);
             let ids = first..first + COMMANDS_AT_ONCE as u64;
-            let commands: String = ids
-                .map(|id| read_command(customer_of(id), id, "few"))
-                .collect();
+            let commands: String = ids.map(command_of).collect();
             let _ = writer.write_all(commands.as_bytes());
         }
     });
@@ -69,21 +72,22 @@
     most
 }
 
-/// Runs one flooding client beside the gateway and returns the most memory that the gateway takes.
-fn most_memory_beside_flood(options: GatewayOptions, customer_of: fn(u64) -> u64) -> usize {
+/// Runs a client that floods the gateway with the commands that `command_of` gives, and checks that the gateway stays within its memory and
+/// that a usual client gets its replies.
+fn assert_flood_is_withstood(options: GatewayOptions, command_of: fn(u64) -> String) {
     let _alone = run_alone();
     let gateway = start_gateway(options);
-    let (is_over, sent) = (AtomicBool::new(false), AtomicU64::new(0));
-    let most = std::thread::scope(|scope| {
-        let _end = EndClients(&is_over);
-        scope.spawn(|| flood(gateway.listen, &is_over, &sent, customer_of));
-        watch_memory(&gateway, options, Instant::now() + FLOOD_TIME)
+    let sent = AtomicU64::new(0);
+    let (most, usual) = memory_and_replies_beside(&gateway, options, |is_over| {
+        flood(gateway.listen, is_over, &sent, command_of);
     });
-    println!(
-        "{} commands, most memory {most} bytes",
-        sent.load(Ordering::Relaxed)
+    println!("{} commands", sent.load(Ordering::Relaxed));
+    assert!(
+        most <= options.memory_mb * BYTES_PER_MB,
+        "{most} bytes of memory"
     );
-    most
+    assert_eq!(usual.lost, 0, "{usual:?}");
+    assert!(usual.served + usual.rejected > 0, "{usual:?}");
 }
 
 /// Guards against timers of answered requests that are kept until the requests' deadlines: one client with one connection, which sends
@@ -95,22 +99,24 @@
         deadline_ms: 30_000,
         ..SMALL_GRANT
     };
-    let most = most_memory_beside_flood(options, |_| 1);
-    assert!(
-        most <= SMALL_GRANT.memory_mb * BYTES_PER_MB,
-        "{most} bytes of memory"
-    );
+    assert_flood_is_withstood(options, |id| read_command(1, id, "few"));
 }
 
 /// Guards against a table of customers without a bound: a client that names a new customer in each request took a gateway over its memory
 /// in four seconds.
 #[test]
 fn requests_of_ever_new_customers_then_memory_is_within_the_grant() {
-    let most = most_memory_beside_flood(SMALL_GRANT, |id| id);
-    assert!(
-        most <= SMALL_GRANT.memory_mb * BYTES_PER_MB,
-        "{most} bytes of memory"
-    );
+    assert_flood_is_withstood(SMALL_GRANT, |id| read_command(id, id, "few"));
+}
+
+/// Guards against replies to unsound commands that hold up other clients or gather in memory.
+#[test]
+fn unsound_commands_at_full_speed_then_memory_is_within_the_grant() {
+    assert_flood_is_withstood(SMALL_GRANT, |id| match id % 3 {
+        0 => "*1\r\n$7\r\nNOTHING\r\n".to_string(),
+        1 => read_command(1, id, "no such plan"),
+        _ => "*2\r\n$8\r\nAPI.READ\r\n$1\r\n0\r\n".to_string(),
+    });
 }
 
 /// A client that sends a long command up to its last three bytes and then stops. It connects again when it is closed.
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -16,7 +16,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Limits of the commands that the fake servers read.
 pub const LIMITS: MessageLimits = MessageLimits {
@@ -43,7 +43,7 @@
 }
 
 /// Reads RESP commands and responds to each in order, until the connection is closed.
-fn respond_to_commands(mut stream: TcpStream, mut respond: impl FnMut(Vec<Bytes>) -> String) {
+pub fn respond_to_commands(mut stream: TcpStream, mut respond: impl FnMut(Vec<Bytes>) -> String) {
     let (mut buffer, mut chunk) = (BytesMut::new(), [0; 65_536]);
     loop {
         while let ParsedCommand::Complete(command) = take_command(&mut buffer, &LIMITS) {
@@ -123,6 +123,66 @@
     })
 }
 
+/// The endpoint list of a fake discovery agent, which a test changes.
+#[derive(Clone, Default)]
+pub struct EndpointList(Arc<Mutex<(u64, String)>>);
+
+impl EndpointList {
+    /// Publishes a complete list: the name, the address and the cell of each endpoint.
+    pub fn publish(&self, endpoints: &[(&str, SocketAddr, usize)]) {
+        let entry = |(name, address, cell): &(&str, SocketAddr, usize)| {
+            format!(
+                r#"{{"name":"{name}","address":"{address}","zone":"a","type":"m","group":{cell},"status":"ready"}}"#
+            )
+        };
+        let entries: Vec<String> = endpoints.iter().map(entry).collect();
+        let mut list = self.0.lock().expect("the lock is not poisoned");
+        *list = (list.0 + 1, entries.join(","));
+    }
+
+    /// The response to a call: the complete list, or no changes for one that holds the current version.
+    fn response(&self, since: Option<u64>) -> (bool, String) {
+        let list = self.0.lock().expect("the lock is not poisoned");
+        let (version, entries) = &*list;
+        let is_new = since != Some(*version);
+        let entries = if is_new { &entries[..] } else { "" };
+        let body = format!(r#"{{"index":{version},"snapshot":{is_new},"endpoints":[{entries}]}}"#);
+        (is_new, body)
+    }
+}
+
+/// Starts a fake discovery agent, whose endpoint list a test changes.
+pub fn start_changing_discovery(list: &EndpointList) -> SocketAddr {
+    let list = list.clone();
+    start_server(move |mut stream| {
+        let (mut buffer, mut chunk) = (Vec::new(), [0; 4096]);
+        while let Ok(n @ 1..) = stream.read(&mut chunk) {
+            buffer.extend_from_slice(&chunk[..n]);
+            if !buffer.ends_with(b"\r\n\r\n") {
+                continue;
+            }
+            let request = String::from_utf8_lossy(&buffer).into_owned();
+            buffer.clear();
+            let number_of = |name: &str| -> Option<u64> {
+                let (_, rest) = request.split_once(name)?;
+                rest.split(['&', ' ']).next()?.parse().ok()
+            };
+            let (since, poll_ms) = (number_of("since="), number_of("timeout_ms="));
+            let until = Instant::now() + Duration::from_millis(poll_ms.unwrap_or(0));
+            let mut response = list.response(since);
+            while !response.0 && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(1));
+                response = list.response(since);
+            }
+            let body = response.1;
+            let headers = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            if stream.write_all((headers + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
 /// The resources that the platform grants a gateway, and the deadline of its classes.
 #[derive(Clone, Copy)]
 pub struct GatewayOptions {
@@ -177,7 +237,8 @@
             "settings":{{"balancers":8,"my_number":{number},"tick":2000,"zone":"a","zones":["a"],
             "bounds":{{"max_attempts":4,"dial_timeout":250000,"conn_idle":30000000,"second_copies":true,"may_cancel":true}},
             "classes":[{{"name":"view","deadline":{deadline_ms}000,"on_time":750000,"effect":"pure","credit":2.0}},
-            {{"name":"sale","deadline":{deadline_ms}000,"on_time":750000,"effect":"side_effect","credit":2.0}}],
+            {{"name":"sale","deadline":{deadline_ms}000,"on_time":750000,"effect":"side_effect","credit":2.0}},
+            {{"name":"order","deadline":{deadline_ms}000,"on_time":750000,"effect":"token","key_scope":"cell","window":3000000,"credit":2.0}}],
             "plans":[{{"name":"team","per_second":100000.0,"peak_units":200000.0}},
             {{"name":"few","per_second":2.0,"peak_units":20.0}}],
             "rules":{{"cold":18000000,"cold_from":0.2,"fall_multiple":2.0,"tip_after":1000000,"answer_slack":8000,
