--- a/crates/cli/tests/long_commands.rs
+++ b/crates/cli/tests/long_commands.rs
@@ -139,3 +139,38 @@
     assert!(arrivals.len() > 100, "only {} attempts", arrivals.len());
     assert!(late.is_empty(), "{} late: {late:?}", late.len());
 }
+
+/// Guards against a request that runs twice: its client left while an attempt was in flight, and the same id came again.
+#[test]
+fn id_comes_again_after_its_client_has_left_then_it_runs_once() {
+    let _alone = run_alone();
+    let arrivals = Arrivals::default();
+    let gateway = start_gateway(&arrivals);
+    for _ in 0..10 {
+        let id = next_id();
+        let command = write_command(6, id, 4);
+        let mut leaving = TcpStream::connect(gateway.listen).expect("a connection");
+        leaving.write_all(&command).expect("the request is sent");
+        let runs = || {
+            let log = arrivals.lock().expect("the lock is not poisoned");
+            log.iter().filter(|(run, _)| *run == id).count()
+        };
+        let begun = Instant::now();
+        while runs() == 0 {
+            assert!(begun.elapsed() < TEST_TIME, "the request never ran");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        drop(leaving);
+        std::thread::sleep(WORK_TIME / 3);
+        let mut client = TcpStream::connect(gateway.listen).expect("a connection");
+        client
+            .set_read_timeout(Some(TEST_TIME))
+            .expect("a time-out");
+        client.write_all(&command).expect("the request is sent");
+        let mut reply = [0; 256];
+        let length = client.read(&mut reply).expect("a reply");
+        let reply = String::from_utf8_lossy(&reply[..length]).into_owned();
+        assert!(reply.starts_with("-ERR"), "{reply:?}");
+        assert_eq!(runs(), 1);
+    }
+}
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -1,6 +1,7 @@
 #![doc = include_str!("../README.md")]
 #![forbid(unsafe_code)]
 
+mod abandoned_ids;
 mod attempt;
 mod client_replies;
 mod clock;
--- a/crates/resp-gateway/src/request.rs
+++ b/crates/resp-gateway/src/request.rs
@@ -40,6 +40,11 @@
 }
 
 impl ApiCommand {
+    /// Whether running the command again has no effect.
+    pub fn is_idempotent(&self) -> bool {
+        self.words[0][..] == *b"API.READ"
+    }
+
     /// The id that the client chose for the request.
     pub fn id(&self) -> &Bytes {
         &self.words[ID_WORD]
--- a/crates/resp-gateway/src/server.rs
+++ b/crates/resp-gateway/src/server.rs
@@ -11,6 +11,7 @@
 
 pub use start::StartError;
 
+use crate::abandoned_ids::AbandonedIds;
 use crate::attempt::AttemptId;
 use crate::clock;
 use crate::config::Config;
@@ -59,6 +60,13 @@
     attempt_count: usize,
 }
 
+impl OpenRequest {
+    /// Whether an attempt may have run, so that it must not run again.
+    fn may_have_effect(&self) -> bool {
+        self.attempt_count > 0 && !self.command.is_idempotent()
+    }
+}
+
 /// A running gateway.
 pub struct GatewayServer {
     engine: Engine,
@@ -77,6 +85,8 @@
     requests: FxHashMap<RequestId, OpenRequest>,
     /// Open requests by the ids that their clients chose.
     requests_by_client_id: FxHashMap<Bytes, RequestId>,
+    /// The ids of requests whose clients have left while an attempt may have run.
+    abandoned_ids: AbandonedIds,
     /// The id of the request that was opened last; ids are consecutive.
     last_request: RequestId,
     endpoints: EndpointConnections,
--- a/crates/resp-gateway/src/server/lifecycle.rs
+++ b/crates/resp-gateway/src/server/lifecycle.rs
@@ -3,6 +3,7 @@
 use super::{GatewayServer, TimerPurpose};
 use crate::clock;
 use crate::config::{Config, ConfigError};
+use chalkdeck::api::Settings;
 use chalkdeck_net::signals::Signals;
 use chalkdeck_time::{TimeDelta, Timestamp};
 use std::io;
@@ -22,6 +23,13 @@
 /// Requests that are received during a shutdown are answered at least this long before the kill.
 const KILL_MARGIN: TimeDelta = TimeDelta::from_millis(60);
 
+/// The longest deadline of all classes.
+pub(super) fn longest_deadline(settings: &Settings) -> TimeDelta {
+    let classes = settings.classes.iter();
+    let longest = classes.map(|class| class.deadline).max();
+    longest.unwrap_or_default()
+}
+
 impl GatewayServer {
     /// Serves until a signal requests a shutdown and the shutdown is complete.
     ///
@@ -69,9 +77,7 @@
     }
 
     fn longest_deadline(&self) -> TimeDelta {
-        let classes = self.config.settings().classes.iter();
-        let longest = classes.map(|class| class.deadline).max();
-        longest.unwrap_or_default()
+        longest_deadline(self.config.settings())
     }
 
     /// The latest deadline of a request that is received now: unlimited while serving, shortly before the kill during a shutdown.
--- a/crates/resp-gateway/src/server/requests.rs
+++ b/crates/resp-gateway/src/server/requests.rs
@@ -2,6 +2,7 @@
 
 use super::{GatewayServer, OpenRequest};
 use crate::client_replies;
+use crate::clock;
 use crate::request::{self, RequestError};
 use crate::sessions::ReceivedCommand;
 use chalkdeck::api::{Event, RequestId};
@@ -57,7 +58,10 @@
         let latest_deadline = self.latest_deadline();
         parsed.request.deadline = parsed.request.deadline.min(latest_deadline);
         let client_id = parsed.command.id().clone();
-        if self.requests_by_client_id.contains_key(&client_id) {
+        let now = clock::now(&self.engine);
+        let is_in_use = self.requests_by_client_id.contains_key(&client_id)
+            || self.abandoned_ids.contains(now, &client_id);
+        if is_in_use {
             return Err(RequestError::DuplicateId);
         }
         self.last_request = id;
@@ -79,8 +83,12 @@
 
     /// Closes the open requests of a client whose connection has ended, and reports them to the decision engine.
     pub(super) fn on_client_closed(&mut self, conn: ConnId) {
+        let now = clock::now(&self.engine);
         for id in self.sessions.on_closed(conn) {
-            self.close_request(id);
+            let request = self.close_request(id);
+            if let Some(request) = request.filter(OpenRequest::may_have_effect) {
+                self.abandoned_ids.insert(now, request.command.id());
+            }
             self.decisions.push(Event::ClientDisconnected(id));
         }
     }
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -1,6 +1,8 @@
 //! Starts a gateway.
 
+use super::lifecycle::longest_deadline;
 use super::{GatewayServer, TimerPurpose};
+use crate::abandoned_ids::AbandonedIds;
 use crate::config::Config;
 use crate::counter_client::CounterClient;
 use crate::discovery::{Discovery, Timing, MAX_DISCOVERY_CONNECTIONS};
@@ -143,6 +145,7 @@
             sessions: Sessions::new(limits.clients, session_bytes),
             requests: FxHashMap::default(),
             requests_by_client_id: FxHashMap::default(),
+            abandoned_ids: AbandonedIds::new(longest_deadline(config.settings())),
             last_request: RequestId(0),
             endpoints: EndpointConnections::new(
                 limits.endpoints,
