Platform gateway: only whole or long commands are rejected for missing memory

Change: the rest of a command of up to one read (16 KiB) is read in any case; two tests. The second condition of MemoryBudget::allows was implied by the first.

--- a/crates/resp-gateway/src/memory_budget.rs
+++ b/crates/resp-gateway/src/memory_budget.rs
@@ -39,8 +39,7 @@
     pub(crate) fn allows(&self, held: usize, additional: usize) -> bool {
         let from_pool = (held + additional).saturating_sub(self.guaranteed);
         let free = self.pool.saturating_sub(self.pool_used);
-        let held_from_pool = held.saturating_sub(self.guaranteed);
-        from_pool == 0 || from_pool <= free && from_pool - held_from_pool <= free
+        from_pool == 0 || from_pool <= free
     }
 
     /// Whether a reply of this size may be kept until the replies before it are known.
--- a/crates/resp-gateway/src/sessions.rs
+++ b/crates/resp-gateway/src/sessions.rs
@@ -213,8 +213,8 @@
         command
     }
 
-    /// Makes room for the rest of a command of at least `bytes` bytes. Without memory for it, reading is paused; once it is overdue, the
-    /// command is rejected and its rest is discarded.
+    /// Makes room for the rest of a command of at least `bytes` bytes. Without memory for a long one, reading is paused; once it is overdue,
+    /// the command is rejected and its rest is discarded: of a valid command only the last word is long.
     fn wait_for_rest(&mut self, engine: &mut Engine, conn: ConnId, bytes: usize, is_overdue: bool) {
         let Some(session) = self.by_conn.get_mut(&conn) else {
             return;
@@ -222,7 +222,8 @@
         flow_control::shrink_buffer(session);
         let missing = bytes.saturating_sub(session.bytes.len());
         let additional = bytes.saturating_sub(session.bytes.capacity());
-        let is_allowed = self.budget.allows(session.held_bytes, additional);
+        let is_allowed =
+            bytes <= MAX_READ_BYTES || self.budget.allows(session.held_bytes, additional);
         if !is_allowed && !is_overdue {
             self.update_budget(engine, conn);
             return self.wait_for_memory(engine, conn, false);
--- a/crates/resp-gateway/src/sessions/tests.rs
+++ b/crates/resp-gateway/src/sessions/tests.rs
@@ -21,9 +21,13 @@
 
 impl Fixture {
     fn new() -> Fixture {
+        Fixture::with_memory(1 << 20)
+    }
+
+    fn with_memory(bytes: usize) -> Fixture {
         let mut test_loop = TestLoop::new();
         let (client, conn) = test_loop.connect();
-        let mut sessions = Sessions::new(8, 1 << 20);
+        let mut sessions = Sessions::new(8, bytes);
         sessions.on_accepted(&test_loop.engine, conn);
         Fixture {
             test_loop,
@@ -190,3 +194,48 @@
     assert!(received.len() > VALUE_BYTES, "{} bytes", received.len());
     assert!(received.ends_with(b"\r\n"), "the error is cut off");
 }
+
+#[test]
+fn memory_is_full_then_only_whole_commands_are_rejected() {
+    let mut fixture = Fixture::with_memory(0);
+    for part in [&PING[..0], &PING[..5], &PING[5..]] {
+        fixture.receive(part);
+        assert!(fixture.next_slot().is_none(), "{part:?}");
+        fixture.test_loop.jumps.jump(SECOND_MICROS);
+    }
+    let command = fixture
+        .sessions
+        .next_command(&mut fixture.test_loop.engine, fixture.conn);
+    assert!(command.expect("a command").is_overdue);
+    fixture.test_loop.engine.flush(fixture.conn);
+    assert_eq!(fixture.test_loop.engine.written_bytes(fixture.conn), 0);
+}
+
+#[test]
+fn long_command_without_memory_then_rejected_and_the_next_one_is_read() {
+    let mut fixture = Fixture::with_memory(0);
+    let long = [
+        &b"*5\r\n$9\r\nAPI.WRITE\r\n$1\r\nc\r\n$1\r\ni\r\n$1\r\nf\r\n$60000\r\n"[..],
+        &[b'x'; 60_002][..],
+    ]
+    .concat();
+    fixture.receive(&long[..MAX_READ_BYTES]);
+    assert!(fixture.next_slot().is_none());
+    fixture.test_loop.jumps.jump(SECOND_MICROS);
+    assert!(fixture.next_slot().is_none());
+    fixture
+        .sessions
+        .flush(&mut fixture.test_loop.engine, fixture.conn);
+    fixture.turn();
+    let mut received = [0; 7];
+    fixture.client.read_exact(&mut received).expect("a reply");
+    assert_eq!(&received, b"-BUSY\r\n");
+    fixture.receive(&long[MAX_READ_BYTES..]);
+    fixture.receive(PING);
+    assert!(fixture.next_slot().is_none(), "it waits for memory");
+    fixture.test_loop.jumps.jump(SECOND_MICROS);
+    assert!(
+        fixture.next_slot().is_some(),
+        "the next command is not read"
+    );
+}
