--- a/crates/cli/tests/long_commands.rs
+++ b/crates/cli/tests/long_commands.rs
@@ -3,10 +3,10 @@
 mod platform;
 
 use platform::clients::{
-    next_id, run_alone, run_usual_client, start_recording_backend, write_command, Arrivals,
-    EndClients,
+    next_id, run_alone, run_usual_client, send_at_full_speed, start_recording_backend,
+    write_command, Arrivals, EndClients,
 };
-use platform::{start_counter, start_discovery, Gateway, GatewayOptions};
+use platform::{start_counter, start_discovery, Gateway, SMALL_GRANT};
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -14,11 +14,6 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-const SMALL_GRANT: GatewayOptions = GatewayOptions {
-    memory_mb: 32,
-    descriptors: 256,
-    deadline_ms: 3_000,
-};
 /// The size of the body of a long command.
 const BODY_BYTES: usize = 60_000;
 /// How long the clients of a test send.
@@ -43,33 +38,6 @@
     (ids, bytes)
 }
 
-/// Sends long commands at full speed until the test is over, and reads all replies.
-fn flood_with_long_commands(address: SocketAddr, is_over: &AtomicBool) {
-    let mut writer = TcpStream::connect(address).expect("a connection");
-    let mut reader = writer.try_clone().expect("a second handle");
-    let timeout = Some(Duration::from_millis(500));
-    let _ = (
-        writer.set_write_timeout(timeout),
-        reader.set_read_timeout(timeout),
-    );
-    std::thread::scope(|scope| {
-        scope.spawn(move || {
-            let mut chunk = [0; 65_536];
-            while !is_over.load(Ordering::Relaxed) {
-                let _ = reader.read(&mut chunk);
-            }
-        });
-        while !is_over.load(Ordering::Relaxed) {
-            let mut rest = &long_commands(20).1[..];
-            while !rest.is_empty() && !is_over.load(Ordering::Relaxed) {
-                if let Ok(length) = writer.write(rest) {
-                    rest = &rest[length..];
-                }
-            }
-        }
-    });
-}
-
 /// Guards against reading that is paused for all clients by the commands of a few: usual requests beside clients that sent hundreds of long
 /// commands at once were answered seconds late, or never.
 #[test]
@@ -83,7 +51,7 @@
             .collect();
         let end = EndClients(&is_over);
         for _ in 0..12 {
-            scope.spawn(|| flood_with_long_commands(gateway.listen, &is_over));
+            scope.spawn(|| send_at_full_speed(gateway.listen, &is_over, || long_commands(20).1));
         }
         std::thread::sleep(TEST_TIME);
         drop(end);
--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -3,27 +3,24 @@
 mod platform;
 
 use platform::clients::{
-    read_command, run_alone, run_usual_client, write_command, EndClients, UsualReplies,
+    read_command, run_alone, run_usual_client, send_at_full_speed, write_command, EndClients,
+    UsualReplies,
+};
+use platform::{
+    start_backend, start_counter, start_discovery, Gateway, GatewayOptions, SMALL_GRANT,
 };
-use platform::{start_backend, start_counter, start_discovery, Gateway, GatewayOptions};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// The smallest resources that the platform grants.
-const SMALL_GRANT: GatewayOptions = GatewayOptions {
-    memory_mb: 32,
-    descriptors: 256,
-    deadline_ms: 3_000,
-};
 const BYTES_PER_MB: usize = 1_000_000;
 /// How long the clients of a test send.
 const FLOOD_TIME: Duration = Duration::from_secs(12);
 /// The interval at which the memory of a process is read.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// The commands that a flooding client writes at once.
-const COMMANDS_AT_ONCE: usize = 300;
+const COMMANDS_AT_ONCE: u64 = 300;
 
 fn start_gateway(grant: GatewayOptions) -> Gateway {
     let backends: Vec<SocketAddr> = (0..4).map(|_| start_backend()).collect();
@@ -37,24 +34,10 @@
     sent: &AtomicU64,
     command_of: fn(u64) -> String,
 ) {
-    let mut writer = TcpStream::connect(address).expect("a connection");
-    let mut reader = writer.try_clone().expect("a second handle");
-    let timeout = Some(Duration::from_millis(500));
-    writer.set_write_timeout(timeout).expect("a time-out");
-    reader.set_read_timeout(timeout).expect("a time-out");
-    std::thread::scope(|scope| {
-        scope.spawn(move || {
-            let mut chunk = [0; 65_536];
-            while !is_over.load(Ordering::Relaxed) {
-                let _ = reader.read(&mut chunk);
-            }
-        });
-        while !is_over.load(Ordering::Relaxed) {
-            let first = sent.fetch_add(COMMANDS_AT_ONCE as u64, Ordering::Relaxed);
-            let ids = first..first + COMMANDS_AT_ONCE as u64;
-            let commands: String = ids.map(command_of).collect();
-            let _ = writer.write_all(commands.as_bytes());
-        }
+    send_at_full_speed(address, is_over, || {
+        let first = sent.fetch_add(COMMANDS_AT_ONCE, Ordering::Relaxed);
+        let commands: String = (first..first + COMMANDS_AT_ONCE).map(command_of).collect();
+        commands.into_bytes()
     });
 }
 
--- a/crates/cli/tests/platform/clients.rs
+++ b/crates/cli/tests/platform/clients.rs
@@ -66,6 +66,36 @@
     }
 }
 
+/// Writes what `next_commands` gives, at full speed until the test is over, and reads everything that is received.
+pub fn send_at_full_speed(
+    address: SocketAddr,
+    is_over: &AtomicBool,
+    mut next_commands: impl FnMut() -> Vec<u8>,
+) {
+    let mut writer = TcpStream::connect(address).expect("a connection");
+    let mut reader = writer.try_clone().expect("a second handle");
+    let timeout = Some(Duration::from_millis(500));
+    writer.set_write_timeout(timeout).expect("a time-out");
+    reader.set_read_timeout(timeout).expect("a time-out");
+    std::thread::scope(|scope| {
+        scope.spawn(move || {
+            let mut chunk = [0; 65_536];
+            while !is_over.load(Ordering::Relaxed) {
+                let _ = reader.read(&mut chunk);
+            }
+        });
+        while !is_over.load(Ordering::Relaxed) {
+            let commands = next_commands();
+            let mut rest = &commands[..];
+            while !rest.is_empty() && !is_over.load(Ordering::Relaxed) {
+                if let Ok(length) = writer.write(rest) {
+                    rest = &rest[length..];
+                }
+            }
+        }
+    });
+}
+
 /// What a usual client got.
 #[derive(Debug, Default)]
 pub struct UsualReplies {
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -86,41 +86,14 @@
 
 /// Starts a fake discovery agent, whose endpoint list never changes.
 pub fn start_discovery(backends: &[SocketAddr]) -> SocketAddr {
-    let entry = |(i, address): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"name":"s-{i}","address":"{address}","zone":"a","type":"m","group":0,"status":"ready"}}"#
-        )
-    };
-    let entries: Vec<String> = backends.iter().enumerate().map(entry).collect();
-    let full_list = format!(
-        r#"{{"index":1,"snapshot":true,"endpoints":[{}]}}"#,
-        entries.join(",")
-    );
-    start_server(move |mut stream| {
-        let (mut buffer, mut chunk) = (Vec::new(), [0; 4096]);
-        while let Ok(n @ 1..) = stream.read(&mut chunk) {
-            buffer.extend_from_slice(&chunk[..n]);
-            if !buffer.ends_with(b"\r\n\r\n") {
-                continue;
-            }
-            let request = String::from_utf8_lossy(&buffer).into_owned();
-            buffer.clear();
-            let poll_ms = request
-                .split_once("timeout_ms=")
-                .and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
-            std::thread::sleep(Duration::from_millis(poll_ms.unwrap_or(0)));
-            let no_changes = r#"{"index":1,"snapshot":false,"endpoints":[]}"#;
-            let body = if poll_ms.is_some() {
-                no_changes
-            } else {
-                &full_list
-            };
-            let headers = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-            if stream.write_all((headers + body).as_bytes()).is_err() {
-                return;
-            }
-        }
-    })
+    let names: Vec<String> = (0..backends.len()).map(|i| format!("s-{i}")).collect();
+    let named = names.iter().zip(backends);
+    let endpoints: Vec<_> = named
+        .map(|(name, address)| (&name[..], *address, 0))
+        .collect();
+    let list = EndpointList::default();
+    list.publish(&endpoints);
+    start_changing_discovery(&list)
 }
 
 /// The endpoint list of a fake discovery agent, which a test changes.
@@ -191,6 +164,13 @@
     pub deadline_ms: u64,
 }
 
+/// The smallest resources that the platform grants.
+pub const SMALL_GRANT: GatewayOptions = GatewayOptions {
+    memory_mb: 32,
+    descriptors: 256,
+    deadline_ms: 3_000,
+};
+
 /// A gateway of the platform: its address, its configuration file and its current process.
 pub struct Gateway {
     pub listen: SocketAddr,
--- a/crates/cli/tests/replaced_backends.rs
+++ b/crates/cli/tests/replaced_backends.rs
@@ -5,7 +5,7 @@
 use platform::clients::{next_id, read_command};
 use platform::{
     respond_to_commands, start_changing_discovery, start_counter, EndpointList, Gateway,
-    GatewayOptions,
+    SMALL_GRANT,
 };
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -13,11 +13,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const GRANT: GatewayOptions = GatewayOptions {
-    memory_mb: 32,
-    descriptors: 256,
-    deadline_ms: 3_000,
-};
 /// The number of times that a backend is replaced.
 const REPLACEMENTS: usize = 6;
 /// The time within which the gateway has applied a list that discovery has.
@@ -138,7 +133,12 @@
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut current = Backend::start("s-0", any, &runs);
     list.publish(&[("s-0", current.address, 0)]);
-    let gateway = Gateway::start_with(1, start_changing_discovery(&list), start_counter(), GRANT);
+    let gateway = Gateway::start_with(
+        1,
+        start_changing_discovery(&list),
+        start_counter(),
+        SMALL_GRANT,
+    );
     for replacement in 1..=REPLACEMENTS {
         let mut client = TcpStream::connect(gateway.listen).expect("a connection");
         client.set_read_timeout(Some(TIMEOUT)).expect("a time-out");
--- a/crates/resp-gateway/src/memory_budget.rs
+++ b/crates/resp-gateway/src/memory_budget.rs
@@ -56,7 +56,6 @@
     }
 
     /// What all sessions take, in bytes.
-    #[cfg(test)]
     pub(crate) fn used(&self) -> usize {
         self.used
     }
--- a/crates/resp-gateway/src/server/event_loop.rs
+++ b/crates/resp-gateway/src/server/event_loop.rs
@@ -152,7 +152,9 @@
                 self.set_sweep_timer();
                 self.endpoints.sweep(&mut self.engine);
                 self.sessions.sweep(&mut self.engine);
-                self.discovery.log_changes(clock::now(&self.engine));
+                let now = clock::now(&self.engine);
+                self.sessions.log_overdue_commands(now);
+                self.discovery.log_changes(now);
             }
         }
     }
--- a/crates/resp-gateway/src/sessions.rs
+++ b/crates/resp-gateway/src/sessions.rs
@@ -8,6 +8,7 @@
 mod closing;
 mod eviction;
 mod flow_control;
+mod overdue_commands;
 mod reply_sizes;
 mod session;
 
@@ -24,6 +25,7 @@
     ReplySlot,
 };
 use chalkdeck_time::Timestamp;
+use overdue_commands::OverdueCommands;
 use reply_sizes::ReplySizes;
 use rustc_hash::FxHashMap;
 use session::Session;
@@ -80,6 +82,7 @@
     memory_checked_at: Timestamp,
     /// Connections with replies that are ready and not written, as their clients have not accepted those before.
     blocked_writes: Vec<ConnId>,
+    overdue_commands: OverdueCommands,
     /// When the shutdown began to close idle connections.
     closing_since: Option<Timestamp>,
 }
@@ -96,6 +99,7 @@
             waiting_for_memory: Vec::new(),
             memory_checked_at: Timestamp::ZERO,
             blocked_writes: Vec::new(),
+            overdue_commands: OverdueCommands::default(),
             closing_since: None,
         }
     }
@@ -194,6 +198,7 @@
             }
             ParsedCommand::Complete(words) => {
                 session.has_sent_command = true;
+                self.overdue_commands.count += u64::from(is_overdue);
                 Some(ReceivedCommand {
                     slot: session.replies.reserve(),
                     words,
@@ -237,6 +242,7 @@
             session.discarded_bytes = missing;
             session.has_sent_command = true;
             session.replies.push(client_replies::busy(None));
+            self.overdue_commands.count += 1;
         }
         flow_control::resume(engine, conn, session);
         self.update_budget(engine, conn);
