--- a/crates/policy/src/customer_table.rs
+++ b/crates/policy/src/customer_table.rs
@@ -1,7 +1,7 @@
 //! The customers whose state this gateway holds, within a bound on their number.
 //!
-//! At the bound, the customer that has rested longest makes room for a new one. What it has used of its quota is kept in a smaller form, so
-//! that dropping its state never renews its quota.
+//! At the bound, the customer that has rested longest makes room for a new one. What it has used of
+//! its quota is kept in a smaller form, so that dropping its state never renews its quota.
 
 use crate::api::{CustomerId, Plan, TimeDelta, Timestamp};
 use crate::customer::Customer;
@@ -20,8 +20,9 @@
 /// The number of customers that are examined to find one that can be dropped.
 const MAX_EXAMINED: usize = 16;
 
-/// When the quotas of dropped customers are full again. A record is shared by the customers whose ids have the same hash, and holds the
-/// latest of their times: what a customer finds there is never more than it has left.
+/// When the quotas of dropped customers are full again. A record is shared by the customers whose
+/// ids have the same hash, and holds the latest of their times: what a customer finds there is
+/// never more than it has left.
 #[derive(Debug)]
 struct DroppedQuotas {
     full_at: Vec<Timestamp>,
@@ -59,7 +60,8 @@
 }
 
 impl CustomerTable {
-    /// Creates an empty table. More customers than `max_customers` are held only while each of them has an open request or a slot.
+    /// Creates an empty table. More customers than `max_customers` are held only while each of them
+    /// has an open request or a slot.
     pub(crate) fn new(max_customers: usize) -> CustomerTable {
         let max_customers = max_customers.max(1);
         CustomerTable {
@@ -91,7 +93,8 @@
         self.customers.get_mut(id)
     }
 
-    /// The state of a customer, which is created if it is not held: with what a customer that was dropped may have left of its quota.
+    /// The state of a customer, which is created if it is not held: with what a customer that was
+    /// dropped may have left of its quota.
     pub(crate) fn get_or_insert(
         &mut self,
         now: Timestamp,
@@ -107,7 +110,8 @@
         self.customers.entry(id).or_default()
     }
 
-    /// Drops a customer if the table is full. Customers that were active since they were last examined are passed over once.
+    /// Drops a customer if the table is full. Customers that were active since they were last
+    /// examined are passed over once.
     fn make_room(&mut self, now: Timestamp, plans: &[Plan]) {
         if self.customers.len() < self.max_customers {
             return;
@@ -132,7 +136,8 @@
         self.drop_first_droppable(now, plans);
     }
 
-    /// Drops the first customer that can be dropped among the next ones, whether it was active or not.
+    /// Drops the first customer that can be dropped among the next ones, whether it was active or
+    /// not.
     fn drop_first_droppable(&mut self, now: Timestamp, plans: &[Plan]) {
         for _ in 0..MAX_EXAMINED.min(self.examined_next.len()) {
             let Some(id) = self.examined_next.pop_front() else {
@@ -180,7 +185,8 @@
     }
 }
 
-/// The time until a bucket with this many units missing is full again, at a refill rate in units per second.
+/// The time until a bucket with this many units missing is full again, at a refill rate in units
+/// per second.
 pub(crate) fn time_to_refill(missing: f64, rate: f64) -> TimeDelta {
     const MICROS_PER_SECOND: f64 = 1e6;
     if missing <= 0.0 || rate <= 0.0 {
