--- a/crates/grpc-gateway/src/gateway_server/event_loop.rs
+++ b/crates/grpc-gateway/src/gateway_server/event_loop.rs
@@ -56,7 +56,7 @@
     fn on_event(&mut self, event: NetEvent) {
         match event {
             NetEvent::Accepted { listener, conn } => self.on_resp_accepted(listener, conn),
-            NetEvent::Bytes { conn, data } => self.on_resp_bytes(conn, &data),
+            NetEvent::Bytes { conn, data, .. } => self.on_resp_bytes(conn, &data),
             NetEvent::StreamOpened {
                 stream,
                 conn,
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -105,6 +105,8 @@
     /// Bytes received on a plain connection.
     Bytes {
         data: Bytes,
+        /// The earliest time at which they may have arrived, if it is known.
+        arrived_since: Option<u64>,
         /// Whether there may be more to read without waiting.
         may_have_more: bool,
     },
@@ -128,7 +130,9 @@
                 Transport::ServerHandshake(Box::new(handshake))
             }
             Protocol::Http1 => Transport::Http1(Http1::new(socket.clone())),
-            Protocol::Plain => Transport::Plain(PlainConnection::new(socket.clone())),
+            Protocol::Plain => {
+                Transport::Plain(PlainConnection::new(socket.clone(), limits.read_bytes))
+            }
         };
         Connection {
             accepted_socket: Some(socket),
@@ -193,7 +197,7 @@
         let Some(socket) = self.accepted_socket.take() else {
             return false;
         };
-        let mut plain = PlainConnection::new(socket);
+        let mut plain = PlainConnection::new(socket, self.limits.read_bytes);
         plain.lingering_close = Some(LingeringClose::begin(now, 0));
         self.transport = Transport::Plain(plain);
         self.waker.wake_by_ref();
@@ -273,9 +277,11 @@
                 PlainProgress::Wait => Progress::Wait,
                 PlainProgress::Bytes {
                     data,
+                    arrived_since,
                     may_have_more,
                 } => Progress::Bytes {
                     data,
+                    arrived_since,
                     may_have_more,
                 },
                 PlainProgress::Closed(reason) => Progress::Closed(reason),
@@ -294,7 +300,8 @@
         };
         self.was_established = true;
         if *protocol == Protocol::Plain {
-            self.transport = Transport::Plain(PlainConnection::new(Arc::new(stream)));
+            let plain = PlainConnection::new(Arc::new(stream), self.limits.read_bytes);
+            self.transport = Transport::Plain(plain);
             return Some(Progress::Connected);
         }
         let handshake = client_builder(&self.limits).handshake(H2Socket(Arc::new(stream)));
--- a/crates/net/src/engine.rs
+++ b/crates/net/src/engine.rs
@@ -30,8 +30,13 @@
 const OPENS_PER_TURN: usize = 64;
 /// Maximum number of connections and streams that are polled in one turn of the loop, so that a busy peer does not delay timers.
 const POLLS_PER_TURN: usize = 8_192;
-/// Maximum number of bytes that are read from plain connections in one turn of the loop; they are kept until the caller has handled them.
+/// Maximum number of bytes that are read from plain connections in one turn of the loop, unless the caller sets another one.
 const READ_BYTES_PER_TURN: usize = 1 << 20;
+/// A poll that takes at least this long has waited for its events, in microseconds.
+const MIN_WAIT_MICROS: u64 = 1_000;
+/// The longest time between two polls in which events count as having happened at its beginning, in microseconds. The platform may hold up a
+/// process for 0.15 s.
+const MAX_HOLD_UP_MICROS: u64 = 250_000;
 /// Maximum number of readiness events that one `mio` poll returns.
 const READINESS_CAPACITY: usize = 1_024;
 /// The mio token of the `LoopWaker`.
@@ -69,6 +74,12 @@
     opened_in_turn: usize,
     /// The number of bytes that were read from plain connections in this turn.
     read_in_turn: usize,
+    /// Maximum number of bytes that are read from plain connections in one turn.
+    read_bytes_per_turn: usize,
+    /// The earliest time at which what the poll reports may have happened.
+    polled_since: u64,
+    /// When the poll last returned.
+    polled_at: u64,
     /// Listeners that may have further connections to accept.
     accepting_listeners: Vec<u64>,
     /// Plain connections whose bytes from the last turn the caller has not handled yet.
@@ -93,6 +104,7 @@
     /// # Errors
     /// See `new`.
     pub fn with_clock(clock: Clock) -> io::Result<Engine> {
+        let now = clock.now();
         Ok(Engine {
             poll: Poll::new()?,
             readiness: mio::Events::with_capacity(READINESS_CAPACITY),
@@ -109,6 +121,9 @@
             events: VecDeque::new(),
             opened_in_turn: 0,
             read_in_turn: 0,
+            read_bytes_per_turn: READ_BYTES_PER_TURN,
+            polled_since: now,
+            polled_at: now,
             accepting_listeners: Vec::new(),
             unhandled: FxHashSet::default(),
             unread: Vec::new(),
@@ -121,6 +136,12 @@
         self.clock.now()
     }
 
+    /// Sets the maximum number of bytes that are read from plain connections in one turn of the loop. They are kept until the caller has
+    /// handled them.
+    pub fn set_read_bytes_per_turn(&mut self, bytes: usize) {
+        self.read_bytes_per_turn = bytes;
+    }
+
     fn next_key(&mut self) -> u64 {
         self.last_key += 1;
         self.last_key
@@ -185,10 +206,27 @@
             0
         };
         let wait = Some(Duration::from_micros(wait));
-        match self.poll.poll(&mut self.readiness, wait) {
+        let begun_at = self.now();
+        let result = match self.poll.poll(&mut self.readiness, wait) {
             Err(error) if error.kind() == io::ErrorKind::Interrupted => Ok(()),
             other => other,
-        }
+        };
+        self.record_poll(begun_at);
+        result
+    }
+
+    /// Records since when what the poll reports may have happened: a poll that waited returned with its first event, and one that did not
+    /// wait reports what has happened since the one before.
+    fn record_poll(&mut self, begun_at: u64) {
+        let now = self.now();
+        let has_waited = now >= begun_at + MIN_WAIT_MICROS;
+        let earliest = now.saturating_sub(MAX_HOLD_UP_MICROS);
+        self.polled_since = if has_waited {
+            now
+        } else {
+            self.polled_at.max(earliest)
+        };
+        self.polled_at = now;
     }
 
     /// Accepts new connections, and wakes the connections whose sockets are ready.
@@ -197,15 +235,19 @@
         for event in &self.readiness {
             let key = event.token().0 as u64;
             keys.push(key);
-            if !event.is_read_closed() && !event.is_error() {
-                continue;
+            if let Some(listener) = self.listeners.get_mut(&key) {
+                listener.waiting_since.get_or_insert(self.polled_since);
             }
-            if let Some(Connection {
+            let Some(Connection {
                 transport: Transport::Plain(plain),
                 ..
             }) = self.connections.get_mut(&key)
-            {
-                plain.has_peer_ended = true;
+            else {
+                continue;
+            };
+            plain.has_peer_ended |= event.is_read_closed() || event.is_error();
+            if event.is_readable() || plain.has_peer_ended {
+                plain.unread_since.get_or_insert(self.polled_since);
             }
         }
         for key in keys {
@@ -222,12 +264,12 @@
         self.opened_in_turn = 0;
         self.read_in_turn = 0;
         for _ in 0..POLLS_PER_TURN {
-            let has_share_left =
-                self.opened_in_turn < OPENS_PER_TURN && self.read_in_turn < READ_BYTES_PER_TURN;
+            let has_share_left = self.opened_in_turn < OPENS_PER_TURN
+                && self.read_in_turn < self.read_bytes_per_turn;
             if !has_share_left {
                 break;
             }
-            let is_half_used = self.read_in_turn >= READ_BYTES_PER_TURN / 2;
+            let is_half_used = self.read_in_turn >= self.read_bytes_per_turn / 2;
             let preferred = if is_half_used {
                 Priority::Low
             } else {
--- a/crates/net/src/engine/connections.rs
+++ b/crates/net/src/engine/connections.rs
@@ -150,8 +150,9 @@
                 }
                 Progress::Bytes {
                     data,
+                    arrived_since,
                     may_have_more,
-                } => return self.on_plain_bytes(key, data, may_have_more),
+                } => return self.on_plain_bytes(key, data, arrived_since, may_have_more),
                 Progress::Opened(request, respond) => {
                     connection.open_stream_count += 1;
                     opened += 1;
@@ -197,7 +198,13 @@
 
     /// Reports the bytes of one read. A connection is read once per turn, so that none delays the others or exhausts the
     /// memory; the rest stays in the socket until the next turn.
-    fn on_plain_bytes(&mut self, key: u64, data: bytes::Bytes, may_have_more: bool) {
+    fn on_plain_bytes(
+        &mut self,
+        key: u64,
+        data: bytes::Bytes,
+        arrived_since: Option<u64>,
+        may_have_more: bool,
+    ) {
         if may_have_more {
             self.unread.push(key);
         }
@@ -205,7 +212,12 @@
         if !data.is_empty() {
             self.unhandled.insert(key);
             let conn = ConnId(key);
-            self.events.push_back(Event::Bytes { conn, data });
+            let arrived_since = arrived_since.unwrap_or_else(|| self.now());
+            self.events.push_back(Event::Bytes {
+                conn,
+                data,
+                arrived_since,
+            });
         }
     }
 
@@ -235,7 +247,7 @@
             return;
         };
         listener.open_connection_count -= 1;
-        if std::mem::take(&mut listener.is_full) {
+        if listener.full_since.take().is_some() {
             self.accept(listener_key, super::listeners::ACCEPTS_PER_TURN);
         }
     }
--- a/crates/net/src/engine/listeners.rs
+++ b/crates/net/src/engine/listeners.rs
@@ -1,7 +1,7 @@
 //! Opens and closes listeners, and accepts their connections.
 
 use super::Engine;
-use crate::connection::{Connection, Protocol};
+use crate::connection::{Connection, Protocol, Transport};
 use crate::event::Event;
 use crate::ids::{ConnId, ListenerId};
 use crate::limits::Limits;
@@ -111,9 +111,10 @@
             let Some(listener) = self.listeners.get_mut(&key) else {
                 return;
             };
+            let waiting_since = listener.waiting_since.unwrap_or(self.polled_since);
             match listener.accept(now) {
                 AcceptResult::Connection(stream, peer_ip) => {
-                    self.add_accepted(key, stream, peer_ip)
+                    self.add_accepted(key, stream, peer_ip, waiting_since);
                 }
                 AcceptResult::Failed(error) => {
                     tracing::warn!(%error, "accept failed: retrying");
@@ -125,7 +126,13 @@
         self.accepting_listeners.push(key);
     }
 
-    fn add_accepted(&mut self, listener_key: u64, mut stream: TcpStream, peer_ip: IpAddr) {
+    fn add_accepted(
+        &mut self,
+        listener_key: u64,
+        mut stream: TcpStream,
+        peer_ip: IpAddr,
+        waiting_since: u64,
+    ) {
         let _ = stream.set_nodelay(true);
         let key = self.next_key();
         let interest = Interest::READABLE | Interest::WRITABLE;
@@ -142,7 +149,7 @@
         listener.open_connection_count += 1;
         let waker = self.ready.waker(key, Priority::Low);
         waker.wake_by_ref();
-        let connection = Connection::accepted(
+        let mut connection = Connection::accepted(
             stream,
             peer_ip,
             listener.limits,
@@ -150,6 +157,9 @@
             listener.protocol,
             waker,
         );
+        if let Transport::Plain(plain) = &mut connection.transport {
+            plain.unread_since = Some(waiting_since);
+        }
         self.connections.insert(key, connection);
         self.events.push_back(Event::Accepted {
             listener: ListenerId(listener_key),
--- a/crates/net/src/engine/plain.rs
+++ b/crates/net/src/engine/plain.rs
@@ -33,6 +33,12 @@
             .map_or(0, |(plain, _)| plain.unsent_bytes())
     }
 
+    /// The memory that the bytes queued on a plain connection take.
+    pub fn write_buffer_bytes(&mut self, conn: ConnId) -> usize {
+        self.plain(conn)
+            .map_or(0, |(plain, _)| plain.buffer_bytes())
+    }
+
     /// The total number of bytes written to the socket of a plain connection.
     pub fn written_bytes(&mut self, conn: ConnId) -> u64 {
         self.plain(conn).map_or(0, |(plain, _)| plain.written_bytes)
@@ -49,6 +55,29 @@
         }
     }
 
+    /// Looks whether the socket of a plain connection is empty, unless it is known to be: it has then had no unread bytes since now.
+    pub fn check_unread(&mut self, conn: ConnId) {
+        if let Some((plain, _)) = self.plain(conn) {
+            if plain.unread_since.is_some() && plain.is_idle() {
+                plain.unread_since = None;
+            }
+        }
+    }
+
+    /// Whether the socket of a plain connection may have had unread bytes for so long, or its end.
+    pub fn has_unread_for(&mut self, conn: ConnId, micros: u64) -> bool {
+        let latest = self.now().saturating_sub(micros);
+        let is_unread = |plain: &PlainConnection| {
+            let since = plain.unread_since;
+            since.is_some_and(|since| since <= latest)
+        };
+        if !self.plain(conn).is_some_and(|(plain, _)| is_unread(plain)) {
+            return false;
+        }
+        self.check_unread(conn);
+        self.plain(conn).is_some_and(|(plain, _)| is_unread(plain))
+    }
+
     /// Whether the poll has reported that the peer ended its side of a plain connection, or an error. Bytes before the end may be unread.
     pub fn has_peer_ended(&mut self, conn: ConnId) -> bool {
         self.plain(conn)
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -107,5 +107,7 @@
         conn: ConnId,
         /// The bytes.
         data: Bytes,
+        /// The earliest time at which they may have arrived.
+        arrived_since: u64,
     },
 }
--- a/crates/net/src/limits.rs
+++ b/crates/net/src/limits.rs
@@ -5,6 +5,8 @@
 pub struct Limits {
     /// Maximum number of open connections of a listener. Further ones wait in the kernel's backlog.
     pub max_connections: usize,
+    /// Maximum number of bytes that are read at once from a plain connection, at most [`crate::MAX_READ_BYTES`].
+    pub read_bytes: usize,
     /// Maximum number of streams that are open at once on one connection.
     pub max_streams: u32,
     /// The initial flow-control window of a stream, in bytes.
@@ -24,6 +26,7 @@
     fn default() -> Limits {
         Limits {
             max_connections: 16_384,
+            read_bytes: crate::MAX_READ_BYTES,
             max_streams: 1_024,
             stream_window_bytes: 65_535,
             connection_window_bytes: 16 << 20,
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -25,8 +25,10 @@
     pub(crate) protocol: Protocol,
     /// The number of its connections that are open now.
     pub(crate) open_connection_count: usize,
-    /// It has as many open connections as its limit. The next one is accepted when one of them closes.
-    pub(crate) is_full: bool,
+    /// Since when it has had as many open connections as its limit. The next one is accepted when one of them closes.
+    pub(crate) full_since: Option<u64>,
+    /// Since when connections may wait to be accepted; `None` if none waits.
+    pub(crate) waiting_since: Option<u64>,
     /// When a failed accept is retried.
     retry_at: Option<u64>,
 }
@@ -64,7 +66,8 @@
             limits,
             protocol,
             open_connection_count: 0,
-            is_full: false,
+            full_since: None,
+            waiting_since: None,
             retry_at: None,
         })
     }
@@ -72,7 +75,16 @@
     /// Accepts the next connection, and records why there is none.
     pub(crate) fn accept(&mut self, now: u64) -> AcceptResult {
         let accepted = self.try_accept();
-        self.is_full = matches!(accepted, AcceptResult::Full);
+        match accepted {
+            AcceptResult::Full => {
+                self.full_since.get_or_insert(now);
+            }
+            AcceptResult::NoneWaiting => {
+                self.full_since = None;
+                self.waiting_since = None;
+            }
+            AcceptResult::Connection(..) | AcceptResult::Failed(_) => self.full_since = None,
+        }
         self.retry_at =
             matches!(accepted, AcceptResult::Failed(_)).then_some(now + ACCEPT_RETRY_DELAY_MICROS);
         accepted
@@ -82,6 +94,10 @@
         if self.open_connection_count >= self.limits.max_connections {
             return AcceptResult::Full;
         }
+        self.accept_from_system()
+    }
+
+    fn accept_from_system(&mut self) -> AcceptResult {
         loop {
             match self.socket.accept() {
                 Ok((stream, peer)) => return AcceptResult::Connection(stream, peer.ip()),
@@ -96,7 +112,7 @@
 
     /// Whether connections may wait in the kernel's backlog because they could not be accepted.
     pub(crate) fn may_have_backlog(&self) -> bool {
-        self.is_full || self.retry_at.is_some()
+        self.full_since.is_some() || self.retry_at.is_some()
     }
 
     /// Whether a failed accept is due for a retry.
--- a/crates/net/src/plain_connection.rs
+++ b/crates/net/src/plain_connection.rs
@@ -8,10 +8,12 @@
 use std::net::Shutdown;
 use std::sync::Arc;
 
-/// Maximum number of bytes per read. A shorter read shows that the socket was empty.
+/// Maximum number of bytes per read of any connection.
 pub const MAX_READ_BYTES: usize = 16 << 10;
+/// A shorter read that leaves nothing in the socket shows that the peer has no more to send.
+const MIN_LONG_READ_BYTES: usize = 2 << 10;
 /// A buffer without queued bytes is released if it is larger than this.
-const MAX_IDLE_BUFFER_BYTES: usize = 4 << 10;
+const MAX_IDLE_BUFFER_BYTES: usize = 512;
 /// Maximum number of reads of discarded input in one poll, so that other connections are not delayed.
 const MAX_DISCARD_READS_PER_POLL: usize = 16;
 
@@ -19,9 +21,15 @@
 pub(crate) struct PlainConnection {
     stream: Arc<TcpStream>,
     write_buffer: BytesMut,
+    /// The number of written bytes whose memory the buffer still takes.
+    released_bytes: usize,
     /// The total number of bytes written to the socket.
     pub(crate) written_bytes: u64,
     pub(crate) is_read_paused: bool,
+    /// Maximum number of bytes per read. A shorter read shows that the socket was empty.
+    max_read_bytes: usize,
+    /// Since when the socket may contain unread bytes; `None` if it was read empty and no event has followed.
+    pub(crate) unread_since: Option<u64>,
     /// Set once a lingering close has begun: the queued bytes are written, then the write side is shut down, and input is discarded
     /// until the peer shuts down its side.
     pub(crate) lingering_close: Option<LingeringClose>,
@@ -39,6 +47,8 @@
     Wait,
     Bytes {
         data: Bytes,
+        /// The earliest time at which they may have arrived, if it is known.
+        arrived_since: Option<u64>,
         /// Whether there may be more to read without waiting.
         may_have_more: bool,
     },
@@ -46,12 +56,16 @@
 }
 
 impl PlainConnection {
-    pub(crate) fn new(stream: Arc<TcpStream>) -> PlainConnection {
+    /// A connection that is read by at most `max_read_bytes` at once.
+    pub(crate) fn new(stream: Arc<TcpStream>, max_read_bytes: usize) -> PlainConnection {
         PlainConnection {
             stream,
             write_buffer: BytesMut::new(),
+            released_bytes: 0,
             written_bytes: 0,
             is_read_paused: false,
+            max_read_bytes: max_read_bytes.min(MAX_READ_BYTES),
+            unread_since: None,
             lingering_close: None,
             is_write_shut_down: false,
             has_unflushed_bytes: false,
@@ -65,6 +79,11 @@
         !std::mem::replace(&mut self.has_unflushed_bytes, true)
     }
 
+    /// The memory that the buffer of queued bytes takes.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        self.released_bytes + self.write_buffer.capacity()
+    }
+
     pub(crate) fn unsent_bytes(&self) -> usize {
         self.write_buffer.len()
     }
@@ -118,17 +137,25 @@
     fn read(&mut self) -> PlainProgress {
         let mut buffer = [0; MAX_READ_BYTES];
         loop {
-            match (&*self.stream).read(&mut buffer) {
+            match (&*self.stream).read(&mut buffer[..self.max_read_bytes]) {
                 Ok(0) => return PlainProgress::Closed(CloseReason::PeerEnded),
                 // Readiness is edge-triggered: after a short read the socket is empty, and further bytes cause a new event.
                 Ok(length) => {
+                    let arrived_since = self.unread_since;
+                    let may_have_more = length == self.max_read_bytes || self.has_peer_ended;
+                    // Behind a longer read, more may arrive as soon as the peer sees that there is room for it.
+                    if !may_have_more && length < MIN_LONG_READ_BYTES {
+                        self.unread_since = None;
+                    }
                     return PlainProgress::Bytes {
                         data: Bytes::copy_from_slice(&buffer[..length]),
-                        may_have_more: length == MAX_READ_BYTES || self.has_peer_ended,
-                    }
+                        arrived_since,
+                        may_have_more,
+                    };
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    return PlainProgress::Wait
+                    self.unread_since = None;
+                    return PlainProgress::Wait;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return PlainProgress::Closed(error.into()),
@@ -146,19 +173,28 @@
         }
         PlainProgress::Bytes {
             data: Bytes::new(),
+            arrived_since: None,
             may_have_more: true,
         }
     }
 
     /// Writes as many queued bytes as the socket accepts.
     pub(crate) fn flush(&mut self) -> io::Result<()> {
+        let queued = self.write_buffer.len();
         let result = self.write_queued();
-        if self.write_buffer.is_empty() && self.write_buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
-            self.write_buffer = BytesMut::new();
+        self.released_bytes += queued - self.write_buffer.len();
+        if self.released_bytes > self.write_buffer.len().max(MAX_IDLE_BUFFER_BYTES) {
+            self.shrink_buffer();
         }
         result
     }
 
+    /// Releases the memory of bytes that were written.
+    fn shrink_buffer(&mut self) {
+        self.write_buffer = BytesMut::from(&self.write_buffer[..]);
+        self.released_bytes = 0;
+    }
+
     fn write_queued(&mut self) -> io::Result<()> {
         while !self.write_buffer.is_empty() {
             match (&*self.stream).write(&self.write_buffer) {
--- a/crates/net/tests/listener.rs
+++ b/crates/net/tests/listener.rs
@@ -47,7 +47,7 @@
     let events = run_turns(&mut engine);
     let accepted = accepted_connections(&events);
     assert_eq!(accepted.len(), 1, "closing the first one makes room");
-    let is_request = |e: &Event| matches!(e, Event::Bytes { conn, data } if *conn == accepted[0] && &data[..] == b"request");
+    let is_request = |e: &Event| matches!(e, Event::Bytes { conn, data, .. } if *conn == accepted[0] && &data[..] == b"request");
     assert!(events.iter().any(is_request), "the request is read");
     engine.write(accepted[0], b"answer");
     run_turns(&mut engine);
--- a/crates/resp-gateway/src/counter_client.rs
+++ b/crates/resp-gateway/src/counter_client.rs
@@ -46,11 +46,17 @@
     /// Connections to an earlier address or without replies, which remain until their open calls have ended.
     retired: Vec<Connection>,
     timeout: TimeDelta,
+    /// The maximum number of calls without a reply; further calls are rejected without being sent.
+    max_pending_calls: usize,
 }
 
 impl CounterClient {
-    /// `timeout` is the time after which a call without a reply ends.
-    pub(crate) fn new(address: SocketAddr, timeout: TimeDelta) -> CounterClient {
+    /// `timeout` is the time after which a call without a reply ends, and `max_pending_calls` the maximum number of calls without one.
+    pub(crate) fn new(
+        address: SocketAddr,
+        timeout: TimeDelta,
+        max_pending_calls: usize,
+    ) -> CounterClient {
         CounterClient {
             address,
             connections: (0..CONNECTION_COUNT)
@@ -58,6 +64,7 @@
                 .collect(),
             retired: Vec::new(),
             timeout,
+            max_pending_calls,
         }
     }
 
@@ -69,6 +76,12 @@
             .any(|connection| connection.conn == Some(conn))
     }
 
+    /// The number of calls without a reply, also of those that have timed out.
+    fn pending_calls(&self) -> usize {
+        let connections = self.connections.iter().chain(&self.retired);
+        connections.map(Connection::pending_calls).sum()
+    }
+
     fn all_connections(&mut self) -> impl Iterator<Item = &mut Connection> {
         self.connections.iter_mut().chain(&mut self.retired)
     }
@@ -124,11 +137,11 @@
     ) -> CallStart {
         let now = clock::now(engine);
         let deadline = now + self.timeout;
-        let connection = &mut self.connections[(key.0 % CONNECTION_COUNT as u64) as usize];
-        if connection.is_full() {
+        if self.pending_calls() >= self.max_pending_calls {
             let result = CounterResult::without_total(key, Outcome::Rejected);
             return CallStart::Ended(result);
         }
+        let connection = &mut self.connections[(key.0 % CONNECTION_COUNT as u64) as usize];
         let mut start = CallStart::Queued;
         if connection.conn.is_none() {
             let Ok(conn) = engine.connect_plain(self.address) else {
--- a/crates/resp-gateway/src/counter_client/connection.rs
+++ b/crates/resp-gateway/src/counter_client/connection.rs
@@ -10,8 +10,6 @@
 use chalkdeck_time::Timestamp;
 use std::collections::VecDeque;
 
-/// The maximum number of calls without a reply on one connection; further calls are rejected without being sent.
-const MAX_PENDING_CALLS: usize = 4_096;
 /// The size limits of a reply.
 const REPLY_LIMITS: MessageLimits = MessageLimits {
     max_elements: 1,
@@ -70,9 +68,9 @@
         self.is_established
     }
 
-    /// Whether the connection has reached its limit of calls.
-    pub(super) fn is_full(&self) -> bool {
-        self.calls.len() >= MAX_PENDING_CALLS
+    /// The number of calls without a reply, also of those that have timed out.
+    pub(super) fn pending_calls(&self) -> usize {
+        self.calls.len()
     }
 
     /// Whether any call of the connection has not ended.
--- a/crates/resp-gateway/src/discovery.rs
+++ b/crates/resp-gateway/src/discovery.rs
@@ -24,7 +24,6 @@
 use freshness::ListFreshness;
 use http_exchange::{ConnectionReuse, Progress, MAX_RESPONSE_BYTES};
 use schedule::{CallSchedule, Room, MAX_CALLS_IN_FLIGHT};
-use serde_json::Value;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -60,6 +59,8 @@
     /// An established connection without a call, which the next call takes.
     spare: Option<ConnId>,
     schedule: CallSchedule,
+    /// The maximum length of all responses together that are not complete.
+    max_response_bytes: usize,
     /// The version that the next call requests changes of; `None` if the complete list is to be requested.
     held_version: Option<u64>,
     applied: AppliedList,
@@ -69,10 +70,12 @@
 }
 
 impl Discovery {
-    pub(crate) fn new(address: SocketAddr, timing: Timing) -> Discovery {
+    /// Holds at most `max_response_bytes` of responses that are not complete.
+    pub(crate) fn new(address: SocketAddr, timing: Timing, max_response_bytes: usize) -> Discovery {
         Discovery {
             address,
             timing,
+            max_response_bytes: max_response_bytes.min(MAX_RESPONSE_BYTES),
             calls: Vec::new(),
             spare: None,
             schedule: CallSchedule::new(timing.timeout),
@@ -280,10 +283,10 @@
         }
     }
 
-    /// Gives up the newest partial responses as long as all of them together exceed the maximum length of one.
+    /// Gives up the newest partial responses as long as all of them together exceed their maximum length.
     fn limit_partial_responses(&mut self, engine: &mut Engine) {
         let buffered = |call: &Call| call.exchange.buffered_bytes();
-        while self.calls.iter().map(buffered).sum::<usize>() > MAX_RESPONSE_BYTES {
+        while self.calls.iter().map(buffered).sum::<usize>() > self.max_response_bytes {
             let newest = self.calls.iter().rposition(|call| buffered(call) > 0);
             let Some(index) = newest else {
                 return;
@@ -329,8 +332,7 @@
         let Some(request) = call.request else {
             return Ok(Vec::new());
         };
-        let value: Value = serde_json::from_slice(call.exchange.body())?;
-        let list = endpoint_list::parse(&value, zones)?;
+        let list = endpoint_list::parse_text(call.exchange.body(), zones)?;
         let verdict = self.applied.judge(request, &list)?;
         self.record_response(now, request);
         if verdict == Verdict::Outdated {
--- a/crates/resp-gateway/src/discovery/error.rs
+++ b/crates/resp-gateway/src/discovery/error.rs
@@ -45,11 +45,11 @@
             "the agent's answer is spoilt: see its log; the gateway asks for the whole list again"
         )
     )]
-    Json(#[from] serde_json::Error),
+    Json(serde_json::Error),
     /// The body is not a valid endpoint list.
     #[error(transparent)]
     #[diagnostic(transparent)]
-    List(#[from] EndpointListError),
+    List(EndpointListError),
     /// The list is incremental and this gateway does not hold a version that it applies to.
     #[error("changes to version {found}, which is not held")]
     #[diagnostic(
@@ -61,3 +61,12 @@
         found: u64,
     },
 }
+
+impl From<EndpointListError> for DiscoveryError {
+    fn from(error: EndpointListError) -> DiscoveryError {
+        match error {
+            EndpointListError::Shape(error) if !error.is_data() => DiscoveryError::Json(error),
+            error => DiscoveryError::List(error),
+        }
+    }
+}
--- a/crates/resp-gateway/src/discovery/test_support.rs
+++ b/crates/resp-gateway/src/discovery/test_support.rs
@@ -1,6 +1,7 @@
 //! A fake discovery agent that fails in several ways, and the discovery client that calls it, on a controlled clock. All times are in
 //! microseconds.
 
+use super::http_exchange::MAX_RESPONSE_BYTES;
 use super::*;
 use chalkdeck_net::clock::{Clock, ClockJumps};
 use chalkdeck_net::{Event, Limits, ListenerId};
@@ -117,7 +118,7 @@
         let (listener, address) = engine
             .listen_plain(any, Limits::default())
             .expect("a free port");
-        let discovery = Discovery::new(address, timing);
+        let discovery = Discovery::new(address, timing, MAX_RESPONSE_BYTES);
         let mut setup = Setup {
             engine,
             jumps,
@@ -170,14 +171,14 @@
                 let action = self.discovery.on_connected(&mut self.engine, conn);
                 self.execute(action);
             }
-            Event::Bytes { conn, data } if self.agent_conns.contains(&conn) => {
+            Event::Bytes { conn, data, .. } if self.agent_conns.contains(&conn) => {
                 self.received
                     .entry(conn)
                     .or_default()
                     .extend_from_slice(&data);
                 self.on_request(conn);
             }
-            Event::Bytes { conn, data } => {
+            Event::Bytes { conn, data, .. } => {
                 let Setup {
                     discovery,
                     engine,
--- a/crates/resp-gateway/src/endpoint_connections.rs
+++ b/crates/resp-gateway/src/endpoint_connections.rs
@@ -28,10 +28,6 @@
 const MAX_LINE_BYTES: usize = 1_024;
 /// The maximum size of everything in a reply except its value.
 const REPLY_OVERHEAD_BYTES: usize = 8 << 10;
-/// The fraction of the granted memory that one value may take.
-const VALUE_MEMORY_FRACTION: f64 = 1.0 / 64.0;
-/// The fraction of the granted memory that all incomplete replies together may take.
-const PARTIAL_REPLIES_MEMORY_FRACTION: f64 = 1.0 / 8.0;
 /// The time for which a connection is not reused after a reply. A duplicate of the reply, or stray bytes after it, arrive within this time
 /// and would otherwise be taken for the reply to the next request. The latest of 69 that were observed arrived 4 ms after the reply.
 const MIN_REUSE_DELAY: TimeDelta = TimeDelta::from_millis(10);
@@ -55,22 +51,22 @@
     pool: ConnectionPool,
     max_connections: usize,
     reply_limits: MessageLimits,
-    /// The maximum total size of incomplete replies.
+    /// The maximum total size of the buffers of incomplete replies.
     max_partial_bytes: usize,
-    /// The total size of incomplete replies.
+    /// The total size of the buffers of incomplete replies.
     partial_bytes: usize,
     keep_alive: KeepAlive,
 }
 
 impl EndpointConnections {
-    /// `memory_bytes` is the granted memory. `idle_timeout` is the idle time after which endpoints close a connection; `None` if they
+    /// At most `max_value_bytes` are taken of one value, and `max_partial_bytes` of all incomplete replies. `idle_timeout` is the idle time after which endpoints close a connection; `None` if they
     /// never do.
     pub(crate) fn new(
         max_connections: usize,
-        memory_bytes: f64,
+        max_value_bytes: usize,
+        max_partial_bytes: usize,
         idle_timeout: Option<TimeDelta>,
     ) -> EndpointConnections {
-        let max_value_bytes = (memory_bytes * VALUE_MEMORY_FRACTION) as usize;
         EndpointConnections {
             addresses: FxHashMap::default(),
             pool: ConnectionPool::default(),
@@ -82,7 +78,7 @@
                 max_message_bytes: max_value_bytes + REPLY_OVERHEAD_BYTES,
                 accepts_inline: false,
             },
-            max_partial_bytes: (memory_bytes * PARTIAL_REPLIES_MEMORY_FRACTION) as usize,
+            max_partial_bytes,
             partial_bytes: 0,
             keep_alive: KeepAlive::new(idle_timeout),
         }
@@ -213,9 +209,7 @@
     /// Removes a connection from the pool and its incomplete reply from the total size.
     fn remove(&mut self, conn: ConnId) -> Option<Connection> {
         let connection = self.pool.remove(conn)?;
-        self.partial_bytes = self
-            .partial_bytes
-            .saturating_sub(connection.partial_reply.len());
+        self.partial_bytes = self.partial_bytes.saturating_sub(connection.counted_bytes);
         Some(connection)
     }
 
@@ -275,19 +269,21 @@
             self.close(engine, conn);
             return None;
         }
-        let counted_bytes = connection.partial_reply.len();
+        let counted_before = std::mem::take(&mut connection.counted_bytes);
+        self.partial_bytes = self.partial_bytes.saturating_sub(counted_before);
         connection.partial_reply.extend_from_slice(data);
+        let buffer_bytes = connection.partial_reply.capacity();
         let reply = match take_reply(&mut connection.partial_reply, &self.reply_limits) {
             ParsedReply::Incomplete
-                if self.partial_bytes + data.len() <= self.max_partial_bytes =>
+                if self.partial_bytes + buffer_bytes <= self.max_partial_bytes =>
             {
-                self.partial_bytes += data.len();
+                connection.counted_bytes = buffer_bytes;
+                self.partial_bytes += buffer_bytes;
                 return None;
             }
             ParsedReply::Incomplete | ParsedReply::Invalid(_) => EndpointReply::Invalid,
             ParsedReply::Complete(frame) => endpoint_reply::parse(frame),
         };
-        self.partial_bytes = self.partial_bytes.saturating_sub(counted_bytes);
         self.on_reply(engine, conn, reply)
     }
 
--- a/crates/resp-gateway/src/endpoint_connections/connection.rs
+++ b/crates/resp-gateway/src/endpoint_connections/connection.rs
@@ -24,6 +24,8 @@
     pub(super) address: SocketAddr,
     /// The received bytes of a reply that is not complete yet.
     pub(super) partial_reply: BytesMut,
+    /// What is counted of the memory that its buffer takes.
+    pub(super) counted_bytes: usize,
     pub(super) active: Option<ActiveAttempt>,
     /// When the connection last became idle; `None` if it has completed no attempt yet.
     pub(super) idle_since: Option<Timestamp>,
@@ -42,6 +44,7 @@
             endpoint,
             address,
             partial_reply: BytesMut::new(),
+            counted_bytes: 0,
             active: Some(attempt),
             idle_since: None,
             late_since: None,
--- a/crates/resp-gateway/src/endpoint_connections/late_connection_tests.rs
+++ b/crates/resp-gateway/src/endpoint_connections/late_connection_tests.rs
@@ -13,7 +13,7 @@
 
 const ENDPOINT: EndpointId = EndpointId(1);
 const MAX_CONNECTIONS: usize = 8;
-const MEMORY_BYTES: f64 = 32e6;
+const MEMORY_BYTES: usize = 32_000_000;
 /// The longest wait for the system to try to establish the connection again.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 
@@ -89,7 +89,8 @@
             backlog.push(stream);
         }
         let mut engine = Engine::new().expect("a poll handle");
-        let mut connections = EndpointConnections::new(MAX_CONNECTIONS, MEMORY_BYTES, None);
+        let mut connections =
+            EndpointConnections::new(MAX_CONNECTIONS, MEMORY_BYTES, MEMORY_BYTES, None);
         connections.apply_update(&mut engine, &list(address, EndpointState::InService));
         Setup {
             engine,
--- a/crates/resp-gateway/src/endpoint_list.rs
+++ b/crates/resp-gateway/src/endpoint_list.rs
@@ -109,7 +109,24 @@
     value: &Value,
     zones: &mut HashMap<String, u32>,
 ) -> Result<EndpointList, EndpointListError> {
-    let list = WireList::deserialize(value)?;
+    from_wire(&WireList::deserialize(value)?, zones)
+}
+
+/// Parses the text of a list, as [`parse`] does, without the intermediate form of a JSON value, which takes several times its length.
+///
+/// # Errors
+/// See [`parse`].
+pub fn parse_text(
+    text: &[u8],
+    zones: &mut HashMap<String, u32>,
+) -> Result<EndpointList, EndpointListError> {
+    from_wire(&serde_json::from_slice(text)?, zones)
+}
+
+fn from_wire(
+    list: &WireList,
+    zones: &mut HashMap<String, u32>,
+) -> Result<EndpointList, EndpointListError> {
     if list.endpoints.len() > MAX_ENDPOINTS {
         return Err(EndpointListError::TooMany(list.endpoints.len()));
     }
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod endpoint_list;
 mod endpoint_reply;
 mod memory_budget;
+mod memory_plan;
 pub mod request;
 mod server;
 mod sessions;
--- a/crates/resp-gateway/src/memory_budget.rs
+++ b/crates/resp-gateway/src/memory_budget.rs
@@ -7,7 +7,7 @@
 /// The fraction of the memory that is guaranteed to all sessions together; the rest is the pool.
 const GUARANTEED_FRACTION: f64 = 0.25;
 /// How far replies that are larger than expected may exceed the memory, as a fraction of it.
-const REPLY_OVERRUN_FRACTION: f64 = 0.25;
+pub(crate) const REPLY_OVERRUN_FRACTION: f64 = 0.25;
 
 /// The memory of all client sessions, in bytes.
 #[derive(Debug)]
@@ -42,6 +42,16 @@
         from_pool == 0 || from_pool <= free
     }
 
+    /// What each session may take in any case.
+    pub(crate) fn guaranteed(&self) -> usize {
+        self.guaranteed
+    }
+
+    /// Whether sessions take more than they may, together.
+    pub(crate) fn is_exceeded(&self) -> bool {
+        self.used > self.max_used
+    }
+
     /// Whether a reply of this size may be kept until the replies before it are known.
     pub(crate) fn allows_reply(&self, bytes: usize) -> bool {
         self.used + bytes <= self.max_used
--- a/crates/resp-gateway/src/server.rs
+++ b/crates/resp-gateway/src/server.rs
@@ -82,6 +82,8 @@
     /// The timers that the decision engine has set.
     decision_timers: FxHashMap<TimerId, TimerToken>,
     sessions: Sessions,
+    /// How many further commands are handled before the sockets are polled again.
+    commands_left_in_turn: usize,
     requests: FxHashMap<RequestId, OpenRequest>,
     /// Open requests by the ids that their clients chose.
     requests_by_client_id: FxHashMap<Bytes, RequestId>,
--- a/crates/resp-gateway/src/server/event_loop.rs
+++ b/crates/resp-gateway/src/server/event_loop.rs
@@ -8,11 +8,16 @@
 use chalkdeck::api::Event;
 use chalkdeck_net::timer_queue::TimerToken;
 use chalkdeck_net::{CloseReason, ConnId, Event as NetEvent};
-use chalkdeck_time::TimeDelta;
+use chalkdeck_time::{TimeDelta, Timestamp};
 use std::io;
 
 /// How often connections are checked for time-outs.
 const SWEEP_INTERVAL: TimeDelta = TimeDelta::from_millis(250);
+/// The number of commands that are handled for the events of one poll, and again for the connections that are queued, before the sockets are
+/// polled again.
+const MAX_COMMANDS_PER_TURN: usize = 128;
+/// The number of commands of one connection that are handled at once. The others follow in its next turn.
+const MAX_COMMANDS_AT_ONCE: usize = 16;
 
 impl GatewayServer {
     /// Waits for events for at most `max_wait` microseconds, and handles them.
@@ -29,27 +34,49 @@
             max_wait
         };
         self.engine.turn(max_wait, &mut events)?;
+        self.commands_left_in_turn = MAX_COMMANDS_PER_TURN;
         for event in events.drain(..) {
             self.on_event(event);
             self.execute_actions();
         }
         self.net_events = events;
-        // Each resumed connection is handled once per turn, so that a long pipeline does not starve other clients.
-        for conn in self.sessions.take_connections_to_resume(&self.engine) {
-            self.handle_commands(conn);
-            self.execute_actions();
-        }
+        self.resume_connections();
         self.sessions.flush_blocked_writes(&mut self.engine);
         self.sessions.close_idle(&mut self.engine);
+        self.sessions.evict_over_memory(&mut self.engine);
         self.sessions.evict_excess(&mut self.engine);
         Ok(())
     }
 
+    /// Handles further commands of the connections that are queued, each in its turn and with an even part of what is handled before the
+    /// sockets are polled again, so that neither a long pipeline nor many of them delay other clients.
+    fn resume_connections(&mut self) {
+        self.sessions
+            .queue_connections_waiting_for_memory(&self.engine);
+        self.commands_left_in_turn = MAX_COMMANDS_PER_TURN;
+        let queued = self.sessions.connections_to_resume();
+        let even_part = MAX_COMMANDS_PER_TURN / queued.max(1);
+        let max_commands = even_part.clamp(1, MAX_COMMANDS_AT_ONCE);
+        for _ in 0..queued {
+            if self.commands_left_in_turn == 0 {
+                return;
+            }
+            if let Some(conn) = self.sessions.next_connection_to_resume() {
+                self.handle_commands(conn, max_commands);
+                self.execute_actions();
+            }
+        }
+    }
+
     fn on_event(&mut self, event: NetEvent) {
         match event {
             NetEvent::Accepted { conn, .. } => self.sessions.on_accepted(&self.engine, conn),
             NetEvent::Connected { conn } => self.on_connected(conn),
-            NetEvent::Bytes { conn, data } => self.on_bytes(conn, &data),
+            NetEvent::Bytes {
+                conn,
+                data,
+                arrived_since,
+            } => self.on_bytes(conn, &data, Timestamp::from_micros(arrived_since)),
             NetEvent::Closed {
                 conn,
                 unsent_bytes: unsent,
@@ -75,11 +102,12 @@
         }
     }
 
-    fn on_bytes(&mut self, conn: ConnId, data: &[u8]) {
+    fn on_bytes(&mut self, conn: ConnId, data: &[u8], arrived_since: Timestamp) {
         self.engine.mark_handled(conn);
         if self.sessions.owns(conn) {
-            self.sessions.on_bytes(&mut self.engine, conn, data);
-            self.handle_commands(conn);
+            self.sessions
+                .on_bytes(&mut self.engine, conn, data, arrived_since);
+            self.handle_commands(conn, MAX_COMMANDS_AT_ONCE);
         } else if self.endpoints.owns(conn) {
             let end = self.endpoints.on_bytes(&mut self.engine, conn, data);
             self.on_attempt_ended(end);
--- a/crates/resp-gateway/src/server/requests.rs
+++ b/crates/resp-gateway/src/server/requests.rs
@@ -9,15 +9,13 @@
 use chalkdeck_net::ConnId;
 use chalkdeck_resp::Frame;
 
-/// The number of commands of one connection that are handled in one turn of the event loop.
-const MAX_COMMANDS_PER_TURN: usize = 16;
-
 impl GatewayServer {
-    /// Handles some of the commands that a connection has received, until flow control blocks it. The others follow in the next turn, so
-    /// that many commands at once do not delay those of other clients.
-    pub(super) fn handle_commands(&mut self, conn: ConnId) {
+    /// Handles at most `max_commands` of the commands that a connection has received, until flow control blocks it. The others follow in its
+    /// next turn, so that many commands at once do not delay those of other clients.
+    pub(super) fn handle_commands(&mut self, conn: ConnId, max_commands: usize) {
+        let max_commands = max_commands.min(self.commands_left_in_turn);
         let mut handled = 0;
-        while handled < MAX_COMMANDS_PER_TURN {
+        while handled < max_commands {
             let Some(command) = self.sessions.next_command(&mut self.engine, conn) else {
                 break;
             };
@@ -27,7 +25,8 @@
             }
             handled += 1;
         }
-        if handled == MAX_COMMANDS_PER_TURN {
+        self.commands_left_in_turn -= handled;
+        if handled == max_commands {
             self.sessions.continue_in_next_turn(&mut self.engine, conn);
         }
         self.sessions.flush(&mut self.engine, conn);
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -7,6 +7,7 @@
 use crate::counter_client::CounterClient;
 use crate::discovery::{Discovery, Timing, MAX_DISCOVERY_CONNECTIONS};
 use crate::endpoint_connections::EndpointConnections;
+use crate::memory_plan::MemoryPlan;
 use crate::sessions::Sessions;
 use chalkdeck::api::{RequestId, SettingsError};
 use chalkdeck::{DecisionEngine, DecisionQueue};
@@ -25,14 +26,6 @@
 const CLIENT_PERCENT: usize = 55;
 /// Client connections that are accepted beyond the limit, so that a new one can replace an idle one.
 const EXTRA_CLIENT_CONNECTIONS: usize = RESERVED_DESCRIPTORS / 4;
-/// The fraction of the granted memory that client sessions may take: what they sent, their open requests and the replies to them.
-const SESSIONS_MEMORY_FRACTION: f64 = 0.5;
-/// The fraction of the granted memory that the state of customers may take.
-const CUSTOMERS_MEMORY_FRACTION: f64 = 0.125;
-/// The memory that the state of one customer takes at most, with its part of the free places of the table.
-const CUSTOMER_BYTES: f64 = 1_280.0;
-/// Bytes in a megabyte.
-const BYTES_PER_MB: f64 = 1e6;
 
 /// Why a gateway fails to start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
@@ -117,13 +110,15 @@
     fn bind(mut config: Config, clock: Clock) -> Result<GatewayServer, StartError> {
         let discovery_timing = Timing::new(config.drain_grace);
         config.named_settings.settings.max_list_age = Some(discovery_timing.max_list_age);
-        let memory_bytes = config.limits.memory_mb * BYTES_PER_MB;
-        let max_customers = memory_bytes * CUSTOMERS_MEMORY_FRACTION / CUSTOMER_BYTES;
-        config.named_settings.settings.max_customers = Some(max_customers as usize);
+        let memory = MemoryPlan::new(&config.limits);
+        config.named_settings.settings.max_customers = Some(memory.max_customers);
         let mut engine = Engine::with_clock(clock).map_err(StartError::Poll)?;
         let limits = ConnectionLimits::new(config.limits.sockets);
+        let sessions = Sessions::new(limits.clients, memory.sessions);
+        engine.set_read_bytes_per_turn(memory.reads_per_turn);
         let listen_limits = Limits {
             max_connections: limits.clients + EXTRA_CLIENT_CONNECTIONS,
+            read_bytes: sessions.read_bytes(),
             ..Limits::default()
         };
         let address = config.listen;
@@ -131,7 +126,6 @@
             .listen_plain(address, listen_limits)
             .map_err(|source| StartError::Listen { address, source })?;
         let decision_engine = DecisionEngine::new(config.seed, config.settings().clone())?;
-        let session_bytes = (memory_bytes * SESSIONS_MEMORY_FRACTION) as usize;
         let counter_timeout = config.settings().counter_timeout;
         Ok(GatewayServer {
             engine,
@@ -142,21 +136,23 @@
             timers: TimerQueue::<TimerPurpose>::default(),
             attempt_timers: FxHashMap::default(),
             decision_timers: FxHashMap::default(),
-            sessions: Sessions::new(limits.clients, session_bytes),
+            sessions,
+            commands_left_in_turn: 0,
             requests: FxHashMap::default(),
             requests_by_client_id: FxHashMap::default(),
             abandoned_ids: AbandonedIds::new(longest_deadline(config.settings())),
             last_request: RequestId(0),
             endpoints: EndpointConnections::new(
                 limits.endpoints,
-                memory_bytes,
+                memory.reply_value,
+                memory.partial_replies,
                 config.endpoint_idle_timeout,
             ),
-            counter: config
-                .counter
-                .map(|address| CounterClient::new(address, counter_timeout)),
+            counter: config.counter.map(|address| {
+                CounterClient::new(address, counter_timeout, memory.max_counter_calls)
+            }),
             is_counter_timer_set: false,
-            discovery: Discovery::new(config.discovery, discovery_timing),
+            discovery: Discovery::new(config.discovery, discovery_timing, memory.discovery),
             net_events: Vec::new(),
             shutdown_requested_at: None,
             config,
--- a/crates/resp-gateway/src/sessions.rs
+++ b/crates/resp-gateway/src/sessions.rs
@@ -17,6 +17,7 @@
 use crate::client_replies;
 use crate::clock;
 use crate::memory_budget::MemoryBudget;
+use crate::memory_plan::CUSTOMER_BYTES;
 use bytes::{Bytes, BytesMut};
 use chalkdeck::api::RequestId;
 use chalkdeck_net::{ConnId, Engine, MAX_READ_BYTES};
@@ -27,8 +28,9 @@
 use chalkdeck_time::Timestamp;
 use overdue_commands::OverdueCommands;
 use reply_sizes::ReplySizes;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use session::Session;
+use std::collections::VecDeque;
 
 /// The size limits of a command: a body of up to 64 KiB, besides the customer, the id and the list of fields.
 const COMMAND_LIMITS: MessageLimits = MessageLimits {
@@ -49,14 +51,18 @@
     pub(crate) is_overdue: bool,
 }
 
-/// What an open request takes besides its command, in bytes: its state here, in the decision engine and at the counter.
-const REQUEST_STATE_BYTES: usize = 1 << 10;
+/// What an open request takes besides its command and its customer, in bytes: its state here, in the decision engine and at the counter,
+/// with its timers and its attempts.
+const REQUEST_STATE_BYTES: usize = 1_792;
+/// The least number of bytes that are read from a connection at once.
+const MIN_READ_BYTES: usize = 1 << 10;
 /// Replies are encoded and written in batches of about this size.
 const WRITE_BATCH_BYTES: usize = 16 << 10;
 
-/// What an open request takes: its command, the copy of it that is written to an endpoint, its state and the expected reply.
+/// What an open request takes: its command, the copy of it that is written to an endpoint, its state, that of its customer, which cannot be
+/// dropped meanwhile, and the expected reply.
 fn request_bytes(command_bytes: usize, expected_reply_bytes: usize) -> usize {
-    2 * command_bytes + REQUEST_STATE_BYTES + expected_reply_bytes
+    2 * command_bytes + REQUEST_STATE_BYTES + CUSTOMER_BYTES + expected_reply_bytes
 }
 
 /// What a reply takes until it is sent.
@@ -73,9 +79,11 @@
     /// Above this number connections are evicted.
     max_sessions: usize,
     budget: MemoryBudget,
+    /// Maximum number of bytes that are read from a connection at once.
+    read_bytes: usize,
     reply_sizes: ReplySizes,
-    /// Blocked connections that are to be resumed, each at most once.
-    resume_queue: Vec<ConnId>,
+    /// Connections whose commands are handled on, each at most once, in the order of their turns.
+    resume_queue: VecDeque<ConnId>,
     /// Connections that are paused until memory is free.
     waiting_for_memory: Vec<ConnId>,
     /// When the connections that wait for memory were checked last.
@@ -90,12 +98,14 @@
 impl Sessions {
     /// Creates the state of at most `max_sessions` sessions, which may take `memory_bytes` together.
     pub(crate) fn new(max_sessions: usize, memory_bytes: usize) -> Sessions {
+        let budget = MemoryBudget::new(memory_bytes, max_sessions);
         Sessions {
             by_conn: FxHashMap::default(),
             max_sessions,
-            budget: MemoryBudget::new(memory_bytes, max_sessions),
+            read_bytes: budget.guaranteed().clamp(MIN_READ_BYTES, MAX_READ_BYTES),
+            budget,
             reply_sizes: ReplySizes::default(),
-            resume_queue: Vec::new(),
+            resume_queue: VecDeque::new(),
             waiting_for_memory: Vec::new(),
             memory_checked_at: Timestamp::ZERO,
             blocked_writes: Vec::new(),
@@ -104,6 +114,12 @@
         }
     }
 
+    /// Maximum number of bytes to read from a connection at once, so that what is read without permission stays within the guaranteed part of
+    /// a session.
+    pub(crate) fn read_bytes(&self) -> usize {
+        self.read_bytes
+    }
+
     /// Whether this is the connection of a client.
     pub(crate) fn owns(&self, conn: ConnId) -> bool {
         self.by_conn.contains_key(&conn)
@@ -115,8 +131,14 @@
         self.by_conn.insert(conn, Session::accepted(now));
     }
 
-    /// Stores received bytes, unless the connection is not read any more.
-    pub(crate) fn on_bytes(&mut self, engine: &mut Engine, conn: ConnId, data: &[u8]) {
+    /// Stores received bytes, unless the connection is not read any more. `arrived_since` is the earliest time at which they may have arrived.
+    pub(crate) fn on_bytes(
+        &mut self,
+        engine: &mut Engine,
+        conn: ConnId,
+        data: &[u8],
+        arrived_since: Timestamp,
+    ) {
         let now = clock::now(engine);
         let Some(session) = self.by_conn.get_mut(&conn).filter(|s| !s.is_read_closed) else {
             return;
@@ -126,13 +148,8 @@
         let kept = &data[discarded..];
         session.bytes.extend_from_slice(kept);
         session.last_active_at = now;
-        let received_at = session.unread_since.unwrap_or(now);
-        session.arrival_times.on_received(kept.len(), received_at);
-        if data.len() >= MAX_READ_BYTES {
-            session.unread_since.get_or_insert(now);
-        } else {
-            flow_control::clear_unread_since_if_empty(engine, conn, session);
-        }
+        session.arrival_times.on_received(kept.len(), arrived_since);
+        engine.check_unread(conn);
         flow_control::update_budget(&mut self.budget, engine, conn, session);
     }
 
@@ -153,14 +170,12 @@
             return None;
         }
         if flow_control::exceeds_limits(session, unsent) {
-            flow_control::block(engine, conn, session, &self.budget);
+            flow_control::block(engine, conn, session, &self.budget, self.read_bytes);
             return None;
         }
         let now = clock::now(engine);
-        if session.may_have_left(now) {
-            flow_control::clear_unread_since_if_empty(engine, conn, session);
-        }
-        let is_overdue = session.may_have_left(now) || session.has_waited_for_memory(now);
+        let is_overdue =
+            flow_control::may_have_left(engine, conn) || session.has_waited_for_memory(now);
         match command_size(&session.bytes, &COMMAND_LIMITS) {
             CommandSize::Known(bytes) => {
                 let expected = self.reply_sizes.expected_for(session);
@@ -226,9 +241,12 @@
         };
         flow_control::shrink_buffer(session);
         let missing = bytes.saturating_sub(session.bytes.len());
-        let additional = bytes.saturating_sub(session.bytes.capacity());
-        let is_allowed =
-            bytes <= MAX_READ_BYTES || self.budget.allows(session.held_bytes, additional);
+        let next_size = bytes.max(self.read_bytes);
+        let additional = next_size.saturating_sub(session.bytes.capacity());
+        // A command that may be short is always read, but not beside open requests without room for it.
+        let is_short = bytes <= self.read_bytes;
+        let is_allowed = is_short && (session.open_requests.is_empty() || is_overdue)
+            || self.budget.allows(session.held_bytes, additional);
         if !is_allowed && !is_overdue {
             self.update_budget(engine, conn);
             return self.wait_for_memory(engine, conn, false);
@@ -256,7 +274,7 @@
         session.is_blocked = is_complete;
         let now = clock::now(engine);
         session.memory_missing_since.get_or_insert(now);
-        flow_control::pause_reading(engine, conn, session);
+        engine.set_read_paused(conn, true);
         if !std::mem::replace(&mut session.is_waiting_for_memory, true) {
             self.waiting_for_memory.push(conn);
         }
@@ -284,6 +302,9 @@
     pub(crate) fn on_request_ended(&mut self, conn: ConnId, id: RequestId, request_bytes: usize) {
         if let Some(session) = self.by_conn.get_mut(&conn) {
             session.open_requests.remove(&id);
+            if session.open_requests.is_empty() {
+                session.open_requests = FxHashSet::default();
+            }
             session.open_bytes = session.open_bytes.saturating_sub(request_bytes);
         }
     }
--- a/crates/resp-gateway/src/sessions/eviction.rs
+++ b/crates/resp-gateway/src/sessions/eviction.rs
@@ -37,6 +37,40 @@
 }
 
 impl Sessions {
+    /// Evicts the clients that have accepted least of the replies to them, until all sessions take no more memory than they may together.
+    pub(crate) fn evict_over_memory(&mut self, engine: &mut Engine) {
+        while self.budget.is_exceeded() {
+            let unsent = |conn: &ConnId| (engine.unsent_bytes(*conn), *conn);
+            let Some((unsent_bytes, conn)) = self.by_conn.keys().map(unsent).max() else {
+                return;
+            };
+            if unsent_bytes == 0 {
+                return;
+            }
+            tracing::warn!(
+                conn = conn.0,
+                unsent_bytes,
+                session_bytes = self.budget.used(),
+                "client connection closed: it does not read its replies and memory is short"
+            );
+            self.close(engine, conn);
+        }
+    }
+
+    /// Closes the connection of a session. If the session has open requests, it stays until the event loop reports the connection as closed,
+    /// which ends them.
+    fn close(&mut self, engine: &mut Engine, conn: ConnId) {
+        engine.close(conn);
+        let Some(session) = self.by_conn.get_mut(&conn) else {
+            return;
+        };
+        self.budget
+            .update(std::mem::take(&mut session.held_bytes), 0);
+        if session.open_requests.is_empty() {
+            self.by_conn.remove(&conn);
+        }
+    }
+
     /// Evicts connections until there are no more than the limit, or none can be evicted without a loss. Called once per turn, after
     /// everything that the turn received was handled.
     pub(crate) fn evict_excess(&mut self, engine: &mut Engine) {
@@ -45,8 +79,7 @@
             return;
         }
         for conn in self.evictable(engine, excess) {
-            self.remove(conn);
-            engine.close(conn);
+            self.close(engine, conn);
         }
     }
 
@@ -90,8 +123,7 @@
             EvictionGroup::Ending
         });
     }
-    // The bytes of a blocked connection may contain a complete command.
-    let is_owed = session.replies.pending() > 0 || session.is_blocked;
+    let is_owed = session.replies.pending() > 0 || session.may_hold_command();
     if is_owed || session.is_new(now) || !engine.flush(conn) {
         return None;
     }
--- a/crates/resp-gateway/src/sessions/eviction_tests.rs
+++ b/crates/resp-gateway/src/sessions/eviction_tests.rs
@@ -34,7 +34,8 @@
 
     fn receive(&mut self, conn: ConnId, bytes: &[u8]) -> Option<ReplySlot> {
         let engine = &mut self.test_loop.engine;
-        self.sessions.on_bytes(engine, conn, bytes);
+        let now = clock::now(engine);
+        self.sessions.on_bytes(engine, conn, bytes, now);
         let command = self.sessions.next_command(engine, conn);
         self.sessions.flush(engine, conn);
         command.map(|command| command.slot)
--- a/crates/resp-gateway/src/sessions/flow_control.rs
+++ b/crates/resp-gateway/src/sessions/flow_control.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::memory_budget::MemoryBudget;
 use bytes::BytesMut;
-use chalkdeck_net::{ConnId, Engine, MAX_READ_BYTES};
+use chalkdeck_net::{ConnId, Engine};
 use chalkdeck_time::TimeDelta;
 
 /// The number of commands with pending replies on one connection at which no further one is taken.
@@ -17,6 +17,9 @@
 const MAX_UNSENT_BYTES: usize = 256 << 10;
 /// How much is read from a connection that is blocked, unless memory is short.
 const MAX_BYTES_AHEAD: usize = 64 << 10;
+/// The longest time for which a command may wait unread and still be begun. The platform allows no attempt that begins later than 0.1 s
+/// after its client has closed the connection.
+const MAX_UNREAD_TIME: TimeDelta = TimeDelta::from_millis(75);
 /// A consumed part of a receive buffer is kept if it is smaller.
 const MIN_RELEASED_BYTES: usize = 4 << 10;
 /// The interval at which connections that wait for memory are checked.
@@ -44,16 +47,19 @@
         let session = self.by_conn.get_mut(&conn);
         if let Some(session) = session.filter(|session| !session.is_queued_to_resume) {
             session.is_queued_to_resume = true;
-            self.resume_queue.push(conn);
+            self.resume_queue.push_back(conn);
         }
     }
 
-    /// Queues a connection with further commands for the next turn. Nothing more is read from it while many bytes wait to be handled.
+    /// Queues a connection with further commands for the next turn. Nothing more is read from it while many bytes wait to be handled, or
+    /// without memory for them.
     pub(crate) fn continue_in_next_turn(&mut self, engine: &mut Engine, conn: ConnId) {
         self.queue_for_next_turn(conn);
         if let Some(session) = self.by_conn.get_mut(&conn) {
-            if session.bytes.len() >= MAX_BYTES_AHEAD {
-                pause_reading(engine, conn, session);
+            let has_room = session.bytes.len() < MAX_BYTES_AHEAD
+                && self.budget.allows(session.held_bytes, self.read_bytes);
+            if !has_room {
+                engine.set_read_paused(conn, true);
             }
         }
     }
@@ -68,28 +74,35 @@
         !self.waiting_for_memory.is_empty()
     }
 
-    /// Takes the connections that are queued to be resumed, in the order in which they were queued, and at an interval those that wait
-    /// for memory, the one that takes least first.
-    pub(crate) fn take_connections_to_resume(&mut self, engine: &Engine) -> Vec<ConnId> {
-        let mut resumed = std::mem::take(&mut self.resume_queue);
-        for conn in &resumed {
-            if let Some(session) = self.by_conn.get_mut(conn) {
-                session.is_queued_to_resume = false;
-            }
-        }
+    /// Queues the connections that wait for memory, at an interval, the one that takes least first.
+    pub(crate) fn queue_connections_waiting_for_memory(&mut self, engine: &Engine) {
         let now = clock::now(engine);
-        if now >= self.memory_checked_at + MEMORY_CHECK_INTERVAL {
-            self.memory_checked_at = now;
-            let mut waiting = std::mem::take(&mut self.waiting_for_memory);
-            waiting.sort_by_key(|conn| self.by_conn.get(conn).map(|session| session.held_bytes));
-            for conn in &waiting {
-                if let Some(session) = self.by_conn.get_mut(conn) {
-                    session.is_waiting_for_memory = false;
-                }
+        if now < self.memory_checked_at + MEMORY_CHECK_INTERVAL {
+            return;
+        }
+        self.memory_checked_at = now;
+        let mut waiting = std::mem::take(&mut self.waiting_for_memory);
+        waiting.sort_by_key(|conn| self.by_conn.get(conn).map(|session| session.held_bytes));
+        for conn in waiting {
+            if let Some(session) = self.by_conn.get_mut(&conn) {
+                session.is_waiting_for_memory = false;
             }
-            resumed.extend(waiting);
+            self.queue_for_next_turn(conn);
+        }
+    }
+
+    /// The number of connections that are queued to be resumed.
+    pub(crate) fn connections_to_resume(&self) -> usize {
+        self.resume_queue.len()
+    }
+
+    /// Takes the connection that is the next to be resumed.
+    pub(crate) fn next_connection_to_resume(&mut self) -> Option<ConnId> {
+        let conn = self.resume_queue.pop_front()?;
+        if let Some(session) = self.by_conn.get_mut(&conn) {
+            session.is_queued_to_resume = false;
         }
-        resumed
+        Some(conn)
     }
 
     /// Records in the memory budget what a session takes now.
@@ -114,7 +127,7 @@
     conn: ConnId,
     session: &mut Session,
 ) {
-    let held = session.bytes_taken(engine.unsent_bytes(conn));
+    let held = session.bytes_taken(engine.write_buffer_bytes(conn));
     budget.update(session.held_bytes, held);
     session.held_bytes = held;
 }
@@ -146,35 +159,25 @@
     conn: ConnId,
     session: &mut Session,
     budget: &MemoryBudget,
+    read_bytes: usize,
 ) {
     session.is_blocked = true;
     let has_room = session.bytes.len() < MAX_BYTES_AHEAD
         && !session.is_waiting_for_memory
-        && budget.allows(session.held_bytes, MAX_READ_BYTES);
+        && budget.allows(session.held_bytes, read_bytes);
     if !has_room {
-        pause_reading(engine, conn, session);
+        engine.set_read_paused(conn, true);
     }
 }
 
-/// Pauses reading from a connection.
-pub(super) fn pause_reading(engine: &mut Engine, conn: ConnId, session: &mut Session) {
-    session.unread_since.get_or_insert(clock::now(engine));
-    engine.set_read_paused(conn, true);
-}
-
 /// Reads from a connection and takes its commands again.
 pub(super) fn resume(engine: &mut Engine, conn: ConnId, session: &mut Session) {
     session.is_blocked = false;
     engine.set_read_paused(conn, false);
 }
 
-/// Clears `unread_since` if the socket is empty: everything that arrived has been read, and the connection has not ended.
-pub(super) fn clear_unread_since_if_empty(
-    engine: &mut Engine,
-    conn: ConnId,
-    session: &mut Session,
-) {
-    if session.unread_since.is_some() && engine.is_idle(conn) {
-        session.unread_since = None;
-    }
+/// Whether the client may have left unnoticed: its socket was not empty for a while, and the end of the connection may wait behind unread
+/// bytes.
+pub(super) fn may_have_left(engine: &mut Engine, conn: ConnId) -> bool {
+    engine.has_unread_for(conn, MAX_UNREAD_TIME.as_micros())
 }
--- a/crates/resp-gateway/src/sessions/session.rs
+++ b/crates/resp-gateway/src/sessions/session.rs
@@ -16,9 +16,6 @@
 const IDLE_TIMEOUT: TimeDelta = TimeDelta::from_secs(10);
 /// The time after which a connection is closed whose client accepts no byte of its replies.
 const WRITE_TIMEOUT: TimeDelta = TimeDelta::from_secs(10);
-/// The longest time for which a command may wait unread and still be begun. The platform allows no attempt that begins later than 0.1 s
-/// after its client has closed the connection.
-const MAX_UNREAD_TIME: TimeDelta = TimeDelta::from_millis(75);
 /// The longest time for which a command waits for memory before it is rejected.
 const MAX_MEMORY_WAIT: TimeDelta = TimeDelta::from_millis(250);
 /// The time that a new connection has to send its first command before it counts as idle.
@@ -66,10 +63,8 @@
     /// When bytes were last received, a reply was last queued, or the client was last seen to accept bytes of one that it had not
     /// accepted whole.
     pub(super) last_active_at: Timestamp,
-    /// When `bytes` were received, or when reading was paused if they may have waited in the socket since then.
+    /// When `bytes` arrived, at the earliest.
     pub(super) arrival_times: ArrivalTimes,
-    /// Since when the socket may contain unread bytes, and behind them the end of the connection; `None` after it was read empty.
-    pub(super) unread_since: Option<Timestamp>,
     /// Set while the client has not accepted all its replies.
     blocked_write: Option<WriteProgress>,
 }
@@ -83,16 +78,13 @@
         }
     }
 
-    /// What the session takes, with this number of reply bytes that its client has not accepted.
-    pub(super) fn bytes_taken(&self, unsent: usize) -> usize {
-        self.consumed_bytes + self.bytes.capacity() + self.open_bytes + self.ready_bytes + unsent
-    }
-
-    /// Whether the client may have left unnoticed: its socket was not empty for a while, and the end of the connection may wait behind
-    /// unread bytes.
-    pub(super) fn may_have_left(&self, now: Timestamp) -> bool {
-        self.unread_since
-            .is_some_and(|since| now >= since + MAX_UNREAD_TIME)
+    /// What the session takes, with the memory of replies that its client has not accepted.
+    pub(super) fn bytes_taken(&self, write_buffer_bytes: usize) -> usize {
+        self.consumed_bytes
+            + self.bytes.capacity()
+            + self.open_bytes
+            + self.ready_bytes
+            + write_buffer_bytes
     }
 
     /// Whether the next command has waited too long for memory.
@@ -101,6 +93,11 @@
             .is_some_and(|since| now >= since + MAX_MEMORY_WAIT)
     }
 
+    /// Whether `bytes` may contain a complete command that is not taken yet.
+    pub(super) fn may_hold_command(&self) -> bool {
+        self.is_blocked || self.is_queued_to_resume
+    }
+
     /// Whether the client has no pending reply and has not begun a command.
     pub(super) fn is_between_requests(&self) -> bool {
         self.replies.pending() == 0 && self.bytes.is_empty() && !self.is_lingering
@@ -138,15 +135,19 @@
 
     /// Whether the client has accepted no bytes within the write time-out.
     pub(super) fn is_write_timed_out(&self, now: Timestamp) -> bool {
-        self.blocked_write.is_some_and(|progress| {
-            progress.has_stalled_for(now.as_micros(), WRITE_TIMEOUT.as_micros())
-        })
+        self.has_write_stalled_for(now, WRITE_TIMEOUT)
+    }
+
+    /// Whether the client has accepted no byte of the replies to it for so long.
+    pub(super) fn has_write_stalled_for(&self, now: Timestamp, time: TimeDelta) -> bool {
+        self.blocked_write
+            .is_some_and(|progress| progress.has_stalled_for(now.as_micros(), time.as_micros()))
     }
 
     /// Whether a client that has all its replies has exceeded the command or idle time-out. Only bytes that were read count as received.
     pub(super) fn is_read_timed_out(&self, now: Timestamp) -> bool {
         let has_unread_replies = self.blocked_write.is_some() || self.replies.pending() > 0;
-        if has_unread_replies || self.is_blocked {
+        if has_unread_replies || self.may_hold_command() {
             return false;
         }
         let is_within_command = !self.bytes.is_empty() || self.discarded_bytes > 0;
--- a/crates/resp-gateway/src/sessions/shutdown_tests.rs
+++ b/crates/resp-gateway/src/sessions/shutdown_tests.rs
@@ -115,10 +115,16 @@
     }
 
     fn on_event(&mut self, event: Event) {
-        if let Event::Bytes { conn, data } = event {
+        if let Event::Bytes {
+            conn,
+            data,
+            arrived_since,
+        } = event
+        {
             self.clients.get_mut(&conn).expect("its client").read_bytes += data.len();
-            self.sessions
-                .on_bytes(&mut self.test_loop.engine, conn, &data);
+            let arrived_since = Timestamp::from_micros(arrived_since);
+            let engine = &mut self.test_loop.engine;
+            self.sessions.on_bytes(engine, conn, &data, arrived_since);
             self.take_commands(conn);
         } else if let Event::Closed { conn, .. } = event {
             self.sessions.on_closed(conn);
@@ -134,11 +140,12 @@
             self.reply_some(rng);
         }
         self.reply_some(rng);
-        for conn in self
-            .sessions
-            .take_connections_to_resume(&self.test_loop.engine)
-        {
-            self.take_commands(conn);
+        self.sessions
+            .queue_connections_waiting_for_memory(&self.test_loop.engine);
+        for _ in 0..self.sessions.connections_to_resume() {
+            if let Some(conn) = self.sessions.next_connection_to_resume() {
+                self.take_commands(conn);
+            }
         }
         self.sessions.close_idle(&mut self.test_loop.engine);
     }
--- a/crates/resp-gateway/src/sessions/tests.rs
+++ b/crates/resp-gateway/src/sessions/tests.rs
@@ -49,8 +49,9 @@
     }
 
     fn receive(&mut self, bytes: &[u8]) {
-        self.sessions
-            .on_bytes(&mut self.test_loop.engine, self.conn, bytes);
+        let engine = &mut self.test_loop.engine;
+        let now = clock::now(engine);
+        self.sessions.on_bytes(engine, self.conn, bytes, now);
     }
 
     fn next_slot(&mut self) -> Option<ReplySlot> {
--- a/crates/resp-gateway/tests/common/mod.rs
+++ b/crates/resp-gateway/tests/common/mod.rs
@@ -177,7 +177,7 @@
             match event {
                 Event::Accepted { listener, conn } => drop(self.listener_of.insert(conn, listener)),
                 Event::Connected { conn } => drop(self.connected.insert(conn)),
-                Event::Bytes { conn, data } => self
+                Event::Bytes { conn, data, .. } => self
                     .received
                     .entry(conn)
                     .or_default()
