Platform gateway: connections are accepted or closed unread while all places are taken

Cause: at the limit of its listener a gateway accepted nobody until one of its clients could be closed without a loss. Connections waited in the system's backlog, past the deadlines of what their clients had sent. A client that accepted nothing for 1 s of the replies that wait for it can be evicted.

--- a/crates/net/src/engine/listeners.rs
+++ b/crates/net/src/engine/listeners.rs
@@ -126,6 +126,22 @@
         self.accepting_listeners.push(key);
     }
 
+    /// Closes waiting connections of a listener that has been full for at least `min_full_micros`, without reading from them, so that their
+    /// clients connect elsewhere instead of waiting. Closes a limited number in one call; returns how many.
+    pub fn shed_waiting_connections(
+        &mut self,
+        listener: ListenerId,
+        min_full_micros: u64,
+    ) -> usize {
+        let now = self.now();
+        let listener = self.listeners.get_mut(&listener.0);
+        let full = listener.filter(|listener| {
+            let since = listener.full_since;
+            since.is_some_and(|since| now >= since + min_full_micros)
+        });
+        full.map_or(0, |listener| listener.shed_waiting(ACCEPTS_PER_TURN))
+    }
+
     fn add_accepted(
         &mut self,
         listener_key: u64,
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -97,6 +97,22 @@
         self.accept_from_system()
     }
 
+    /// Closes waiting connections without reading from them, at most `max`; returns how many.
+    pub(crate) fn shed_waiting(&mut self, max: usize) -> usize {
+        for shed in 0..max {
+            match self.accept_from_system() {
+                AcceptResult::Connection(stream, _) => drop(stream),
+                AcceptResult::NoneWaiting => {
+                    self.full_since = None;
+                    self.waiting_since = None;
+                    return shed;
+                }
+                AcceptResult::Full | AcceptResult::Failed(_) => return shed,
+            }
+        }
+        max
+    }
+
     fn accept_from_system(&mut self) -> AcceptResult {
         loop {
             match self.socket.accept() {
--- a/crates/resp-gateway/src/server.rs
+++ b/crates/resp-gateway/src/server.rs
@@ -7,6 +7,7 @@
 mod event_loop;
 mod lifecycle;
 mod requests;
+mod shed_connections;
 mod start;
 
 pub use start::StartError;
@@ -28,6 +29,7 @@
 use chalkdeck_resp::ReplySlot;
 use chalkdeck_time::Timestamp;
 use rustc_hash::FxHashMap;
+use shed_connections::ShedConnections;
 use std::net::SocketAddr;
 
 /// What happens when a timer of the event loop fires.
@@ -84,6 +86,7 @@
     sessions: Sessions,
     /// How many further commands are handled before the sockets are polled again.
     commands_left_in_turn: usize,
+    shed_connections: ShedConnections,
     requests: FxHashMap<RequestId, OpenRequest>,
     /// Open requests by the ids that their clients chose.
     requests_by_client_id: FxHashMap<Bytes, RequestId>,
--- a/crates/resp-gateway/src/server/event_loop.rs
+++ b/crates/resp-gateway/src/server/event_loop.rs
@@ -45,6 +45,7 @@
         self.sessions.close_idle(&mut self.engine);
         self.sessions.evict_over_memory(&mut self.engine);
         self.sessions.evict_excess(&mut self.engine);
+        self.shed_waiting_connections();
         Ok(())
     }
 
@@ -182,6 +183,7 @@
                 self.sessions.sweep(&mut self.engine);
                 let now = clock::now(&self.engine);
                 self.sessions.log_overdue_commands(now);
+                self.log_shed_connections();
                 self.discovery.log_changes(now);
             }
         }
--- /dev/null
+++ b/crates/resp-gateway/src/server/shed_connections.rs
@@ -0,0 +1,48 @@
+//! Connections that wait to be accepted while no client connection can be closed for them. They are closed unread, so that their clients
+//! connect again instead of waiting past their deadlines.
+
+use super::GatewayServer;
+use crate::clock;
+use chalkdeck_time::{TimeDelta, Timestamp};
+
+/// How long the listener has been at its limit when waiting connections are closed. In this time an idle connection may make room.
+const MIN_FULL_TIME: TimeDelta = TimeDelta::from_millis(50);
+/// The shortest time between two log lines.
+const LOG_INTERVAL: TimeDelta = TimeDelta::from_secs(10);
+
+/// The number of connections that were closed unread, and what of it was logged.
+#[derive(Debug, Default)]
+pub(super) struct ShedConnections {
+    count: u64,
+    logged_count: u64,
+    logged_at: Timestamp,
+}
+
+impl GatewayServer {
+    /// Closes connections that wait while the listener is at its limit. Called once per turn, after connections were evicted. In a shutdown
+    /// they are accepted instead, as places become free.
+    pub(super) fn shed_waiting_connections(&mut self) {
+        if self.shutdown_requested_at.is_some() {
+            return;
+        }
+        let shed = self
+            .engine
+            .shed_waiting_connections(self.listener, MIN_FULL_TIME.as_micros());
+        self.shed_connections.count += shed as u64;
+    }
+
+    /// Logs how many connections were closed since the last time. Called at a fixed interval.
+    pub(super) fn log_shed_connections(&mut self) {
+        let now = clock::now(&self.engine);
+        let shed = &mut self.shed_connections;
+        if shed.count == shed.logged_count || now < shed.logged_at + LOG_INTERVAL {
+            return;
+        }
+        tracing::warn!(
+            closed = shed.count - shed.logged_count,
+            "new connections closed unread: all places are taken by clients that wait for replies"
+        );
+        shed.logged_count = shed.count;
+        shed.logged_at = now;
+    }
+}
--- a/crates/resp-gateway/src/server/start.rs
+++ b/crates/resp-gateway/src/server/start.rs
@@ -1,6 +1,7 @@
 //! Starts a gateway.
 
 use super::lifecycle::longest_deadline;
+use super::shed_connections::ShedConnections;
 use super::{GatewayServer, TimerPurpose};
 use crate::abandoned_ids::AbandonedIds;
 use crate::config::Config;
@@ -138,6 +139,7 @@
             decision_timers: FxHashMap::default(),
             sessions,
             commands_left_in_turn: 0,
+            shed_connections: ShedConnections::default(),
             requests: FxHashMap::default(),
             requests_by_client_id: FxHashMap::default(),
             abandoned_ids: AbandonedIds::new(longest_deadline(config.settings())),
--- a/crates/resp-gateway/src/sessions/eviction.rs
+++ b/crates/resp-gateway/src/sessions/eviction.rs
@@ -12,11 +12,16 @@
 /// The time that a client has to read its last replies, after a protocol error or `QUIT`, before its connection may be evicted.
 const MIN_LINGER_TIME: TimeDelta = TimeDelta::from_millis(100);
 
+/// The time without an accepted byte of its replies after which the connection of a client may be evicted.
+const MIN_STALL_TIME: TimeDelta = TimeDelta::from_secs(1);
+
 /// The groups of connections in the order of their eviction. Within a group, the connection that has been inactive longest is the first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionGroup {
     /// All replies were written after a protocol error or `QUIT`, and the client has had the time to read them.
     Ended,
+    /// The client has read nothing for a while of the replies that wait for it.
+    NotReading,
     /// The client has never sent a complete command.
     Silent,
     /// All replies were written after a protocol error or `QUIT`, only just. Instead of evicting another client, the gateway waits until
@@ -100,7 +105,7 @@
             .into_iter()
             .take_while(|candidate| candidate.group != EvictionGroup::Ending)
             .filter(|candidate| {
-                candidate.group == EvictionGroup::Ended || engine.is_idle(candidate.conn)
+                candidate.group <= EvictionGroup::NotReading || engine.is_idle(candidate.conn)
             })
             .map(|candidate| candidate.conn)
             .take(count)
@@ -123,6 +128,9 @@
             EvictionGroup::Ending
         });
     }
+    if session.has_write_stalled_for(now, MIN_STALL_TIME) {
+        return Some(EvictionGroup::NotReading);
+    }
     let is_owed = session.replies.pending() > 0 || session.may_hold_command();
     if is_owed || session.is_new(now) || !engine.flush(conn) {
         return None;
