Platform gateway: what waits unaccepted or queued is answered or closed before the kill

Cause: in a shutdown, connections beyond the limit waited to be accepted until the kill, since clients of a crowd left no place; and commands of 545 busy clients waited 0.2 s and more for their turn. Change: in a shutdown, connections that have waited for 0.5 s are closed unread, and all that wait in its last 0.5 s; there commands that queue are rejected at once. 256 waiting connections are closed in a turn.

--- a/crates/cli/tests/platform/clients.rs
+++ b/crates/cli/tests/platform/clients.rs
@@ -35,7 +35,8 @@
     read_command_within(Duration::from_secs(30), customer, id, plan)
 }
 
-fn read_command_within(timeout: Duration, customer: u64, id: u64, plan: &str) -> String {
+/// A command that reads, with the time that its client waits.
+pub fn read_command_within(timeout: Duration, customer: u64, id: u64, plan: &str) -> String {
     let timeout_ms = timeout.as_millis();
     let fields = format!("c=view,t={plan},d={timeout_ms},units=1,spread=8,first=0");
     format!(
--- a/crates/cli/tests/platform/crowd.rs
+++ b/crates/cli/tests/platform/crowd.rs
@@ -10,7 +10,7 @@
 const TURN_INTERVAL: Duration = Duration::from_millis(1);
 
 /// What the clients of a crowd do.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct CrowdBehavior {
     pub clients: usize,
     /// The number of commands that a client writes at once.
--- a/crates/cli/tests/platform/mod.rs
+++ b/crates/cli/tests/platform/mod.rs
@@ -161,7 +161,7 @@
 }
 
 /// The resources that the platform grants a gateway, and the deadline of its classes.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct GatewayOptions {
     pub memory_mb: usize,
     pub descriptors: usize,
--- a/crates/net/src/engine/listeners.rs
+++ b/crates/net/src/engine/listeners.rs
@@ -16,6 +16,9 @@
 /// clients reconnect.
 pub(super) const ACCEPTS_PER_TURN: usize = 32;
 
+/// Maximum number of waiting connections that are closed in one call, which costs less than to serve them.
+const SHEDS_PER_CALL: usize = 256;
+
 impl Engine {
     /// Listens at `address` for HTTP/2, or for HTTP/1.1 GET requests if `is_http1`. Port 0 selects a free port. With
     /// `is_port_shared`, other threads can listen at the same address.
@@ -126,20 +129,21 @@
         self.accepting_listeners.push(key);
     }
 
-    /// Closes waiting connections of a listener that has been full for at least `min_full_micros`, without reading from them, so that their
-    /// clients connect elsewhere instead of waiting. Closes a limited number in one call; returns how many.
-    pub fn shed_waiting_connections(
-        &mut self,
-        listener: ListenerId,
-        min_full_micros: u64,
-    ) -> usize {
-        let now = self.now();
+    /// Since when a listener has had as many open connections as its limit; `None` if it has fewer, or is closed.
+    pub fn listener_full_since(&self, listener: ListenerId) -> Option<u64> {
+        self.listeners.get(&listener.0)?.full_since
+    }
+
+    /// Since when connections may have waited to be accepted by a listener; `None` if none waits, or it is closed.
+    pub fn listener_waiting_since(&self, listener: ListenerId) -> Option<u64> {
+        self.listeners.get(&listener.0)?.waiting_since
+    }
+
+    /// Closes connections that wait to be accepted, without reading from them, so that their clients connect elsewhere instead of waiting.
+    /// Closes a limited number in one call; returns how many.
+    pub fn shed_waiting_connections(&mut self, listener: ListenerId) -> usize {
         let listener = self.listeners.get_mut(&listener.0);
-        let full = listener.filter(|listener| {
-            let since = listener.full_since;
-            since.is_some_and(|since| now >= since + min_full_micros)
-        });
-        full.map_or(0, |listener| listener.shed_waiting(ACCEPTS_PER_TURN))
+        listener.map_or(0, |listener| listener.shed_waiting(SHEDS_PER_CALL))
     }
 
     fn add_accepted(
--- a/crates/resp-gateway/src/server/lifecycle.rs
+++ b/crates/resp-gateway/src/server/lifecycle.rs
@@ -20,6 +20,8 @@
 const KILL_DELAY: TimeDelta = TimeDelta::from_millis(700);
 /// The longest deadline that the platform takes into account for the kill.
 const MAX_KILL_DEADLINE: TimeDelta = TimeDelta::from_secs(3);
+/// How long connections wait to be accepted in a shutdown, and how long before the last replies nothing may wait any more.
+pub(super) const MAX_SHUTDOWN_WAIT: TimeDelta = TimeDelta::from_millis(500);
 /// Requests that are received during a shutdown are answered at least this long before the kill.
 const KILL_MARGIN: TimeDelta = TimeDelta::from_millis(60);
 
@@ -89,6 +91,11 @@
         since + (KILL_DELAY - KILL_MARGIN) + deadline
     }
 
+    /// Whether what waits now, unread or unaccepted, might not have its reply before the kill.
+    pub(super) fn is_kill_near(&self) -> bool {
+        clock::now(&self.engine) + MAX_SHUTDOWN_WAIT >= self.latest_deadline()
+    }
+
     /// Continues a shutdown once no more connections are expected: closes the listener when its backlog is empty, and lets the sessions
     /// close idle connections.
     pub(super) fn continue_shutdown(&mut self) {
--- a/crates/resp-gateway/src/server/requests.rs
+++ b/crates/resp-gateway/src/server/requests.rs
@@ -41,7 +41,9 @@
                 self.sessions.close_reading(conn);
                 Some(client_replies::ok())
             }
-            _ if command.is_overdue => Some(client_replies::busy(None)),
+            _ if command.is_overdue || self.rejects_queued_commands() => {
+                Some(client_replies::busy(None))
+            }
             _ => match self.open_request(conn, command) {
                 Ok(()) => None,
                 Err(error) => Some(client_replies::error(&error.to_string())),
@@ -49,6 +51,11 @@
         }
     }
 
+    /// Whether commands are rejected at once so that all that wait have their replies before the platform kills the process.
+    fn rejects_queued_commands(&self) -> bool {
+        self.sessions.connections_to_resume() > 0 && self.is_kill_near()
+    }
+
     fn open_request(&mut self, conn: ConnId, command: ReceivedCommand) -> Result<(), RequestError> {
         let id = RequestId(self.last_request.0 + 1);
         let command_bytes = command.words.iter().map(|word| word.len()).sum();
--- a/crates/resp-gateway/src/server/shed_connections.rs
+++ b/crates/resp-gateway/src/server/shed_connections.rs
@@ -1,6 +1,7 @@
 //! Connections that wait to be accepted while no client connection can be closed for them. They are closed unread, so that their clients
 //! connect again instead of waiting past their deadlines.
 
+use super::lifecycle::MAX_SHUTDOWN_WAIT;
 use super::GatewayServer;
 use crate::clock;
 use chalkdeck_time::{TimeDelta, Timestamp};
@@ -19,16 +20,28 @@
 }
 
 impl GatewayServer {
-    /// Closes connections that wait while the listener is at its limit. Called once per turn, after connections were evicted. In a shutdown
-    /// they are accepted instead, as places become free.
+    /// Closes connections that wait while the listener is at its limit. Called once per turn, after connections were evicted.
     pub(super) fn shed_waiting_connections(&mut self) {
-        if self.shutdown_requested_at.is_some() {
-            return;
+        if self.has_connections_to_shed() {
+            let shed = self.engine.shed_waiting_connections(self.listener);
+            self.shed_connections.count += shed as u64;
+        }
+    }
+
+    /// Whether the waiting connections should wait no longer. In a shutdown, in which clients may have no other gateway yet and places become
+    /// free as connections are closed, they wait longer, but not until the kill.
+    fn has_connections_to_shed(&self) -> bool {
+        let now = clock::now(&self.engine);
+        let has_passed = |since: Option<u64>, time: TimeDelta| {
+            since.is_some_and(|since| now >= Timestamp::from_micros(since) + time)
+        };
+        let full_since = self.engine.listener_full_since(self.listener);
+        if self.shutdown_requested_at.is_none() {
+            return has_passed(full_since, MIN_FULL_TIME);
         }
-        let shed = self
-            .engine
-            .shed_waiting_connections(self.listener, MIN_FULL_TIME.as_micros());
-        self.shed_connections.count += shed as u64;
+        let waiting_since = self.engine.listener_waiting_since(self.listener);
+        let have_waited = self.is_kill_near() || has_passed(waiting_since, MAX_SHUTDOWN_WAIT);
+        full_since.is_some() && have_waited
     }
 
     /// Logs how many connections were closed since the last time. Called at a fixed interval.
