Decisions: timers of served requests are cancelled with their answers

Seen: beside 900 clients, 11,000 timers of a release build fired in one turn, 3 s after a burst; the process held up to 28.3 MB of 32. Cause: the timers of a request were cancelled where the engine gave its final answer. A served request gets it from the attempt, and its timers for the deadline and for stragglers stayed in four tables until they fired.

--- a/crates/policy/src/engine/attempt_results.rs
+++ b/crates/policy/src/engine/attempt_results.rs
@@ -87,6 +87,7 @@
             is_straggler: outcome != Outcome::Ok && self.is_straggler(&attempt),
         });
         if is_answered {
+            self.cancel_timers_of(id);
             self.remove_if_finished(id);
         } else if is_within_objective && self.may_retry(id) && self.retry_budget.has_retry() {
             self.retry_budget.spend();
--- a/crates/policy/src/engine/completion.rs
+++ b/crates/policy/src/engine/completion.rs
@@ -63,7 +63,6 @@
         };
         if !request.is_done {
             request.is_done = true;
-            let timers = std::mem::take(&mut request.timers);
             self.actions.extend(answer);
             if self.settings.allow_cancel && !request.is_streaming {
                 let attempts = request.attempts.iter().enumerate();
@@ -74,13 +73,20 @@
                 });
                 self.actions.extend(cancels);
             }
-            for timer in timers {
-                self.cancel_timer(timer);
-            }
+            self.cancel_timers_of(id);
         }
         self.remove_if_finished(id);
     }
 
+    /// Cancels the timers of a request, which has its final answer.
+    pub(super) fn cancel_timers_of(&mut self, id: RequestId) {
+        let request = self.requests.get_mut(&id);
+        let timers = request.map(|request| std::mem::take(&mut request.timers));
+        for timer in timers.into_iter().flatten() {
+            self.cancel_timer(timer);
+        }
+    }
+
     /// Removes a completed request once none of its attempts is in flight, refunds its units if it
     /// was never sent, and frees its slot.
     pub(super) fn remove_if_finished(&mut self, id: RequestId) {
--- a/crates/policy/tests/request_guarantees.rs
+++ b/crates/policy/tests/request_guarantees.rs
@@ -51,6 +51,21 @@
     );
 }
 
+/// Guards against timers of served requests that are kept until their deadlines: thousands of them were held beside a flood of requests.
+#[test]
+fn a_request_is_served_then_its_timers_are_cancelled() {
+    let mut harness = Harness::new(settings(), 4);
+    let (id, endpoint) = harness.send_request(0);
+    let is_set = |action: &&Action| matches!(action, Action::SetTimer { .. });
+    let set = harness.all_actions.iter().filter(is_set).count();
+    let actions = harness.end_attempt(id, 0, endpoint, Outcome::Ok);
+    let is_cancelled = |action: &&Action| matches!(action, Action::CancelTimer(_));
+    let cancelled = actions.iter().filter(is_cancelled).count();
+    // The first timer is that of the customers.
+    assert_eq!(cancelled, set - 1, "{actions:?}");
+    assert!(cancelled > 0);
+}
+
 #[test]
 fn a_non_idempotent_request_that_may_have_run_fails() {
     let mut harness = Harness::new(settings(), 4);
