Platform gateway: connections wait at most 1 s to be accepted, also while others are

Cause: the wait for a place counted from the last accepted connection, and at the limit eight are accepted in a turn. Change: connections that may have waited for 1 s are closed unread as well.

--- a/crates/resp-gateway/src/server/shed_connections.rs
+++ b/crates/resp-gateway/src/server/shed_connections.rs
@@ -6,8 +6,10 @@
 use crate::clock;
 use chalkdeck_time::{TimeDelta, Timestamp};
 
-/// How long the listener has been at its limit when waiting connections are closed. In this time an idle connection may make room.
+/// How long the listener has accepted nobody when waiting connections are closed. In this time an idle connection may make room.
 const MIN_FULL_TIME: TimeDelta = TimeDelta::from_millis(50);
+/// How long connections wait while others are accepted before them.
+const MAX_BACKLOG_WAIT: TimeDelta = TimeDelta::from_secs(1);
 /// The shortest time between two log lines.
 const LOG_INTERVAL: TimeDelta = TimeDelta::from_secs(10);
 
@@ -32,16 +34,17 @@
     /// free as connections are closed, they wait longer, but not until the kill.
     fn has_connections_to_shed(&self) -> bool {
         let now = clock::now(&self.engine);
-        let has_passed = |since: Option<u64>, time: TimeDelta| {
-            since.is_some_and(|since| now >= Timestamp::from_micros(since) + time)
+        let Some(full_since) = self.engine.listener_full_since(self.listener) else {
+            return false;
         };
-        let full_since = self.engine.listener_full_since(self.listener);
-        if self.shutdown_requested_at.is_none() {
-            return has_passed(full_since, MIN_FULL_TIME);
-        }
         let waiting_since = self.engine.listener_waiting_since(self.listener);
-        let have_waited = self.is_kill_near() || has_passed(waiting_since, MAX_SHUTDOWN_WAIT);
-        full_since.is_some() && have_waited
+        let has_passed = |since: u64, time: TimeDelta| now >= Timestamp::from_micros(since) + time;
+        if self.shutdown_requested_at.is_some() {
+            let has_waited = waiting_since.is_some_and(|at| has_passed(at, MAX_SHUTDOWN_WAIT));
+            return self.is_kill_near() || has_waited;
+        }
+        let has_waited = waiting_since.is_some_and(|at| has_passed(at, MAX_BACKLOG_WAIT));
+        has_waited || has_passed(full_since, MIN_FULL_TIME)
     }
 
     /// Logs how many connections were closed since the last time. Called at a fixed interval.
